Set up the workspace, the runtime on fibers, HTTP and the checks

The scheduler runs all fibers and all I/O on one thread. Processes end through Runtime::Exit, because returning from main waits for every detached fiber.

--- /dev/null
+++ b/apps/tanagerloomd/main.cc
@@ -0,0 +1,6 @@
+#include "runtime/runtime.h"
+
+int main() {
+  tanagerloom::Runtime::Get();
+  tanagerloom::Runtime::Exit(0);
+}
--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,22 @@
+# tanagerloom_package(NAME DEPS ...): the library target of packages/NAME, made
+# of all its .cc files. DEPS are packages or outside libraries.
+function(tanagerloom_package name)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS
+    ${CMAKE_SOURCE_DIR}/packages/${name}/*.cc)
+  if(sources)
+    add_library(tl_${name} STATIC ${sources})
+    set(scope PUBLIC)
+  else()
+    add_library(tl_${name} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_link_libraries(tl_${name} ${scope} tanagerloom_options)
+  foreach(dep ${ARG_DEPS})
+    if(IS_DIRECTORY ${CMAKE_SOURCE_DIR}/packages/${dep})
+      target_link_libraries(tl_${name} ${scope} tl_${dep})
+    else()
+      target_link_libraries(tl_${name} ${scope} ${dep})
+    endif()
+  endforeach()
+endfunction()
--- /dev/null
+++ b/packages/base/event_log.cc
@@ -0,0 +1,81 @@
+#include "base/event_log.h"
+
+#include <spdlog/logger.h>
+#include <spdlog/sinks/null_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <utility>
+
+namespace tanagerloom {
+
+namespace {
+
+spdlog::level::level_enum LevelOf(Severity severity) {
+  switch (severity) {
+    case Severity::kDebug:
+      return spdlog::level::debug;
+    case Severity::kInfo:
+      return spdlog::level::info;
+    case Severity::kWarning:
+      return spdlog::level::warn;
+    case Severity::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::err;
+}
+
+}  // namespace
+
+nlohmann::json EventRecord::ToJson(const std::string& process) const {
+  return {{"time_us", time.micros}, {"counter", time.counter},
+          {"sequence", sequence},   {"process", process},
+          {"number", id.number},    {"event", id.name},
+          {"fields", fields}};
+}
+
+EventLog::EventLog(std::string process,
+                   std::size_t capacity,
+                   std::shared_ptr<spdlog::logger> logger)
+    : process_(std::move(process)),
+      capacity_(capacity),
+      logger_(std::move(logger)) {}
+
+EventLog::~EventLog() = default;
+
+void EventLog::Record(EventId id, nlohmann::json fields) {
+  EventRecord record{clock_.Now(), ++sequence_, id, std::move(fields)};
+  const auto level = LevelOf(id.severity);
+  if (logger_->should_log(level)) {
+    logger_->log(level,
+                 record.ToJson(process_).dump(
+                     -1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+  ring_.push_back(std::move(record));
+  if (ring_.size() > capacity_) {
+    ring_.pop_front();
+  }
+}
+
+std::vector<EventRecord> EventLog::Since(std::uint64_t after) const {
+  std::vector<EventRecord> out;
+  for (const auto& it : ring_) {
+    if (it.sequence > after) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
+std::shared_ptr<spdlog::logger> MakeLogger(bool json) {
+  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  auto logger = std::make_shared<spdlog::logger>("tanagerloom", sink);
+  logger->set_pattern(json ? "%v" : "%Y-%m-%d %H:%M:%S.%e %l %v");
+  return logger;
+}
+
+std::shared_ptr<spdlog::logger> MakeNullLogger() {
+  return std::make_shared<spdlog::logger>(
+      "null", std::make_shared<spdlog::sinks::null_sink_st>());
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/http/http_connection.cc
@@ -0,0 +1,162 @@
+#include "http/http_connection.h"
+
+// Boost 1.74's Asio uses std::exchange without including its header.
+#include <utility>
+// Keep this after <utility>.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "runtime/await.h"
+
+namespace tanagerloom {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kReadChunkBytes = 16 * 1024;
+
+HttpFailure Failure(boost::system::error_code ec,
+                    std::string_view what,
+                    const Address& address,
+                    Verdict verdict) {
+  const bool timeout = ec == beast::error::timeout;
+  return {
+      MakeError(
+          timeout ? ErrorKind::kTimeout
+                  : (verdict == Verdict::kNotRun ? ErrorKind::kUnavailable
+                                                 : ErrorKind::kUnknown),
+          std::string(what) + " " + address.ToString() + ": " + ec.message()),
+      verdict};
+}
+
+}  // namespace
+
+struct HttpConnection::Impl {
+  explicit Impl(asio::io_context& io) : stream(io) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
+};
+
+HttpConnection::HttpConnection(asio::io_context& io, Address address)
+    : impl_(std::make_unique<Impl>(io)), address_(std::move(address)) {}
+
+HttpConnection::~HttpConnection() = default;
+
+HttpResult<void> HttpConnection::Connect(TimePoint deadline) {
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address(address_.ip, ec);
+  if (ec) {
+    return Failure(ec, "bad IP number", address_, Verdict::kNotRun);
+  }
+  impl_->stream.expires_at(deadline);
+  const asio::ip::tcp::endpoint remote(ip, address_.port);
+  const auto result =
+      AwaitIo([&](auto done) { impl_->stream.async_connect(remote, done); });
+  if (result.ec) {
+    return Failure(result.ec, "cannot connect to", address_, Verdict::kNotRun);
+  }
+  impl_->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+HttpResult<void> HttpConnection::Send(const HttpRequest& request,
+                                      const HttpCallOptions& options) {
+  bhttp::request<bhttp::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  message.set(bhttp::field::host, address_.ToString());
+  for (const auto& it : request.headers.fields()) {
+    message.set(it.name, it.value);
+  }
+  message.body() = request.body;
+  message.prepare_payload();
+  impl_->stream.expires_at(options.deadline);
+  auto result = AwaitIo(
+      [&](auto done) { bhttp::async_write(impl_->stream, message, done); });
+  if (result.ec) {
+    return Failure(result.ec, "cannot send the request to", address_,
+                   result.n == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun);
+  }
+  impl_->parser.emplace();
+  impl_->parser->header_limit(kMaxHeaderBytes);
+  impl_->parser->body_limit(options.max_body_bytes);
+  result = AwaitIo([&](auto done) {
+    bhttp::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
+                             done);
+  });
+  if (result.ec) {
+    return Failure(result.ec, "no response from", address_,
+                   Verdict::kMayHaveRun);
+  }
+  const auto& head = impl_->parser->get();
+  status_ = static_cast<int>(head.result_int());
+  headers_ = HttpHeaders();
+  for (const auto& it : head) {
+    headers_.Add(
+        std::string_view(it.name_string().data(), it.name_string().size()),
+        std::string_view(it.value().data(), it.value().size()));
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+HttpResult<std::size_t> HttpConnection::ReadSome(std::string& out,
+                                                 TimePoint deadline) {
+  char chunk[kReadChunkBytes];
+  auto& parser = *impl_->parser;
+  while (!parser.is_done()) {
+    parser.get().body().data = chunk;
+    parser.get().body().size = sizeof(chunk);
+    impl_->stream.expires_at(deadline);
+    auto result = AwaitIo([&](auto done) {
+      bhttp::async_read_some(impl_->stream, impl_->buffer, parser, done);
+    });
+    if (result.ec == bhttp::error::need_buffer) {
+      result.ec = {};
+    }
+    if (result.ec) {
+      return Failure(result.ec, "response cut from", address_,
+                     Verdict::kMayHaveRun);
+    }
+    const std::size_t n = sizeof(chunk) - parser.get().body().size;
+    if (n > 0) {
+      out.append(chunk, n);
+      return n;
+    }
+  }
+  return std::size_t{0};
+}
+
+bool HttpConnection::Usable() {
+  auto& socket = impl_->stream.socket();
+  if (!socket.is_open() || impl_->buffer.size() > 0) {
+    return false;
+  }
+  boost::system::error_code ec;
+  char byte = 0;
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+bool HttpConnection::Reusable() const {
+  return complete() && impl_->parser->get().keep_alive();
+}
+
+bool HttpConnection::complete() const {
+  return impl_->parser.has_value() && impl_->parser->is_done();
+}
+
+void HttpConnection::Close() {
+  impl_->stream.close();
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/http/http_connection.h
@@ -0,0 +1,46 @@
+// Defines HttpConnection, one client connection; used only by HttpClient.
+#ifndef HTTP_HTTP_CONNECTION_H_
+#define HTTP_HTTP_CONNECTION_H_
+
+#include <memory>
+#include <string>
+
+#include "base/address.h"
+#include "http/http_client.h"
+
+namespace tanagerloom {
+
+/// A connection on which one request runs at a time.
+class HttpConnection {
+ public:
+  HttpConnection(boost::asio::io_context& io, Address address);
+  ~HttpConnection();
+
+  HttpResult<void> Connect(TimePoint deadline);
+  /// Writes the request and reads the response's head.
+  HttpResult<void> Send(const HttpRequest& request,
+                        const HttpCallOptions& options);
+  HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
+
+  /// Whether an idle connection is still open and has no stray input.
+  bool Usable();
+  /// Whether the response is complete and the connection may be used again.
+  bool Reusable() const;
+  bool complete() const;
+  void Close();
+
+  int status() const { return status_; }
+  const HttpHeaders& headers() const { return headers_; }
+  const Address& address() const { return address_; }
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+  Address address_;
+  int status_ = 0;
+  HttpHeaders headers_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // HTTP_HTTP_CONNECTION_H_
--- /dev/null
+++ b/packages/http/http_server.cc
@@ -0,0 +1,357 @@
+#include "http/http_server.h"
+
+// Boost 1.74's Asio uses std::exchange without including its header.
+#include <utility>
+// Keep this after <utility>.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <optional>
+#include <set>
+
+#include "http/http_responder.h"
+#include "runtime/await.h"
+
+namespace tanagerloom {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+namespace {
+
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
+
+HttpRequest ToRequest(const bhttp::request<bhttp::string_body>& message) {
+  HttpRequest request;
+  const auto method = message.method_string();
+  request.method.assign(method.data(), method.size());
+  request.target.assign(message.target().data(), message.target().size());
+  for (const auto& it : message) {
+    request.headers.Add(
+        std::string_view(it.name_string().data(), it.name_string().size()),
+        std::string_view(it.value().data(), it.value().size()));
+  }
+  request.body = message.body();
+  return request;
+}
+
+// Watches for the client's close while a request is handled. Shared with the
+// pending wait, which outlives the responder.
+struct DisconnectWatch {
+  bool active = true;
+  bool gone = false;
+  std::function<void()> handler;
+};
+
+class ConnectionResponder final : public HttpResponder {
+ public:
+  ConnectionResponder(beast::tcp_stream& stream,
+                      const HttpServerLimits& limits,
+                      bool keep_alive)
+      : stream_(stream),
+        limits_(limits),
+        keep_alive_(keep_alive),
+        watch_(std::make_shared<DisconnectWatch>()) {
+    WatchForClose();
+  }
+
+  ~ConnectionResponder() override {
+    watch_->active = false;
+    watch_->handler = nullptr;
+    boost::system::error_code ec;
+    stream_.socket().cancel(ec);
+  }
+
+  Result<void> Send(HttpResponse response) override {
+    started_ = true;
+    bhttp::response<bhttp::string_body> message;
+    message.result(static_cast<unsigned>(response.status));
+    FillHead(message, response.headers);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    stream_.expires_after(limits_.write_timeout);
+    const auto result =
+        AwaitIo([&](auto done) { bhttp::async_write(stream_, message, done); });
+    return Outcome(result.ec, /*ends=*/true);
+  }
+
+  Result<void> StartStream(int status, HttpHeaders headers) override {
+    started_ = true;
+    bhttp::response<bhttp::empty_body> message;
+    message.result(static_cast<unsigned>(status));
+    FillHead(message, headers);
+    message.chunked(true);
+    bhttp::response_serializer<bhttp::empty_body> serializer(message);
+    stream_.expires_after(limits_.write_timeout);
+    const auto result = AwaitIo([&](auto done) {
+      bhttp::async_write_header(stream_, serializer, done);
+    });
+    return Outcome(result.ec, /*ends=*/false);
+  }
+
+  Result<void> Write(std::string_view chunk) override {
+    if (chunk.empty()) {
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    stream_.expires_after(limits_.write_timeout);
+    const auto result = AwaitIo([&](auto done) {
+      asio::async_write(
+          stream_, bhttp::make_chunk(asio::buffer(chunk.data(), chunk.size())),
+          done);
+    });
+    return Outcome(result.ec, /*ends=*/false);
+  }
+
+  Result<void> Finish() override {
+    stream_.expires_after(limits_.write_timeout);
+    const auto result = AwaitIo([&](auto done) {
+      asio::async_write(stream_, bhttp::make_chunk_last(), done);
+    });
+    return Outcome(result.ec, /*ends=*/true);
+  }
+
+  void Abort() override {
+    finished_ = false;
+    keep_alive_ = false;
+    stream_.close();
+  }
+
+  bool started() const override { return started_; }
+  bool client_gone() const override { return watch_->gone; }
+
+  void OnClientGone(std::function<void()> handler) override {
+    if (watch_->gone) {
+      handler();
+      return;
+    }
+    watch_->handler = std::move(handler);
+  }
+
+  bool finished() const { return finished_; }
+
+ private:
+  template <typename Message>
+  void FillHead(Message& message, const HttpHeaders& headers) {
+    message.version(11);
+    for (const auto& it : headers.fields()) {
+      message.insert(it.name, it.value);
+    }
+    message.keep_alive(keep_alive_);
+  }
+
+  Result<void> Outcome(boost::system::error_code ec, bool ends) {
+    if (ec) {
+      keep_alive_ = false;
+      return MakeError(ErrorKind::kUnavailable,
+                       "cannot write to the client: " + ec.message());
+    }
+    finished_ = finished_ || ends;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void WatchForClose() {
+    stream_.socket().async_wait(
+        asio::socket_base::wait_read,
+        [this, watch = watch_](boost::system::error_code ec) {
+          if (!watch->active || ec) {
+            return;
+          }
+          char byte = 0;
+          boost::system::error_code peek;
+          stream_.socket().non_blocking(true, peek);
+          const auto n = stream_.socket().receive(
+              asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
+          // Input is the next pipelined request; only an end means a close.
+          if (n > 0 || peek == asio::error::would_block) {
+            return;
+          }
+          watch->gone = true;
+          if (watch->handler) {
+            auto handler = std::exchange(watch->handler, nullptr);
+            handler();
+          }
+        });
+  }
+
+  beast::tcp_stream& stream_;
+  const HttpServerLimits& limits_;
+  bool keep_alive_;
+  bool started_ = false;
+  bool finished_ = false;
+  std::shared_ptr<DisconnectWatch> watch_;
+};
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(asio::io_context& io, HttpServerLimits limits, Handler handler)
+      : io(io), limits(limits), handler(std::move(handler)), acceptor(io) {}
+
+  asio::io_context& io;
+  HttpServerLimits limits;
+  Handler handler;
+  asio::ip::tcp::acceptor acceptor;
+  bool stopping = false;
+  std::size_t requests = 0;
+  std::set<beast::tcp_stream*> connections;
+  std::set<beast::tcp_stream*> idle;
+
+  void AcceptLoop();
+  void Serve(asio::ip::tcp::socket socket);
+  bool ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+  void RefuseMalformed(beast::tcp_stream& stream, boost::system::error_code ec);
+};
+
+void HttpServer::State::AcceptLoop() {
+  while (!stopping) {
+    asio::ip::tcp::socket socket(io);
+    const auto result =
+        AwaitIo([&](auto done) { acceptor.async_accept(socket, done); });
+    if (stopping || result.ec == asio::error::operation_aborted) {
+      return;
+    }
+    if (result.ec) {
+      // Out of file descriptors, or the client left already.
+      boost::this_fiber::sleep_for(kAcceptRetryDelay);
+      continue;
+    }
+    if (connections.size() >= limits.max_connections) {
+      continue;
+    }
+    boost::fibers::fiber([self = shared_from_this(),
+                          moved = std::move(socket)]() mutable {
+      self->Serve(std::move(moved));
+    }).detach();
+  }
+}
+
+void HttpServer::State::Serve(asio::ip::tcp::socket socket) {
+  beast::tcp_stream stream(std::move(socket));
+  boost::system::error_code ec;
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  beast::flat_buffer buffer;
+  connections.insert(&stream);
+  while (!stopping && ServeOne(stream, buffer)) {
+  }
+  connections.erase(&stream);
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+}
+
+bool HttpServer::State::ServeOne(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buffer) {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  if (buffer.size() == 0) {
+    stream.expires_after(limits.idle_timeout);
+    idle.insert(&stream);
+    const auto ready = AwaitIo(
+        [&](auto done) { stream.async_read_some(buffer.prepare(1), done); });
+    idle.erase(&stream);
+    if (ready.ec) {
+      return false;
+    }
+    buffer.commit(ready.n);
+  }
+  stream.expires_after(limits.read_timeout);
+  const auto result = AwaitIo(
+      [&](auto done) { bhttp::async_read(stream, buffer, parser, done); });
+  if (result.ec) {
+    RefuseMalformed(stream, result.ec);
+    return false;
+  }
+  const auto message = parser.release();
+  const HttpRequest request = ToRequest(message);
+  ++requests;
+  bool reuse = false;
+  {
+    ConnectionResponder responder(stream, limits,
+                                  message.keep_alive() && !stopping);
+    stream.expires_never();
+    handler(request, responder);
+    reuse = responder.finished() && message.keep_alive();
+  }
+  --requests;
+  return reuse;
+}
+
+void HttpServer::State::RefuseMalformed(beast::tcp_stream& stream,
+                                        boost::system::error_code ec) {
+  int status = 400;
+  if (ec == bhttp::error::end_of_stream || ec == asio::error::eof ||
+      ec == asio::error::connection_reset ||
+      ec == asio::error::operation_aborted) {
+    return;
+  }
+  if (ec == bhttp::error::body_limit) {
+    status = 413;
+  } else if (ec == bhttp::error::header_limit) {
+    status = 431;
+  } else if (ec == beast::error::timeout) {
+    status = 408;
+  }
+  bhttp::response<bhttp::string_body> message;
+  message.result(static_cast<unsigned>(status));
+  message.version(11);
+  message.set(bhttp::field::content_type, "application/json");
+  message.keep_alive(false);
+  message.body() = R"({"error":{"code":"malformed_request","message":")" +
+                   ec.message() + R"(","verdict":"not_run"}})";
+  message.prepare_payload();
+  if (ec == beast::error::timeout) {
+    // The expired stream is closed already; nothing can be sent.
+    return;
+  }
+  stream.expires_after(limits.write_timeout);
+  AwaitIo([&](auto done) { bhttp::async_write(stream, message, done); });
+}
+
+HttpServer::HttpServer(asio::io_context& io,
+                       HttpServerLimits limits,
+                       Handler handler)
+    : state_(std::make_shared<State>(io, limits, std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  StopAccepting();
+}
+
+Result<Address> HttpServer::Listen(const Address& address) {
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address(address.ip, ec);
+  if (ec) {
+    return MakeError(ErrorKind::kInvalid, "bad IP number " + address.ip);
+  }
+  const asio::ip::tcp::endpoint local(ip, address.port);
+  state_->acceptor.open(local.protocol(), ec);
+  state_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  state_->acceptor.bind(local, ec);
+  if (!ec) {
+    state_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return MakeError(
+        ErrorKind::kUnavailable,
+        "cannot listen on " + address.ToString() + ": " + ec.message());
+  }
+  boost::fibers::fiber([state = state_] { state->AcceptLoop(); }).detach();
+  return Address{address.ip, state_->acceptor.local_endpoint().port()};
+}
+
+void HttpServer::StopAccepting() {
+  state_->stopping = true;
+  boost::system::error_code ec;
+  state_->acceptor.close(ec);
+  for (auto* it : state_->idle) {
+    it->cancel();
+  }
+}
+
+std::size_t HttpServer::requests_in_progress() const {
+  return state_->requests;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/platform/http_engine_control.h
@@ -0,0 +1,37 @@
+// Defines HttpEngineControl, the adapter of the EngineControl port to the
+// engines' HTTP control API (docs/design.md, section 3.6).
+#ifndef PLATFORM_HTTP_ENGINE_CONTROL_H_
+#define PLATFORM_HTTP_ENGINE_CONTROL_H_
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "ports/engine_control.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+class HttpClient;
+
+/// Engine control over HTTP.
+class HttpEngineControl final : public EngineControl {
+ public:
+  HttpEngineControl(HttpClient& client,
+                    const Clock& clock,
+                    Duration call_timeout);
+
+  Result<OrderAnswer> Send(const Address& engine,
+                           const EngineOrder& order) override;
+  Result<EngineState> ReadState(const Address& engine) override;
+  Result<EngineLoad> ReadLoad(const Address& engine) override;
+
+ private:
+  Result<nlohmann::json> ReadJson(const Address& engine, std::string target);
+
+  HttpClient& client_;
+  const Clock& clock_;
+  Duration call_timeout_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLATFORM_HTTP_ENGINE_CONTROL_H_
--- /dev/null
+++ b/packages/platform/http_vm_list.h
@@ -0,0 +1,32 @@
+// Defines HttpVmList, the adapter of the VmList port to the platform's HTTP
+// list of VMs (docs/design.md, section 3.5).
+#ifndef PLATFORM_HTTP_VM_LIST_H_
+#define PLATFORM_HTTP_VM_LIST_H_
+
+#include "ports/vm_list.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+class HttpClient;
+
+/// The VM list over HTTP.
+class HttpVmList final : public VmList {
+ public:
+  HttpVmList(HttpClient& client,
+             const Clock& clock,
+             Address platform,
+             Duration call_timeout);
+
+  Result<std::vector<Vm>> Read() override;
+
+ private:
+  HttpClient& client_;
+  const Clock& clock_;
+  Address platform_;
+  Duration call_timeout_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLATFORM_HTTP_VM_LIST_H_
--- /dev/null
+++ b/packages/ports/engine_control.h
@@ -0,0 +1,94 @@
+// Defines the port to the control side of a model engine: orders and reports.
+#ifndef PORTS_ENGINE_CONTROL_H_
+#define PORTS_ENGINE_CONTROL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/address.h"
+#include "base/error.h"
+
+namespace tanagerloom {
+
+/// What an order makes an engine do.
+enum class OrderAction { kLoad, kUnload };
+
+/// Where a checkpoint is loaded from.
+enum class CheckpointSource { kMemory, kDisk, kRemote };
+
+/// An order to an engine. A repeated order id has no second effect.
+struct EngineOrder {
+  std::string order;
+  std::uint64_t fence = 0;
+  OrderAction action = OrderAction::kLoad;
+  std::string model;
+  std::string version;
+  std::string adapter;
+  std::uint64_t memory_mb = 0;
+  CheckpointSource source = CheckpointSource::kRemote;
+};
+
+/// The engine took the order. `sequence` is that of its state just after.
+struct OrderAccepted {
+  std::uint64_t sequence = 0;
+  std::string boot;
+};
+
+/// The engine refused the order; it has no effect.
+struct OrderRefused {
+  std::string reason;  ///< "old_fence", "leaving" or "no_memory".
+  std::uint64_t highest_fence = 0;
+};
+
+using OrderAnswer = std::variant<OrderAccepted, OrderRefused>;
+
+/// State of a model on an engine.
+enum class EngineEntryState { kLoading, kLoaded, kFailed };
+
+/// One model or adapter on an engine.
+struct EngineEntry {
+  std::string model;
+  std::string version;
+  std::string adapter;
+  EngineEntryState state = EngineEntryState::kLoading;
+  std::string order;
+  std::string cause;  ///< Of a failed load.
+};
+
+/// An engine's report of what it holds. `sequence` rises within one boot.
+struct EngineState {
+  std::string boot;
+  std::uint64_t sequence = 0;
+  std::uint64_t highest_fence = 0;
+  std::uint64_t memory_mb = 0;
+  std::uint64_t used_mb = 0;
+  bool leaving = false;
+  std::map<std::string, CheckpointSource> cached;
+  std::vector<EngineEntry> entries;
+};
+
+/// An engine's load report, which lags.
+struct EngineLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t capacity = 0;
+};
+
+/// Control of model engines. An order that fails with kUnknown or kTimeout may
+/// still be delivered.
+class EngineControl {
+ public:
+  virtual ~EngineControl() = default;
+
+  virtual Result<OrderAnswer> Send(const Address& engine,
+                                   const EngineOrder& order) = 0;
+  virtual Result<EngineState> ReadState(const Address& engine) = 0;
+  virtual Result<EngineLoad> ReadLoad(const Address& engine) = 0;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PORTS_ENGINE_CONTROL_H_
--- /dev/null
+++ b/packages/runtime/fiber_scheduler.h
@@ -0,0 +1,53 @@
+// Defines FiberScheduler, the Boost.Fiber algorithm that drives an Asio
+// io_context: all fibers and all I/O of a process share one thread, so that no
+// data is shared between threads.
+#ifndef RUNTIME_FIBER_SCHEDULER_H_
+#define RUNTIME_FIBER_SCHEDULER_H_
+
+#include <boost/fiber/algo/algorithm.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace tanagerloom {
+
+/// Round-robin scheduling of fibers over an io_context.
+///
+/// Handlers run only in SuspendUntil and in a polling fiber: the fiber that
+/// suspends still holds a spinlock inside pick_next, where a handler that wakes
+/// a fiber would deadlock.
+class FiberScheduler final : public boost::fibers::algo::algorithm {
+ public:
+  explicit FiberScheduler(boost::asio::io_context& io);
+  ~FiberScheduler() override;
+
+  void awakened(boost::fibers::context* context) noexcept override;
+  boost::fibers::context* pick_next() noexcept override;
+  bool has_ready_fibers() const noexcept override;
+  void suspend_until(
+      const std::chrono::steady_clock::time_point& time) noexcept override;
+  void notify() noexcept override;
+
+ private:
+  struct Timer;
+
+  /// Body of the fiber that runs I/O handlers while other fibers stay ready.
+  void PollLoop();
+
+  boost::asio::io_context& io_;
+  std::unique_ptr<Timer> timer_;
+  std::deque<boost::fibers::context*> ready_;
+  boost::fibers::context* poller_ = nullptr;
+  int picks_since_poll_ = 0;
+
+  friend class Runtime;
+};
+
+}  // namespace tanagerloom
+
+#endif  // RUNTIME_FIBER_SCHEDULER_H_
--- /dev/null
+++ b/packages/runtime/steady_clock.cc
@@ -0,0 +1,20 @@
+#include "runtime/steady_clock.h"
+
+#include <boost/fiber/operations.hpp>
+
+namespace tanagerloom {
+
+TimePoint SteadyClock::Now() const {
+  return std::chrono::steady_clock::now();
+}
+
+std::chrono::milliseconds SteadyClock::WallNow() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+void SteadyClock::SleepUntil(TimePoint time) {
+  boost::this_fiber::sleep_until(time);
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/runtime/steady_clock.h
@@ -0,0 +1,19 @@
+// Defines SteadyClock, the Clock of a running process.
+#ifndef RUNTIME_STEADY_CLOCK_H_
+#define RUNTIME_STEADY_CLOCK_H_
+
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// The system's monotonic clock; sleeping suspends only the calling fiber.
+class SteadyClock final : public Clock {
+ public:
+  TimePoint Now() const override;
+  std::chrono::milliseconds WallNow() const override;
+  void SleepUntil(TimePoint time) override;
+};
+
+}  // namespace tanagerloom
+
+#endif  // RUNTIME_STEADY_CLOCK_H_
--- /dev/null
+++ b/tests/correctness/http_test.cc
@@ -0,0 +1,95 @@
+// HTTP client and server over loopback: guards against answers that are cut
+// being taken for whole ones, and against lost or crossed bodies.
+#include <gtest/gtest.h>
+
+#include <boost/fiber/operations.hpp>
+
+#include "http/http_client.h"
+#include "http/http_responder.h"
+#include "http/http_server.h"
+#include "runtime/runtime.h"
+#include "runtime/steady_clock.h"
+
+namespace tanagerloom {
+namespace {
+
+using namespace std::chrono_literals;
+
+class HttpTest : public testing::Test {
+ protected:
+  Address Serve(HttpServer::Handler handler) {
+    server_ = std::make_unique<HttpServer>(Runtime::Get().io(),
+                                           HttpServerLimits{}, handler);
+    return server_->Listen({"127.0.0.1", 0}).value();
+  }
+
+  HttpCallOptions Options() { return {.deadline = clock_.Now() + 5s}; }
+
+  SteadyClock clock_;
+  HttpClient client_{Runtime::Get().io()};
+  std::unique_ptr<HttpServer> server_;
+};
+
+TEST_F(HttpTest, EchoesBodyOverReusedConnection) {
+  const auto address =
+      Serve([](const HttpRequest& request, HttpResponder& responder) {
+        (void)responder.Send({200, {}, request.body});
+      });
+  for (int i = 0; i < 3; ++i) {
+    const auto body = std::to_string(i);
+    const auto response =
+        client_.Call(address, {"POST", "/echo", {}, body}, Options());
+    ASSERT_TRUE(response) << response.assume_error().error.message;
+    EXPECT_EQ(response.assume_value().body, body);
+  }
+}
+
+TEST_F(HttpTest, StreamedBodyArrivesWhole) {
+  const auto address = Serve([](const HttpRequest&, HttpResponder& responder) {
+    (void)responder.StartStream(200, {});
+    (void)responder.Write("one ");
+    boost::this_fiber::sleep_for(20ms);
+    (void)responder.Write("two");
+    (void)responder.Finish();
+  });
+  const auto response = client_.Call(address, {"GET", "/", {}, ""}, Options());
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response.assume_value().body, "one two");
+}
+
+TEST_F(HttpTest, CutStreamIsAnError) {
+  const auto address = Serve([](const HttpRequest&, HttpResponder& responder) {
+    (void)responder.StartStream(200, {});
+    (void)responder.Write("one ");
+    responder.Abort();
+  });
+  const auto response = client_.Call(address, {"GET", "/", {}, ""}, Options());
+  ASSERT_FALSE(response);
+  EXPECT_EQ(response.assume_error().verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(HttpTest, RefusedConnectionIsNotRun) {
+  const auto response =
+      client_.Call({"127.0.0.1", 1}, {"GET", "/", {}, ""}, Options());
+  ASSERT_FALSE(response);
+  EXPECT_EQ(response.assume_error().verdict, Verdict::kNotRun);
+}
+
+TEST_F(HttpTest, HandlerLearnsThatTheClientLeft) {
+  bool gone = false;
+  const auto address = Serve([&](const HttpRequest&, HttpResponder& responder) {
+    responder.OnClientGone([&] { gone = true; });
+    const auto end = clock_.Now() + 5s;
+    while (!gone && clock_.Now() < end) {
+      boost::this_fiber::sleep_for(5ms);
+    }
+  });
+  const auto response = client_.Call(address, {"GET", "/", {}, ""},
+                                     {.deadline = clock_.Now() + 50ms});
+  EXPECT_FALSE(response);
+  boost::this_fiber::sleep_for(50ms);
+  EXPECT_TRUE(gone);
+}
+
+}  // namespace
+}  // namespace tanagerloom
