Add stand-ins for engines and plain services

Tests need endpoints that record every order, load and request, so that results are checked against a ledger and not against the nodes' own view. Adds both stand-ins; a ledger file outlives a crashed process.

--- /dev/null
+++ b/testing/engine_standin/main.cc
@@ -0,0 +1,369 @@
+// Stand-in for a model engine: orders, reports, inference and its ledger. Tests
+// set faults by POST /test/control (see kDefaults) and POST /test/crash.
+#include "base/id.h"
+#include "runtime/runtime.h"
+#include "testing/engine_standin/batch.h"
+#include "testing/engine_standin/replicas.h"
+#include "testing/support/engine_text.h"
+#include "testing/support/flags.h"
+#include "testing/support/ledger.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+// Counts apply to the next N. drop_orders closes the connection before the
+// order takes effect, lose_order_answers after it. fail_loads counts by model.
+// not_run refuses requests with X-Not-Run; fail answers 500 before running;
+// lose_answers runs a request and closes the connection; wrong_answers answers
+// with another request's id and text; cut_streams closes a stream halfway.
+const nlohmann::json kDefaults = {{"leaving", false},
+                                  {"order_delay_ms", 0},
+                                  {"drop_orders", 0},
+                                  {"lose_order_answers", 0},
+                                  {"fail_loads", nlohmann::json::object()},
+                                  {"not_run", 0},
+                                  {"fail", 0},
+                                  {"lose_answers", 0},
+                                  {"wrong_answers", 0},
+                                  {"cut_streams", 0},
+                                  {"slow_factor", 1.0}};
+
+constexpr auto kWaitStep = std::chrono::milliseconds(20);
+constexpr int kDefaultTokens = 16;
+
+std::string RequestId(const HttpRequest& request) {
+  return std::string(request.headers.Find("X-Request-Id").value_or(""));
+}
+
+class Engine {
+ public:
+  explicit Engine(const Flags& flags)
+      : port_(static_cast<std::uint16_t>(flags.Number("port", 0))),
+        crash_exits_(flags.Text("crash", "exit") == "exit"),
+        crash_ms_(flags.Number("crash-ms", 1000)),
+        resume_ms_(flags.Number("resume-ms", 5000)),
+        ledger_(flags.Text("ledger")),
+        replicas_(flags, control_, ledger_),
+        batch_(flags, control_, ledger_, [this] { Crash(crash_ms_); }) {
+    ledger_.Add("boot", {{"boot", replicas_.boot()}});
+    Listen();
+  }
+
+ private:
+  void Listen() {
+    server_ =
+        ServeLoopback(port_, [this](const auto& request, auto& responder) {
+          Handle(request, responder);
+        });
+  }
+
+  void Handle(const HttpRequest& request, HttpResponder& responder) {
+    const auto path = request.Path();
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+      Infer(request, responder);
+    } else if (const auto id = PathAfter(request, "/v1/streams/")) {
+      Resume(*id, request, responder);
+    } else if (path == "/control/orders") {
+      Order(request, responder);
+    } else if (path == "/control/state") {
+      SendJson(responder, 200, replicas_.State());
+    } else if (path == "/control/load") {
+      SendJson(responder, 200, batch_.lagging_load());
+    } else if (path == "/control/cache-events") {
+      SendJson(responder, 200,
+               batch_.prefixes().Events(
+                   std::stoull("0" + request.Query("after").value_or(""))));
+    } else if (const auto cancelled = PathAfter(request, "/control/cancel/")) {
+      Cancel(*cancelled, responder);
+    } else {
+      HandleTest(request, responder);
+    }
+  }
+
+  void HandleTest(const HttpRequest& request, HttpResponder& responder) {
+    if (request.Path() == "/test/ledger") {
+      SendJson(responder, 200,
+               {{"boot", replicas_.boot()},
+                {"events", ledger_.events()},
+                {"loads", replicas_.load_counts()},
+                {"peak_memory_mb", replicas_.peak_mb()},
+                {"peak_replicas", replicas_.peak_replicas()}});
+      return;
+    }
+    const auto body = ParseObject(request, responder);
+    if (!body) {
+      return;
+    }
+    if (request.Path() == "/test/control") {
+      control_.Merge(*body);
+      SendJson(responder, 200, control_.values());
+    } else if (request.Path() == "/test/crash") {
+      SendJson(responder, 200, {{"crashed", true}});
+      Crash(body->value("down_ms", crash_ms_));
+    } else {
+      SendJson(responder, 404, {{"error", "no such path"}});
+    }
+  }
+
+  void Order(const HttpRequest& request, HttpResponder& responder) {
+    const auto order = ParseObject(request, responder);
+    if (!order) {
+      return;
+    }
+    if (control_.Take("drop_orders")) {
+      responder.Abort();
+      return;
+    }
+    const auto boot = replicas_.boot();
+    SleepMs(control_.Number("order_delay_ms"));
+    if (boot != replicas_.boot()) {
+      responder.Abort();
+      return;
+    }
+    const auto [status, body] = replicas_.Execute(*order);
+    if (control_.Take("lose_order_answers")) {
+      responder.Abort();
+    } else {
+      SendJson(responder, status, body);
+    }
+  }
+
+  void Cancel(const std::string& id, HttpResponder& responder) {
+    const auto generation = batch_.Find(id);
+    if (generation == nullptr) {
+      SendJson(responder, 404, {{"error", "no such request"}});
+      return;
+    }
+    if (!generation->ended()) {
+      generation->cancelled = true;
+      generation->changed.Signal();
+    }
+    SendJson(responder, 200, {{"cancelled", generation->cancelled}});
+  }
+
+  static void NotRun(const HttpRequest& request,
+                     HttpResponder& responder,
+                     const char* reason) {
+    auto response =
+        JsonResponse(503, nlohmann::json{{"reason", reason}}.dump());
+    response.headers.Set("X-Not-Run", "true");
+    response.headers.Set("X-Request-Id", RequestId(request));
+    (void)responder.Send(std::move(response));
+  }
+
+  void Infer(const HttpRequest& request, HttpResponder& responder) {
+    const auto body = ParseObject(request, responder);
+    if (!body) {
+      return;
+    }
+    if (control_.Bool("leaving")) {
+      NotRun(request, responder, "leaving");
+      return;
+    }
+    if (control_.Take("not_run")) {
+      NotRun(request, responder, "overloaded");
+      return;
+    }
+    if (control_.Take("fail")) {
+      SendJson(responder, 500, {{"error", "internal"}});
+      return;
+    }
+    auto generation = std::make_shared<Generation>();
+    generation->request_id = RequestId(request);
+    generation->model = body->value("model", "");
+    generation->prompt = PromptOf(*body);
+    generation->max_tokens = body->value("max_tokens", kDefaultTokens);
+    generation->priority = body->value("priority", 0);
+    generation->stream = body->value("stream", false);
+    generation->replica = replicas_.FindServing(generation->model);
+    if (generation->replica == nullptr) {
+      NotRun(request, responder, "not_loaded");
+      return;
+    }
+    if (!batch_.Start(generation)) {
+      NotRun(request, responder, "overloaded");
+      return;
+    }
+    const bool chat = request.Path() == "/v1/chat/completions";
+    if (generation->stream) {
+      Follow(generation, 0, chat, responder);
+    } else {
+      AnswerWhole(generation, chat, responder);
+    }
+  }
+
+  static void WaitForChange(Generation& generation, std::uint64_t seen) {
+    generation.changed.WaitUntil(seen,
+                                 std::chrono::steady_clock::now() + kWaitStep);
+  }
+
+  void AnswerWhole(const std::shared_ptr<Generation>& generation,
+                   bool chat,
+                   HttpResponder& responder) {
+    while (!generation->ended()) {
+      WaitForChange(*generation, generation->changed.count());
+      if (responder.client_gone()) {
+        generation->cancelled = !generation->ended();
+      }
+    }
+    if (!generation->completed || control_.Take("lose_answers")) {
+      responder.Abort();
+      return;
+    }
+    auto id = generation->request_id;
+    std::string text;
+    for (const auto& it : generation->tokens) {
+      text += it;
+    }
+    if (control_.Take("wrong_answers")) {
+      id = NewId("foreign-");
+      text = EngineText(generation->model, id, generation->max_tokens);
+    }
+    auto choice = nlohmann::json{{"index", 0}, {"finish_reason", "stop"}};
+    if (chat) {
+      choice["message"] = {{"role", "assistant"}, {"content", text}};
+    } else {
+      choice["text"] = text;
+    }
+    auto response = JsonResponse(
+        200,
+        nlohmann::json{
+            {"id", id},
+            {"object", chat ? "chat.completion" : "text_completion"},
+            {"model", generation->model},
+            {"choices", {choice}},
+            {"usage", {{"completion_tokens", generation->tokens.size()}}}}
+            .dump());
+    response.headers.Set("X-Request-Id", id);
+    (void)responder.Send(std::move(response));
+  }
+
+  void Resume(const std::string& id,
+              const HttpRequest& request,
+              HttpResponder& responder) {
+    const auto generation = batch_.Find(id);
+    if (generation == nullptr || generation->cancelled) {
+      SendJson(responder, 404, {{"error", "no such stream"}});
+      return;
+    }
+    Follow(generation, std::stoull("0" + request.Query("offset").value_or("")),
+           request.Query("format").value_or("chat") == "chat", responder);
+  }
+
+  static std::string StreamEvent(const Generation& generation,
+                                 bool chat,
+                                 const std::string& text,
+                                 const nlohmann::json& finish_reason) {
+    auto choice =
+        nlohmann::json{{"index", 0}, {"finish_reason", finish_reason}};
+    if (chat) {
+      choice["delta"] = nlohmann::json::object();
+      if (!text.empty()) {
+        choice["delta"]["content"] = text;
+      }
+    } else {
+      choice["text"] = text;
+    }
+    return "data: " +
+           nlohmann::json{
+               {"id", generation.request_id},
+               {"object", chat ? "chat.completion.chunk" : "text_completion"},
+               {"model", generation.model},
+               {"choices", {choice}}}
+               .dump() +
+           "\n\n";
+  }
+
+  // Streams the generation from its token number `offset` on; a stream that
+  // nobody reads for resume_ms_ is cancelled.
+  void Follow(const std::shared_ptr<Generation>& generation,
+              std::size_t offset,
+              bool chat,
+              HttpResponder& responder) {
+    ++generation->followers;
+    const bool cut = control_.Take("cut_streams");
+    (void)responder.StartStream(200,
+                                {{"Content-Type", "text/event-stream"},
+                                 {"X-Request-Id", generation->request_id}});
+    const bool whole = WriteTokens(*generation, offset, chat, cut, responder);
+    if (whole) {
+      (void)responder.Write(StreamEvent(*generation, chat, "", "stop"));
+      (void)responder.Write("data: [DONE]\n\n");
+      (void)responder.Finish();
+    } else {
+      responder.Abort();
+    }
+    if (--generation->followers == 0 && !generation->ended()) {
+      Spawn([this, generation] {
+        SleepMs(resume_ms_);
+        if (generation->followers == 0 && !generation->ended()) {
+          generation->cancelled = true;
+          generation->changed.Signal();
+        }
+      });
+    }
+  }
+
+  // Returns whether every token was written.
+  static bool WriteTokens(Generation& generation,
+                          std::size_t next,
+                          bool chat,
+                          bool cut,
+                          HttpResponder& responder) {
+    const auto half = static_cast<std::size_t>(generation.max_tokens) / 2;
+    while (!responder.client_gone() && !(cut && next >= half)) {
+      const auto seen = generation.changed.count();
+      if (next < generation.tokens.size()) {
+        const auto event =
+            StreamEvent(generation, chat, generation.tokens[next++], nullptr);
+        if (!responder.Write(event)) {
+          return false;
+        }
+      } else if (generation.ended()) {
+        return generation.completed;
+      } else {
+        WaitForChange(generation, seen);
+      }
+    }
+    return false;
+  }
+
+  // Ends the process, or acts as a process that ends and starts again after
+  // `down_ms`: connections close, the memory is empty, the boot id is new.
+  void Crash(double down_ms) {
+    ledger_.Add("crash", {{"boot", replicas_.boot()}});
+    if (crash_exits_) {
+      Runtime::Exit(134);
+    }
+    server_.reset();
+    replicas_.Restart();
+    batch_.CrashAll();
+    Spawn([this, down_ms] {
+      SleepMs(down_ms);
+      ledger_.Add("boot", {{"boot", replicas_.boot()}});
+      Listen();
+    });
+  }
+
+  std::uint16_t port_;
+  bool crash_exits_;
+  double crash_ms_;
+  double resume_ms_;
+  Control control_{kDefaults};
+  Ledger ledger_;
+  Replicas replicas_;
+  Batch batch_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
+
+int main(int argc, char** argv) {
+  using namespace tanagerloom::testing_support;
+  tanagerloom::Runtime::Get();
+  const Flags flags(argc, argv);
+  const Engine engine(flags);
+  RunUntilStopped();
+}
--- /dev/null
+++ b/testing/service_standin/main.cc
@@ -0,0 +1,120 @@
+// Stand-in for a plain service. Every path outside /test/ runs a request, which
+// the ledger records with its id, Idempotency-Key, path and body; the answer
+// repeats them. A body that contains CRASH_SERVICE ends the process.
+#include "base/id.h"
+#include "runtime/runtime.h"
+#include "testing/support/flags.h"
+#include "testing/support/ledger.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+// The counts apply to the next N requests. crash_before and crash_after close
+// the connection before or after the request ran, or end the process if
+// crash_exits is set. not_run refuses with X-Not-Run; fail runs the request and
+// answers with fail_status; lose_answers runs it and closes the connection.
+const nlohmann::json kDefaults = {
+    {"delay_ms", 0},     {"leaving", false},   {"crash_before", 0},
+    {"crash_after", 0},  {"not_run", 0},       {"fail", 0},
+    {"lose_answers", 0}, {"fail_status", 500}, {"crash_exits", false}};
+
+class Service {
+ public:
+  explicit Service(const Flags& flags)
+      : id_(flags.Text("id", "service")), ledger_(flags.Text("ledger")) {
+    control_.Merge({{"delay_ms", flags.Number("delay-ms", 0)}});
+  }
+
+  void Handle(const HttpRequest& request, HttpResponder& responder) {
+    if (request.Path() == "/test/control") {
+      if (const auto changes = ParseObject(request, responder)) {
+        control_.Merge(*changes);
+        SendJson(responder, 200, control_.values());
+      }
+    } else if (request.Path() == "/test/ledger") {
+      SendJson(responder, 200, {{"id", id_}, {"events", ledger_.events()}});
+    } else {
+      Run(request, responder);
+    }
+  }
+
+ private:
+  void Run(const HttpRequest& request, HttpResponder& responder) {
+    const auto header = [&](std::string_view name) {
+      return std::string(request.headers.Find(name).value_or(""));
+    };
+    const auto request_id = header("X-Request-Id");
+    if (control_.Bool("leaving") || control_.Take("not_run")) {
+      auto response = JsonResponse(503, R"({"reason":"leaving"})");
+      response.headers.Set("X-Not-Run", "true");
+      response.headers.Set("X-Request-Id", request_id);
+      (void)responder.Send(std::move(response));
+      return;
+    }
+    if (control_.Take("crash_before")) {
+      Crash(responder);
+      return;
+    }
+    const auto run = ++runs_;
+    ledger_.Add("run", {{"run", run},
+                        {"request_id", request_id},
+                        {"idempotency_key", header("Idempotency-Key")},
+                        {"method", request.method},
+                        {"path", request.target},
+                        {"body", request.body}});
+    if (request.body.find("CRASH_SERVICE") != std::string::npos) {
+      Runtime::Exit(134);
+    }
+    SleepMs(control_.Number("delay_ms"));
+    if (control_.Take("crash_after")) {
+      Crash(responder);
+      return;
+    }
+    ledger_.Add("completed", {{"run", run}, {"request_id", request_id}});
+    if (control_.Take("lose_answers")) {
+      responder.Abort();
+      return;
+    }
+    auto response = JsonResponse(
+        control_.Take("fail") ? static_cast<int>(control_.Number("fail_status"))
+                              : 200,
+        nlohmann::json{{"service", id_},
+                       {"run", run},
+                       {"request_id", request_id},
+                       {"method", request.method},
+                       {"path", request.target},
+                       {"body", request.body}}
+            .dump());
+    response.headers.Set("X-Request-Id", request_id);
+    (void)responder.Send(std::move(response));
+  }
+
+  void Crash(HttpResponder& responder) {
+    if (control_.Bool("crash_exits")) {
+      Runtime::Exit(134);
+    }
+    responder.Abort();
+  }
+
+  std::string id_;
+  Control control_{kDefaults};
+  Ledger ledger_;
+  std::uint64_t runs_ = 0;
+};
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
+
+int main(int argc, char** argv) {
+  using namespace tanagerloom::testing_support;
+  tanagerloom::Runtime::Get();
+  const Flags flags(argc, argv);
+  Service service(flags);
+  const auto server =
+      ServeLoopback(static_cast<std::uint16_t>(flags.Number("port", 0)),
+                    [&](const auto& request, auto& responder) {
+                      service.Handle(request, responder);
+                    });
+  RunUntilStopped();
+}
