Add the fault proxy for tests

Tests need faults of the network between real processes. Adds a TCP proxy whose links are controlled over HTTP: delay, drop, cut, silence for good, lost answers, refusal, and seeded random faults.

--- /dev/null
+++ b/testing/fault_proxy/link.cc
@@ -0,0 +1,216 @@
+#include "testing/fault_proxy/link.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "runtime/await.h"
+#include "runtime/runtime.h"
+
+namespace tanagerloom::testing_support {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kChunkBytes = 16 * 1024;
+constexpr double kSilentStepMs = 50;
+const nlohmann::json kDefaults = {
+    {"delay_to_target_ms", 0},   {"delay_to_client_ms", 0},
+    {"cut_to_target_bytes", -1}, {"cut_to_client_bytes", -1},
+    {"lose_answers", 0},         {"refuse", false},
+    {"silent_new", ""},          {"random_drop", 0.0},
+    {"random_silent", 0.0},      {"random_delay_ms", 0.0}};
+
+}  // namespace
+
+struct Link::Connection {
+  Connection(Socket client, Socket target)
+      : client(std::move(client)), target(std::move(target)) {}
+
+  Socket client;
+  Socket target;
+  std::array<bool, 2> silent{};  // By direction: to the client, to the target.
+  std::array<std::int64_t, 2> left{-1, -1};  // Bytes until the cut; -1 none.
+  int open_directions = 2;
+  bool closed = false;
+
+  void Silence(const std::string& direction) {
+    silent[0] = silent[0] || direction == "to_client" || direction == "both";
+    silent[1] = silent[1] || direction == "to_target" || direction == "both";
+  }
+
+  void Close() {
+    closed = true;
+    boost::system::error_code ec;
+    client.close(ec);
+    target.close(ec);
+  }
+};
+
+Link::Link(std::uint16_t target, std::uint64_t seed)
+    : target_(target),
+      acceptor_(Runtime::Get().io()),
+      control_(kDefaults),
+      random_(seed) {}
+
+bool Link::Listen(std::uint16_t port) {
+  boost::system::error_code ec;
+  const asio::ip::tcp::endpoint local(asio::ip::address_v4::loopback(), port);
+  acceptor_.open(local.protocol(), ec);
+  acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+  acceptor_.bind(local, ec);
+  if (!ec) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    acceptor_.close(ec);
+    return false;
+  }
+  port_ = acceptor_.local_endpoint().port();
+  Spawn([self = shared_from_this()] { self->AcceptLoop(); });
+  return true;
+}
+
+void Link::AcceptLoop() {
+  while (true) {
+    Socket client(Runtime::Get().io());
+    const auto result =
+        AwaitIo([&](auto done) { acceptor_.async_accept(client, done); });
+    if (result.ec) {
+      return;
+    }
+    ++accepted_;
+    auto moved = std::make_shared<Socket>(std::move(client));
+    Spawn(
+        [self = shared_from_this(), moved] { self->Serve(std::move(*moved)); });
+  }
+}
+
+void Link::Serve(Socket client) {
+  Socket target(Runtime::Get().io());
+  const auto result = AwaitIo([&](auto done) {
+    target.async_connect({asio::ip::address_v4::loopback(), target_}, done);
+  });
+  if (result.ec) {
+    return;
+  }
+  boost::system::error_code ec;
+  client.set_option(asio::ip::tcp::no_delay(true), ec);
+  target.set_option(asio::ip::tcp::no_delay(true), ec);
+  auto connection =
+      std::make_shared<Connection>(std::move(client), std::move(target));
+  connection->Silence(control_.Text("silent_new"));
+  connection->left = {
+      static_cast<std::int64_t>(control_.Number("cut_to_client_bytes")),
+      static_cast<std::int64_t>(control_.Number("cut_to_target_bytes"))};
+  connections_.insert(connection);
+  Spawn([self = shared_from_this(), connection] {
+    self->Pump(connection, /*to_target=*/false);
+  });
+  Pump(connection, /*to_target=*/true);
+}
+
+void Link::Pump(const std::shared_ptr<Connection>& connection, bool to_target) {
+  auto& from = to_target ? connection->client : connection->target;
+  auto& to = to_target ? connection->target : connection->client;
+  std::string buf(kChunkBytes, '\0');
+  while (!connection->closed) {
+    const auto result = AwaitIo([&](auto done) {
+      from.async_read_some(asio::buffer(buf.data(), buf.size()), done);
+    });
+    if (Chance("random_silent")) {
+      connection->Silence("both");
+    }
+    // A silent connection stays open on both sides, also when one side left.
+    while (connection->silent[to_target ? 1 : 0] && !connection->closed) {
+      SleepMs(kSilentStepMs);
+    }
+    if (result.ec == asio::error::eof) {
+      boost::system::error_code ec;
+      to.shutdown(Socket::shutdown_send, ec);
+      break;
+    }
+    if (result.ec ||
+        !Forward(*connection, to_target, buf.substr(0, result.n))) {
+      connection->Close();
+    }
+  }
+  if (--connection->open_directions == 0) {
+    connection->Close();
+    connections_.erase(connection);
+  }
+}
+
+// Returns whether the connection goes on.
+bool Link::Forward(Connection& connection,
+                   bool to_target,
+                   const std::string& data) {
+  if (Chance("random_drop")) {
+    return false;
+  }
+  if (!to_target && control_.Take("lose_answers")) {
+    ++lost_answers_;
+    return false;
+  }
+  SleepMs(
+      control_.Number(to_target ? "delay_to_target_ms" : "delay_to_client_ms"));
+  const auto spread = control_.Number("random_delay_ms");
+  if (spread > 0) {
+    SleepMs(std::uniform_real_distribution<double>(0, spread)(random_));
+  }
+  auto& left = connection.left[to_target ? 1 : 0];
+  const auto size = static_cast<std::int64_t>(data.size());
+  const bool cut = left >= 0 && size >= left;
+  const auto n = static_cast<std::size_t>(cut ? left : size);
+  auto& to = to_target ? connection.target : connection.client;
+  const auto result = AwaitIo([&](auto done) {
+    asio::async_write(to, asio::buffer(data.data(), n), done);
+  });
+  (to_target ? bytes_to_target_ : bytes_to_client_) += result.n;
+  if (left >= 0) {
+    left -= static_cast<std::int64_t>(n);
+  }
+  return !result.ec && !cut;
+}
+
+bool Link::Chance(const char* name) {
+  const auto probability = control_.Number(name);
+  return probability > 0 &&
+         std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+}
+
+void Link::Apply(nlohmann::json changes) {
+  if (changes.value("drop_existing", false)) {
+    for (const auto& it : connections_) {
+      it->Close();
+    }
+  }
+  const auto direction = changes.value("silence_existing", std::string());
+  for (const auto& it : connections_) {
+    it->Silence(direction);
+  }
+  changes.erase("drop_existing");
+  changes.erase("silence_existing");
+  const bool refused = control_.Bool("refuse");
+  control_.Merge(changes);
+  if (control_.Bool("refuse") && !refused) {
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+  } else if (!control_.Bool("refuse") && refused) {
+    Listen(port_);
+  }
+}
+
+nlohmann::json Link::ToJson() const {
+  return {{"listen", port_},
+          {"target", target_},
+          {"settings", control_.values()},
+          {"accepted", accepted_},
+          {"open", connections_.size()},
+          {"bytes_to_target", bytes_to_target_},
+          {"bytes_to_client", bytes_to_client_},
+          {"lost_answers", lost_answers_}};
+}
+
+}  // namespace tanagerloom::testing_support
