Read settings and operator files and build the estate

Settings and configuration files were only declared as structures. Estate gains the operators' grants; nothing of it was removed.

--- a/packages/config/estate.h
+++ b/packages/config/estate.h
@@ -29,6 +29,21 @@
   bool checks_fence = false;  ///< The engines refuse old fencing numbers.
   double cold_start_cost_per_s = 1.0;
   double idle_cost_per_hour = 1.0;
+  std::uint32_t servers = 0;           ///< 0 if not stated.
+  std::uint64_t server_memory_mb = 0;  ///< 0 if not stated.
+};
+
+/// What the estate grants to an operator, and how its token is checked.
+struct OperatorGrant {
+  std::string name;
+  std::string token_salt;
+  std::string token_sha256;  ///< SHA-256 of the salt followed by the token.
+  std::vector<std::string> classes;
+  std::vector<std::string> pools;
+  /// Limit on the sum of replica limit times memory; empty means no limit.
+  std::optional<std::uint64_t> reserved_memory_mb;
+  /// Limit on the sum of replica limits; empty means no limit.
+  std::optional<std::uint64_t> replicas;
 };
 
 /// An adapter of a model.
@@ -48,6 +63,8 @@
   std::uint64_t memory_mb = 0;
   std::uint32_t replica_limit = 1;
   std::chrono::milliseconds expected_load{5000};  ///< From the weight store.
+  /// Where replicas may be loaded from: "memory", "disk", "remote".
+  std::vector<std::string> sources{"memory", "disk", "remote"};
   std::map<std::string, AdapterSpec, std::less<>> adapters;
 };
 
@@ -98,6 +115,7 @@
   std::map<std::string, CallerSpec, std::less<>> callers;
   std::map<std::string, PrecedenceClass, std::less<>> classes;
   WeightStoreLimits weight_store;
+  std::map<std::string, OperatorGrant, std::less<>> operators;
 
   /// Resolves "MODEL" or "MODEL:ADAPTER"; empty if it is not offered.
   std::optional<ResolvedModel> Resolve(std::string_view name) const;
@@ -110,6 +128,10 @@
 
   /// The memory that a replica of a key needs; 0 if it is not offered.
   std::uint64_t MemoryMb(const ModelKey& key) const;
+
+  /// Whether `token` is the operator's token; takes the same time for each
+  /// wrong token.
+  bool CheckToken(std::string_view operator_name, std::string_view token) const;
 };
 
 }  // namespace tanagerloom
--- /dev/null
+++ b/packages/config/estate_builder.cc
@@ -0,0 +1,196 @@
+#include "config/estate_builder.h"
+
+#include <algorithm>
+
+namespace tanagerloom {
+
+namespace {
+
+bool Contains(const std::vector<std::string>& list, const std::string& value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+std::string Quoted(const std::string& text) {
+  return "\"" + text + "\"";
+}
+
+/// Adds the files to an estate one by one and checks the rules between them.
+class Builder {
+ public:
+  explicit Builder(EstateOutcome& out) : out_(out) {}
+
+  void AddShared(const OperatorFile& file) {
+    out_.estate.pools = file.pools;
+    out_.estate.classes = file.classes;
+    out_.estate.operators = file.operators;
+    out_.estate.weight_store = file.weight_store;
+  }
+
+  void AddOffers(const OperatorFile& file) {
+    const auto grant = out_.estate.operators.find(file.operator_name);
+    if (grant == out_.estate.operators.end()) {
+      Problem(file, "/operator",
+              "value " + Quoted(file.operator_name) +
+                  "; allowed: an operator listed in the estate file");
+      return;
+    }
+    Merge(file, "models", file.models, out_.estate.models);
+    Merge(file, "services", file.services, out_.estate.services);
+    Merge(file, "callers", file.callers, out_.estate.callers);
+    for (const auto& it : file.models) {
+      CheckPool(file, grant->second, "/models/" + it.first, it.second.pool);
+      CheckFits(file, it.second);
+    }
+    for (const auto& it : file.services) {
+      CheckPool(file, grant->second, "/services/" + it.first, it.second.pool);
+    }
+    for (const auto& it : file.callers) {
+      CheckCaller(file, grant->second, it.second);
+    }
+    CheckSums(file, grant->second);
+  }
+
+ private:
+  void Problem(const OperatorFile& file, std::string path, std::string what) {
+    out_.problems.push_back(
+        {file.operator_name + ":" + std::move(path), std::move(what)});
+  }
+
+  template <typename Map>
+  void Merge(const OperatorFile& file,
+             const std::string& kind,
+             const Map& from,
+             Map& into) {
+    for (const auto& it : from) {
+      const auto added = into.insert(it);
+      if (!added.second) {
+        Problem(file, "/" + kind + "/" + it.first,
+                "the name " + Quoted(it.first) +
+                    " is also claimed by operator " +
+                    Quoted(added.first->second.operator_name));
+      }
+    }
+  }
+
+  void CheckPool(const OperatorFile& file,
+                 const OperatorGrant& grant,
+                 const std::string& path,
+                 const std::string& pool) {
+    if (!out_.estate.pools.contains(pool)) {
+      Problem(file, path + "/pool",
+              "value " + Quoted(pool) + "; allowed: a pool of the estate file");
+    } else if (!Contains(grant.pools, pool)) {
+      Problem(file, path + "/pool",
+              "pool " + Quoted(pool) + " is not granted to operator " +
+                  Quoted(file.operator_name));
+    }
+  }
+
+  void CheckFits(const OperatorFile& file, const ModelSpec& model) {
+    const auto pool = out_.estate.pools.find(model.pool);
+    if (pool == out_.estate.pools.end() || pool->second.server_memory_mb == 0) {
+      return;
+    }
+    const auto limit_mb = pool->second.server_memory_mb;
+    const auto path = "/models/" + model.name;
+    std::uint64_t largest_mb = 0;
+    for (const auto& it : model.adapters) {
+      largest_mb = std::max(largest_mb, it.second.memory_mb);
+    }
+    if (model.memory_mb + largest_mb > limit_mb) {
+      Problem(file, path + "/memory_mb",
+              "value " + std::to_string(model.memory_mb) + " with " +
+                  std::to_string(largest_mb) +
+                  " for the largest adapter; allowed: at most " +
+                  std::to_string(limit_mb) + ", the memory of one server");
+    }
+    const auto total_mb = model.replica_limit * model.memory_mb;
+    const auto pool_mb = pool->second.servers * limit_mb;
+    if (pool_mb != 0 && total_mb > pool_mb) {
+      Problem(file, path + "/replica_limit",
+              "value " + std::to_string(model.replica_limit) + " needs " +
+                  std::to_string(total_mb) + " MB; allowed: at most " +
+                  std::to_string(pool_mb) + " MB, the memory of pool " +
+                  Quoted(model.pool));
+    }
+  }
+
+  void CheckCaller(const OperatorFile& file,
+                   const OperatorGrant& grant,
+                   const CallerSpec& caller) {
+    const auto path = "/callers/" + caller.name;
+    for (const auto& it : caller.classes) {
+      if (!out_.estate.classes.contains(it)) {
+        Problem(
+            file, path + "/classes",
+            "value " + Quoted(it) + "; allowed: a class of the estate file");
+      } else if (!Contains(grant.classes, it)) {
+        Problem(file, path + "/classes",
+                "class " + Quoted(it) + " is not granted to operator " +
+                    Quoted(file.operator_name));
+      }
+    }
+    const auto owner = key_owners_.emplace(caller.key_sha256, caller.name);
+    if (!owner.second) {
+      Problem(file, path + "/key_sha256",
+              "the key is also that of caller " + Quoted(owner.first->second));
+    }
+  }
+
+  void CheckSums(const OperatorFile& file, const OperatorGrant& grant) {
+    std::uint64_t memory_mb = 0;
+    std::uint64_t replicas = 0;
+    for (const auto& model : file.models) {
+      memory_mb += model.second.replica_limit * model.second.memory_mb;
+      replicas += model.second.replica_limit;
+      for (const auto& it : model.second.adapters) {
+        memory_mb += it.second.replica_limit * it.second.memory_mb;
+        replicas += it.second.replica_limit;
+      }
+    }
+    CheckSum(file, "MB of reserved memory", memory_mb,
+             grant.reserved_memory_mb);
+    CheckSum(file, "replicas", replicas, grant.replicas);
+  }
+
+  void CheckSum(const OperatorFile& file,
+                const std::string& what,
+                std::uint64_t sum,
+                const std::optional<std::uint64_t>& granted) {
+    if (granted && sum > *granted) {
+      Problem(file, "/models",
+              "the replica limits add up to " + std::to_string(sum) + " " +
+                  what + "; granted to operator " + Quoted(file.operator_name) +
+                  ": " + std::to_string(*granted));
+    }
+  }
+
+  EstateOutcome& out_;
+  std::map<std::string, std::string> key_owners_;
+};
+
+}  // namespace
+
+EstateOutcome BuildEstate(std::uint64_t version,
+                          std::span<const OperatorFile* const> files) {
+  EstateOutcome out;
+  out.estate.version = version;
+  Builder builder(out);
+  const auto shared =
+      std::find_if(files.begin(), files.end(),
+                   [](const auto* it) { return it->is_estate(); });
+  if (shared == files.end()) {
+    out.problems.push_back(
+        {"/operator", "the estate file must be applied first"});
+    return out;
+  }
+  builder.AddShared(**shared);
+  for (const auto* it : files) {
+    if (!it->is_estate()) {
+      builder.AddOffers(*it);
+    }
+  }
+  return out;
+}
+
+}  // namespace tanagerloom
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -10,6 +10,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "config/problem.h"
 
 namespace tanagerloom {
 
@@ -44,12 +45,9 @@
   std::uint32_t max_waiting = 20000;  ///< Requests queued on this node.
   std::uint32_t max_in_progress = 8;  ///< Requests of one node per replica.
   std::chrono::milliseconds config_poll_interval{3000};
-};
-
-/// One problem of a settings or configuration file.
-struct ConfigProblem {
-  std::string where;  ///< "line 12" or a JSON path such as "/models/0/name".
-  std::string what;   ///< The bad value and what is allowed.
+  /// SHA-256 of the token that may apply the first estate file while no
+  /// configuration exists; empty forbids it.
+  std::string bootstrap_token_sha256;
 };
 
 /// Settings, or every problem of the text.
