Apply, propagate and serve the configuration; add tanagerctl

No component kept the accepted configuration. ConfigApplier accepts a file by one conditional update of config/root and resolves lost answers by reading back; ConfigStore watches, polls and hears peers; AdminServer serves the operator API; tanagerctl calls it. Not covered by tests yet.

--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -32,6 +32,20 @@
                                          "request_refused"};
 inline constexpr EventId kConfigurationInForce{500, Severity::kInfo,
                                                "configuration_in_force"};
+inline constexpr EventId kConfigurationApplied{501, Severity::kInfo,
+                                               "configuration_applied"};
+inline constexpr EventId kConfigurationRefused{502, Severity::kInfo,
+                                               "configuration_refused"};
+inline constexpr EventId kConfigurationUnreachable{503, Severity::kWarning,
+                                                   "configuration_unreachable"};
+inline constexpr EventId kConfigurationUnusable{504, Severity::kError,
+                                                "configuration_unusable"};
+inline constexpr EventId kConfigurationOlderIgnored{
+    505, Severity::kWarning, "configuration_older_ignored"};
+inline constexpr EventId kConfigurationRetried{506, Severity::kDebug,
+                                               "configuration_retried"};
+inline constexpr EventId kDrainRequested{507, Severity::kInfo,
+                                         "drain_requested"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
                                             "invariant_violated"};
 
--- a/packages/config/estate_builder.cc
+++ b/packages/config/estate_builder.cc
@@ -186,7 +186,7 @@
   }
   builder.AddShared(**shared);
   for (const auto* it : files) {
-    if (!it->is_estate()) {
+    if (!it->is_estate() && !it->empty()) {
       builder.AddOffers(*it);
     }
   }
--- a/packages/config/operator_file.h
+++ b/packages/config/operator_file.h
@@ -33,6 +33,13 @@
   WeightStoreLimits weight_store;
 
   bool is_estate() const { return operator_name == kEstateOperator; }
+
+  /// Whether the file offers nothing. Applying such a file takes its operator
+  /// out of the configuration.
+  bool empty() const {
+    return !is_estate() && models.empty() && services.empty() &&
+           callers.empty();
+  }
 };
 
 /// A file, or every problem of its text.
--- /dev/null
+++ b/packages/control/config_store.cc
@@ -0,0 +1,510 @@
+#include "control/config_store.h"
+
+#include <algorithm>
+#include <boost/fiber/fiber.hpp>
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "base/invariant.h"
+#include "config/digest.h"
+#include "config/estate_builder.h"
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr std::size_t kWatchersPerDataCentre = 2;
+constexpr auto kWatchTime = std::chrono::seconds(20);
+constexpr auto kMinWatchRetry = std::chrono::milliseconds(500);
+constexpr auto kMaxWatchRetry = std::chrono::milliseconds(5000);
+// A poll is a watch that ends at once: unlike a read, its answer has no body
+// while nothing changed.
+constexpr auto kPollWatchTime = std::chrono::milliseconds(1);
+// Polls of all members together; the design page allows 50 reads a second, and
+// the rest covers the jitter.
+constexpr double kPollsPerSecond = 40;
+constexpr auto kPeerCheckInterval = std::chrono::milliseconds(1000);
+constexpr auto kMinRefreshDelay = std::chrono::milliseconds(20);
+constexpr auto kRefreshDelayPerMember = std::chrono::milliseconds(2);
+// Broadcasts reach each node over several links, so a large configuration is
+// announced without its content and read from the platform.
+constexpr std::size_t kMaxAnnouncedBytes = 64UL * 1024;
+// A frame between peers holds 1 MB with its envelope.
+constexpr std::size_t kMaxSentBytes = 900UL * 1000;
+constexpr auto kMinAnnounceDelay = std::chrono::milliseconds(20);
+constexpr auto kAnnounceDelaySpread = std::chrono::milliseconds(200);
+constexpr std::size_t kMaxHelpedMembers = 8;
+
+Duration Jittered(Duration mean) {
+  constexpr double kSpread = 0.4;
+  return std::chrono::duration_cast<Duration>(
+      mean * (1 - kSpread / 2 + kSpread * RandomUnit()));
+}
+
+Duration Spread(Duration min, Duration spread) {
+  return min + std::chrono::duration_cast<Duration>(spread * RandomUnit());
+}
+
+std::set<std::string> HashesOf(const ConfigRoot& root) {
+  std::set<std::string> out;
+  for (const auto& it : root.files) {
+    out.insert(it.second.content.begin(), it.second.content.end());
+  }
+  if (!root.history_page.empty()) {
+    out.insert(root.history_page);
+  }
+  return out;
+}
+
+}  // namespace
+
+ConfigStore::ConfigStore(ObjectStore& store,
+                         PeerNetwork& peers,
+                         Clock& clock,
+                         EventLog& events,
+                         const Settings& settings)
+    : store_(store),
+      peers_(peers),
+      clock_(clock),
+      events_(events),
+      data_centre_(settings.data_centre),
+      poll_interval_(settings.config_poll_interval),
+      bootstrap_token_sha256_(settings.bootstrap_token_sha256),
+      contents_(store),
+      applier_(store,
+               contents_,
+               clock,
+               events,
+               settings.bootstrap_token_sha256,
+               [this] { return known_version_; }) {
+  peers_.OnMessage([this, stopped = stopped_](const std::string&,
+                                              const PeerMessage& message) {
+    const auto* update = std::get_if<ConfigUpdate>(&message);
+    if (update != nullptr && !*stopped) {
+      OnUpdate(*update);
+    }
+  });
+}
+
+ConfigStore::~ConfigStore() {
+  *stopped_ = true;
+}
+
+void ConfigStore::Launch(std::function<void(const Flag& stopped)> body) {
+  boost::fibers::fiber(boost::fibers::launch::post, [body = std::move(body),
+                                                     stopped = stopped_] {
+    if (!*stopped) {
+      body(stopped);
+    }
+  }).detach();
+}
+
+void ConfigStore::Start() {
+  Launch([this](const Flag& stopped) { WatchLoop(stopped); });
+  Launch([this](const Flag& stopped) { PollLoop(stopped); });
+  Launch([this](const Flag& stopped) { PeerLoop(stopped); });
+}
+
+void ConfigStore::OnChange(std::function<void()> handler) {
+  handlers_.push_back(std::move(handler));
+}
+
+Result<ApplyOutcome> ConfigStore::Apply(const ApplyRequest& request) {
+  auto outcome = applier_.Apply(request);
+  if (!outcome) {
+    events_.Record(
+        events::kConfigurationRefused,
+        {{"operator", request.operator_name},
+         {"kind", outcome.error().kind == ErrorKind::kUnknown ? "unknown"
+                                                              : "refused"}});
+    return outcome;
+  }
+  const auto& value = outcome.value();
+  NoteVersion(value.version);
+  platform_read_ = true;
+  // A failure here is not the client's concern: the file is accepted, and the
+  // poll puts it in force.
+  RecordReach(Adopt(value.root_text, value.object_version));
+  Announce();
+  events_.Record(events::kConfigurationApplied,
+                 {{"operator", request.operator_name},
+                  {"version", value.version},
+                  {"changed", value.changed}});
+  return outcome;
+}
+
+Result<void> ConfigStore::Refresh() {
+  if (object_version_ == 0) {
+    const auto object = store_.Get(kConfigRootKey);
+    if (object) {
+      platform_read_ = true;
+      return Adopt(object.value().value, object.value().version);
+    }
+    if (object.error().kind != ErrorKind::kNotFound) {
+      return object.error();
+    }
+    platform_read_ = true;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  BOOST_OUTCOME_TRY(
+      object, store_.Watch(kConfigRootKey, object_version_, kPollWatchTime));
+  platform_read_ = true;
+  if (object) {
+    return Adopt(object->value, object->version);
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> ConfigStore::Adopt(std::string_view text,
+                                std::uint64_t object_version) {
+  BOOST_OUTCOME_TRY(root, ParseConfigRoot(text));
+  NoteVersion(root.version);
+  if (root.version <= root_.version) {
+    if (root.version < root_.version && object_version > object_version_) {
+      events_.Record(events::kConfigurationOlderIgnored,
+                     {{"version", root.version}, {"in_force", root_.version}});
+    }
+    object_version_ = std::max(object_version_, object_version);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  if (!Ready()) {
+    NoteMembers();
+    if (!platform_read_ || root.version < known_version_) {
+      return MakeError(ErrorKind::kUnavailable,
+                       "version " + std::to_string(known_version_) +
+                           " is known to be accepted, but not yet readable");
+    }
+  }
+  BOOST_OUTCOME_TRY(estate, BuildFrom(root));
+  // Reading the content suspends; another fiber may have been faster.
+  if (root.version > root_.version) {
+    object_version_ = std::max(object_version_, object_version);
+    PutInForce(std::move(root), std::string(text), std::move(estate));
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<std::shared_ptr<const Estate>> ConfigStore::BuildFrom(
+    const ConfigRoot& root) {
+  std::vector<std::shared_ptr<const OperatorFile>> files;
+  std::vector<const OperatorFile*> views;
+  for (const auto& it : root.files) {
+    BOOST_OUTCOME_TRY(file, contents_.ReadFile(it.second.content));
+    views.push_back(file.get());
+    files.push_back(std::move(file));
+  }
+  auto built = BuildEstate(root.version, views);
+  if (!built.problems.empty()) {
+    return MakeError(ErrorKind::kInternal, ToText(built.problems));
+  }
+  return std::make_shared<const Estate>(std::move(built.estate));
+}
+
+void ConfigStore::PutInForce(ConfigRoot root,
+                             std::string text,
+                             std::shared_ptr<const Estate> estate) {
+  CheckInvariant(estate->version > estate_->version,
+                 "configuration_version_never_falls",
+                 {{"in_force", estate_->version}, {"new", estate->version}});
+  root_ = std::move(root);
+  root_text_ = std::move(text);
+  estate_ = std::move(estate);
+  contents_.Keep(HashesOf(root_));
+  events_.Record(events::kConfigurationInForce, {{"version", root_.version}});
+  // A handler may add a handler.
+  for (std::size_t i = 0; i < handlers_.size(); ++i) {
+    handlers_[i]();
+  }
+}
+
+void ConfigStore::RecordReach(const Result<void>& outcome) {
+  if (outcome) {
+    reachable_ = true;
+    return;
+  }
+  const auto& error = outcome.error();
+  if (error.kind == ErrorKind::kInternal) {
+    events_.Record(events::kConfigurationUnusable,
+                   {{"version", known_version_}, {"cause", error.message}});
+  } else if (reachable_) {
+    events_.Record(events::kConfigurationUnreachable,
+                   {{"cause", error.message}});
+    reachable_ = false;
+  }
+}
+
+void ConfigStore::NoteVersion(std::uint64_t version) {
+  known_version_ = std::max(known_version_, version);
+}
+
+void ConfigStore::NoteMembers() {
+  for (const auto& it : peers_.Members()) {
+    NoteVersion(it.config_version);
+  }
+}
+
+bool ConfigStore::IsWatcher() const {
+  const auto live = peers_.LiveIds();
+  const std::set<std::string> live_ids(live.begin(), live.end());
+  std::vector<std::pair<std::uint64_t, std::string>> ranks;
+  const auto add = [&](const std::string& id) {
+    ranks.emplace_back(StableHash("config-watch/" + id), id);
+  };
+  for (const auto& it : peers_.Members()) {
+    if (it.vm.id != peers_.node_id() && it.vm.data_centre == data_centre_ &&
+        live_ids.contains(it.vm.id)) {
+      add(it.vm.id);
+    }
+  }
+  add(peers_.node_id());
+  const auto n = std::min(kWatchersPerDataCentre, ranks.size());
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(n), ranks.end(),
+                    std::greater<>());
+  return std::any_of(
+      ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(n),
+      [&](const auto& it) { return it.second == peers_.node_id(); });
+}
+
+Duration ConfigStore::PollInterval() const {
+  const double shared_s =
+      static_cast<double>(peers_.LiveIds().size()) / kPollsPerSecond;
+  return std::max(poll_interval_, std::chrono::duration_cast<Duration>(
+                                      std::chrono::duration<double>(shared_s)));
+}
+
+void ConfigStore::WatchLoop(const Flag& stopped) {
+  Duration retry = kMinWatchRetry;
+  while (!*stopped) {
+    if (object_version_ == 0 || !IsWatcher()) {
+      clock_.SleepFor(Jittered(kMinWatchRetry));
+      continue;
+    }
+    const auto object =
+        store_.Watch(kConfigRootKey, object_version_, kWatchTime);
+    if (*stopped) {
+      return;
+    }
+    Result<void> outcome = BOOST_OUTCOME_V2_NAMESPACE::success();
+    if (!object) {
+      outcome = object.error();
+    } else if (object.value()) {
+      outcome = Adopt(object.value()->value, object.value()->version);
+    }
+    RecordReach(outcome);
+    if (outcome) {
+      retry = kMinWatchRetry;
+      AnnounceIfUnheard(stopped);
+    } else {
+      clock_.SleepFor(Jittered(retry));
+      retry = std::min<Duration>(2 * retry, kMaxWatchRetry);
+    }
+  }
+}
+
+void ConfigStore::PollLoop(const Flag& stopped) {
+  while (!*stopped) {
+    const auto outcome = Refresh();
+    if (*stopped) {
+      return;
+    }
+    RecordReach(outcome);
+    clock_.SleepFor(Jittered(PollInterval()));
+  }
+}
+
+void ConfigStore::PeerLoop(const Flag& stopped) {
+  while (!*stopped) {
+    NoteMembers();
+    if (known_version_ > root_.version) {
+      RefreshSoon();
+    }
+    HelpLaggingMembers();
+    clock_.SleepFor(Jittered(kPeerCheckInterval));
+  }
+}
+
+void ConfigStore::RefreshSoon() {
+  if (std::exchange(refresh_due_, true)) {
+    return;
+  }
+  Launch([this](const Flag& stopped) {
+    // Spread over the members, so that they don't all read at once.
+    clock_.SleepFor(Spread(kMinRefreshDelay, kRefreshDelayPerMember *
+                                                 static_cast<std::int64_t>(
+                                                     peers_.LiveIds().size())));
+    if (*stopped) {
+      return;
+    }
+    refresh_due_ = false;
+    if (known_version_ > root_.version) {
+      RecordReach(Refresh());
+    }
+  });
+}
+
+void ConfigStore::OnUpdate(const ConfigUpdate& update) {
+  NoteVersion(update.version);
+  heard_version_ = std::max(heard_version_, update.version);
+  if (update.version <= root_.version) {
+    return;
+  }
+  if (update.root.empty() || !platform_read_) {
+    RefreshSoon();
+    return;
+  }
+  Launch([this, update](const Flag& stopped) {
+    const auto value = nlohmann::json::parse(update.root, nullptr, false);
+    if (!value.is_object() || !value.contains("root") ||
+        !value.contains("contents")) {
+      return;
+    }
+    for (const auto& it : value["contents"].items()) {
+      if (it.value().is_string()) {
+        contents_.Add(it.key(), it.value().get<std::string>());
+      }
+    }
+    const auto& root = value["root"];
+    if (root.is_string()) {
+      const auto outcome =
+          Adopt(root.get_ref<const std::string&>(), update.object_version);
+      if (!*stopped) {
+        RecordReach(outcome);
+      }
+    }
+  });
+}
+
+ConfigUpdate ConfigStore::MakeUpdate(std::size_t max_bytes) const {
+  ConfigUpdate out{root_.version, object_version_, ""};
+  std::size_t n = root_text_.size();
+  nlohmann::json contents = nlohmann::json::object();
+  // Newest first: the receiver most likely lacks these.
+  std::vector<const ConfigFileEntry*> files;
+  for (const auto& it : root_.files) {
+    files.push_back(&it.second);
+  }
+  std::sort(files.begin(), files.end(), [](const auto* a, const auto* b) {
+    return a->version > b->version;
+  });
+  for (const auto* file : files) {
+    for (const auto& hash : file->content) {
+      const auto* text = contents_.Find(hash);
+      if (text != nullptr && n + text->size() <= max_bytes) {
+        n += text->size();
+        contents[hash] = *text;
+      }
+    }
+  }
+  if (n <= max_bytes) {
+    out.root =
+        nlohmann::json{{"root", root_text_}, {"contents", contents}}.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+  // Escaping makes the text longer.
+  if (out.root.size() > max_bytes) {
+    out.root.clear();
+  }
+  return out;
+}
+
+void ConfigStore::Announce() {
+  if (root_.version > announced_version_) {
+    announced_version_ = root_.version;
+    peers_.Broadcast(MakeUpdate(kMaxAnnouncedBytes));
+  }
+}
+
+void ConfigStore::AnnounceIfUnheard(const Flag& stopped) {
+  if (root_.version <= std::max(heard_version_, announced_version_)) {
+    return;
+  }
+  clock_.SleepFor(Spread(kMinAnnounceDelay, kAnnounceDelaySpread));
+  if (!*stopped && root_.version > heard_version_) {
+    Announce();
+  }
+}
+
+void ConfigStore::HelpLaggingMembers() {
+  if (!Ready() || !IsWatcher()) {
+    return;
+  }
+  std::set<std::string> lagging;
+  std::size_t helped = 0;
+  for (const auto& it : peers_.Members()) {
+    if (!it.reachable || it.vm.id == peers_.node_id() ||
+        it.vm.data_centre != data_centre_ ||
+        it.config_version >= root_.version) {
+      continue;
+    }
+    // A member that lags for the first time most likely learns of the version
+    // in the ordinary way before its next heartbeat.
+    if (lagging_members_.contains(it.vm.id) && helped < kMaxHelpedMembers) {
+      ++helped;
+      peers_.Send(it.vm.id, MakeUpdate(kMaxSentBytes));
+    }
+    lagging.insert(it.vm.id);
+  }
+  lagging_members_ = std::move(lagging);
+}
+
+Result<std::string> ConfigStore::FileText(std::string_view operator_name) {
+  const auto it = root_.files.find(operator_name);
+  if (it == root_.files.end()) {
+    return MakeError(
+        ErrorKind::kNotFound,
+        "operator \"" + std::string(operator_name) + "\" has no file");
+  }
+  const auto hashes = it->second.content;
+  return contents_.Read(hashes);
+}
+
+Result<std::vector<HistoryEntry>> ConfigStore::History(std::uint64_t before,
+                                                       std::size_t limit) {
+  std::vector<HistoryEntry> out;
+  std::vector<HistoryEntry> entries = root_.history;
+  std::string page = root_.history_page;
+  while (true) {
+    for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
+      if (out.size() == limit) {
+        return out;
+      }
+      if (it->version < before) {
+        out.push_back(*it);
+      }
+    }
+    if (page.empty() || out.size() == limit) {
+      return out;
+    }
+    BOOST_OUTCOME_TRY(text, contents_.Read({page}));
+    BOOST_OUTCOME_TRY(next, ParseHistoryPage(text));
+    entries = std::move(next.entries);
+    page = std::move(next.previous);
+  }
+}
+
+Result<std::string> ConfigStore::OperatorOf(std::string_view token) const {
+  if (!Ready()) {
+    const bool none_exists = platform_read_ && known_version_ == 0;
+    if (none_exists && !bootstrap_token_sha256_.empty() &&
+        EqualInConstantTime(bootstrap_token_sha256_, Sha256Hex(token))) {
+      return std::string(kEstateOperator);
+    }
+    return MakeError(ErrorKind::kInvalid, "no configuration is in force");
+  }
+  std::string found;
+  for (const auto& it : estate_->operators) {
+    if (estate_->CheckToken(it.first, token)) {
+      found = it.first;
+    }
+  }
+  if (found.empty()) {
+    return MakeError(ErrorKind::kInvalid, "the token is no operator's");
+  }
+  return found;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/ctl/timeline.cc
@@ -0,0 +1,189 @@
+#include "ctl/timeline.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+#include "ctl/ctl_context.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t Number(const json& value, const char* key) {
+  const auto it = value.find(key);
+  return it != value.end() && it->is_number_unsigned()
+             ? it->get<std::uint64_t>()
+             : 0;
+}
+
+std::string Text(const json& value, const char* key) {
+  const auto it = value.find(key);
+  return it != value.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+json Fields(const json& event) {
+  const auto it = event.find("fields");
+  return it != event.end() && it->is_object() ? *it : json::object();
+}
+
+/// Hybrid time first; the rest only makes the order unambiguous.
+auto OrderOf(const json& event) {
+  return std::make_tuple(Number(event, "time_us"), Number(event, "counter"),
+                         Text(event, "process"), Number(event, "sequence"));
+}
+
+bool IsModel(const std::string& value, const std::string& model) {
+  const auto end = value.find_first_of("@:");
+  return value == model || value.substr(0, end) == model;
+}
+
+/// "NODE" of "NODE/INCARNATION".
+std::string NodeOf(const std::string& process) {
+  return process.substr(0, process.find('/'));
+}
+
+std::string FormatMicros(std::uint64_t micros) {
+  auto text = FormatUtc(micros / 1000);
+  const auto rest = std::to_string(1000 + micros % 1000).substr(1);
+  return text.insert(text.size() - 1, rest);
+}
+
+/// A pair of events that begins and ends a span of the trace.
+struct SpanRule {
+  std::string_view begin;
+  std::vector<std::string_view> ends;
+  const char* key;
+};
+
+const std::vector<SpanRule>& SpanRules() {
+  static const std::vector<SpanRule> rules = {
+      {"request_accepted", {"request_answered", "request_refused"}, "request"},
+      {"order_sent", {"replica_loaded", "order_failed"}, "server"},
+  };
+  return rules;
+}
+
+json TraceEvent(const json& event,
+                const char* phase,
+                const std::string& name,
+                int pid) {
+  return {{"name", name},         {"cat", Text(event, "event")},
+          {"ph", phase},          {"ts", Number(event, "time_us")},
+          {"pid", pid},           {"tid", 0},
+          {"args", Fields(event)}};
+}
+
+/// Adds the begin or end of an asynchronous span if the event is one.
+void AddSpans(const json& event, int pid, json& out) {
+  const auto kind = Text(event, "event");
+  for (const auto& rule : SpanRules()) {
+    const auto id = Text(Fields(event), rule.key);
+    const bool ends =
+        std::find(rule.ends.begin(), rule.ends.end(), kind) != rule.ends.end();
+    if (id.empty() || (kind != rule.begin && !ends)) {
+      continue;
+    }
+    auto span = TraceEvent(event, ends ? "e" : "b",
+                           std::string(rule.key) + " " + id, pid);
+    span["cat"] = rule.begin;
+    span["id"] = id;
+    out.push_back(std::move(span));
+  }
+}
+
+}  // namespace
+
+bool TimelineFilter::Matches(const json& event) const {
+  const auto fields = Fields(event);
+  const auto model_of = Text(fields, "model");
+  const auto target_of = Text(fields, "target");
+  const auto server_of = Text(fields, "server");
+  const auto endpoint_of = Text(fields, "endpoint");
+  return (request.empty() || Text(fields, "request") == request) &&
+         (model.empty() || IsModel(model_of, model) ||
+          IsModel(target_of, model)) &&
+         (server.empty() || server_of == server || endpoint_of == server) &&
+         (node.empty() || NodeOf(Text(event, "process")) == node);
+}
+
+void Timeline::Add(const json& events) {
+  for (const auto& it : events) {
+    if (it.is_object()) {
+      events_.push_back(it);
+    }
+  }
+}
+
+std::vector<json> Timeline::Events(const TimelineFilter& filter) const {
+  // A request's events name the model only at its arrival, so a filter by model
+  // or server keeps whole requests.
+  std::set<std::string> requests;
+  const bool follow = filter.request.empty() &&
+                      !(filter.model.empty() && filter.server.empty());
+  for (const auto& it : events_) {
+    const auto request = Text(Fields(it), "request");
+    if (follow && !request.empty() && filter.Matches(it)) {
+      requests.insert(request);
+    }
+  }
+  std::vector<json> out;
+  for (const auto& it : events_) {
+    const bool at_node =
+        filter.node.empty() || NodeOf(Text(it, "process")) == filter.node;
+    if (filter.Matches(it) ||
+        (at_node && requests.contains(Text(Fields(it), "request")))) {
+      out.push_back(it);
+    }
+  }
+  std::sort(out.begin(), out.end(), [](const json& a, const json& b) {
+    return OrderOf(a) < OrderOf(b);
+  });
+  const auto end = std::unique(
+      out.begin(), out.end(),
+      [](const json& a, const json& b) { return OrderOf(a) == OrderOf(b); });
+  out.erase(end, out.end());
+  return out;
+}
+
+void WriteTimelineText(const std::vector<json>& events, std::ostream& out) {
+  for (const auto& it : events) {
+    out << FormatMicros(Number(it, "time_us")) << " " << Text(it, "process")
+        << " " << Text(it, "event");
+    for (const auto& field : Fields(it).items()) {
+      out << " " << field.key() << "="
+          << (field.value().is_string()
+                  ? field.value().get<std::string>()
+                  : field.value().dump(-1, ' ', false,
+                                       json::error_handler_t::replace));
+    }
+    out << "\n";
+  }
+}
+
+json TimelineTrace(const std::vector<json>& events) {
+  std::map<std::string, int> pids;
+  json list = json::array();
+  for (const auto& it : events) {
+    const auto process = Text(it, "process");
+    const auto added = pids.emplace(process, static_cast<int>(pids.size()) + 1);
+    const int pid = added.first->second;
+    if (added.second) {
+      list.push_back({{"name", "process_name"},
+                      {"ph", "M"},
+                      {"pid", pid},
+                      {"tid", 0},
+                      {"args", {{"name", process}}}});
+    }
+    auto instant = TraceEvent(it, "i", Text(it, "event"), pid);
+    instant["s"] = "p";
+    list.push_back(std::move(instant));
+    AddSpans(it, pid, list);
+  }
+  return {{"traceEvents", list}, {"displayTimeUnit", "ms"}};
+}
+
+}  // namespace tanagerloom
