--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -30,6 +30,15 @@
                                           "request_answered"};
 inline constexpr EventId kRequestRefused{403, Severity::kInfo,
                                          "request_refused"};
+inline constexpr EventId kCallerGone{404, Severity::kInfo, "caller_gone"};
+inline constexpr EventId kEndpointHeldBack{405, Severity::kWarning,
+                                           "endpoint_held_back"};
+inline constexpr EventId kEndpointRecovered{406, Severity::kInfo,
+                                            "endpoint_recovered"};
+inline constexpr EventId kAttemptFailed{407, Severity::kWarning,
+                                        "attempt_failed"};
+inline constexpr EventId kStreamResumed{408, Severity::kWarning,
+                                        "stream_resumed"};
 inline constexpr EventId kConfigurationInForce{500, Severity::kInfo,
                                                "configuration_in_force"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
--- /dev/null
+++ b/packages/decision/endpoint_breaker.h
@@ -0,0 +1,89 @@
+// Defines EndpointBreaker, which stops requests to an endpoint that keeps
+// failing and lets one probe through after a while.
+#ifndef DECISION_ENDPOINT_BREAKER_H_
+#define DECISION_ENDPOINT_BREAKER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace tanagerloom {
+
+/// Circuit breaker of one endpoint. Times come from the caller.
+class EndpointBreaker {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+  using Duration = std::chrono::steady_clock::duration;
+
+  /// Failures in a row that open the breaker. A single cut connection is no
+  /// sign of a dead endpoint.
+  static constexpr std::uint32_t kFailureLimit = 3;
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(500);
+  static constexpr Duration kLongestPause = std::chrono::seconds(15);
+  /// A probe without an outcome frees its place after this time.
+  static constexpr Duration kProbeTime = std::chrono::seconds(5);
+
+  /// Whether a request may be sent now; while open, only a probe may.
+  bool Allows(TimePoint now) const {
+    return !open_ || (now >= retry_at_ && now >= probe_until_);
+  }
+
+  /// A request is sent. True if it is the probe, which peers should know.
+  bool OnSend(TimePoint now) {
+    if (!open_) {
+      return false;
+    }
+    probe_until_ = now + kProbeTime;
+    return true;
+  }
+
+  /// True if the breaker closes by this success.
+  bool OnSuccess() {
+    failures_ = 0;
+    pause_ = kFirstPause;
+    probe_until_ = {};
+    const bool was_open = open_;
+    open_ = false;
+    return was_open;
+  }
+
+  /// True if the breaker opens, or stays open after a probe, by this failure.
+  bool OnFailure(TimePoint now) {
+    ++failures_;
+    if (!open_ && failures_ < kFailureLimit) {
+      return false;
+    }
+    Open(now, pause_);
+    pause_ = std::min(pause_ * 2, kLongestPause);
+    return true;
+  }
+
+  /// A peer's breaker opened for `pause`.
+  void Open(TimePoint now, Duration pause) {
+    open_ = true;
+    probe_until_ = {};
+    retry_at_ = std::max(retry_at_, now + pause);
+  }
+
+  /// A peer probes; this node waits for its outcome.
+  void OnPeerProbe(TimePoint now, Duration valid) {
+    if (open_) {
+      probe_until_ = std::max(probe_until_, now + std::min(valid, kProbeTime));
+    }
+  }
+
+  bool open() const { return open_; }
+  TimePoint retry_at() const { return std::max(retry_at_, probe_until_); }
+  Duration pause() const { return pause_; }
+
+ private:
+  bool open_ = false;
+  std::uint32_t failures_ = 0;
+  Duration pause_ = kFirstPause;
+  TimePoint retry_at_{};
+  TimePoint probe_until_{};
+};
+
+}  // namespace tanagerloom
+
+#endif  // DECISION_ENDPOINT_BREAKER_H_
--- /dev/null
+++ b/packages/decision/endpoint_choice.cc
@@ -0,0 +1,83 @@
+#include "decision/endpoint_choice.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tanagerloom {
+
+namespace {
+
+// An endpoint that holds the prefix may have this many requests more than the
+// least loaded one. Beyond that the queueing costs more than the cache saves.
+constexpr std::uint32_t kAffinitySlack = 2;
+
+// The own data centre is left when its best endpoint has this many requests
+// more than the best one elsewhere; latency between data centres is below 2 ms.
+constexpr std::uint32_t kDataCentreSlack = 4;
+
+std::size_t LessLoaded(std::span<const EndpointCandidate> candidates,
+                       std::size_t a,
+                       std::size_t b) {
+  return EndpointLoad(candidates[b]) < EndpointLoad(candidates[a]) ? b : a;
+}
+
+std::optional<std::size_t> TwoChoices(
+    std::span<const EndpointCandidate> candidates,
+    const std::vector<std::size_t>& among,
+    const std::function<std::size_t(std::size_t)>& random) {
+  if (among.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t first = random(among.size());
+  if (among.size() == 1) {
+    return among[0];
+  }
+  std::size_t second = random(among.size() - 1);
+  second += second >= first ? 1 : 0;
+  return LessLoaded(candidates, among[first], among[second]);
+}
+
+}  // namespace
+
+std::uint32_t EndpointLoad(const EndpointCandidate& candidate) {
+  return std::max(candidate.own + candidate.peers, candidate.reported);
+}
+
+bool HasRoom(const EndpointCandidate& candidate) {
+  return candidate.usable && candidate.own < candidate.limit;
+}
+
+std::optional<std::size_t> ChooseEndpoint(
+    std::span<const EndpointCandidate> candidates,
+    const std::function<std::size_t(std::size_t)>& random) {
+  std::vector<std::size_t> near;
+  std::vector<std::size_t> far;
+  std::optional<std::size_t> cached;
+  std::uint32_t least = UINT32_MAX;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto& it = candidates[i];
+    if (!HasRoom(it)) {
+      continue;
+    }
+    (it.same_data_centre ? near : far).push_back(i);
+    least = std::min(least, EndpointLoad(it));
+    if (it.prefix_blocks > 0 &&
+        (!cached || it.prefix_blocks > candidates[*cached].prefix_blocks)) {
+      cached = i;
+    }
+  }
+  if (cached && EndpointLoad(candidates[*cached]) <= least + kAffinitySlack) {
+    return cached;
+  }
+  const auto local = TwoChoices(candidates, near, random);
+  if (local && EndpointLoad(candidates[*local]) <= least + kDataCentreSlack) {
+    return local;
+  }
+  const auto remote = TwoChoices(candidates, far, random);
+  if (!local || !remote) {
+    return local ? local : remote;
+  }
+  return LessLoaded(candidates, *local, *remote);
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/decision/fair_queue.cc
@@ -0,0 +1,122 @@
+#include "decision/fair_queue.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tanagerloom {
+
+void FairQueue::Push(const FairEntry& entry) {
+  auto& queue = classes_[{entry.deferred, entry.rank}];
+  auto& shares = queue.operators[entry.operator_name];
+  if (shares.waiting.empty()) {
+    // An operator that was idle does not save up turns.
+    shares.virtual_time = std::max(shares.virtual_time, queue.virtual_time);
+  }
+  const Order order{entry.deadline, ++sequence_};
+  shares.waiting.emplace(order, entry.id);
+  ++queue.size;
+  entries_[entry.id] = {
+      {entry.deferred, entry.rank}, entry.operator_name, order};
+}
+
+void FairQueue::Remove(std::uint64_t id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) {
+    return;
+  }
+  auto& queue = classes_[it->second.class_key];
+  queue.operators[it->second.operator_name].waiting.erase(it->second.order);
+  --queue.size;
+  entries_.erase(it);
+}
+
+std::optional<std::uint64_t> FairQueue::Take(const Eligible& eligible) {
+  const bool deferred_first = since_deferred_ + 1 >= kDeferredPeriod;
+  for (const bool deferred : {deferred_first, !deferred_first}) {
+    if (const auto id = TakeFrom(deferred, eligible)) {
+      since_deferred_ = deferred ? 0 : since_deferred_ + 1;
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> FairQueue::TakeFrom(bool deferred,
+                                                 const Eligible& eligible) {
+  for (auto& [key, queue] : classes_) {
+    if (key.first != deferred || queue.size == 0) {
+      continue;
+    }
+    if (const auto id = TakeFromClass(queue, eligible)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> FairQueue::TakeFromClass(
+    ClassQueue& queue,
+    const Eligible& eligible) {
+  std::vector<OperatorQueue*> order;
+  for (auto& [name, shares] : queue.operators) {
+    if (!shares.waiting.empty()) {
+      order.push_back(&shares);
+    }
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const OperatorQueue* a, const OperatorQueue* b) {
+                     return a->virtual_time < b->virtual_time;
+                   });
+  for (auto* shares : order) {
+    int scanned = 0;
+    for (const auto& [key, id] : shares->waiting) {
+      if (++scanned > kMaxScan) {
+        break;
+      }
+      if (eligible(id)) {
+        queue.virtual_time = std::max(queue.virtual_time, shares->virtual_time);
+        shares->virtual_time += 1;
+        const auto taken = id;
+        Remove(taken);
+        return taken;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t FairQueue::CountAhead(std::uint32_t rank, bool deferred) const {
+  std::size_t n = 0;
+  for (const auto& [key, queue] : classes_) {
+    if (key <= ClassKey{deferred, rank}) {
+      n += queue.size;
+    }
+  }
+  return n;
+}
+
+std::uint32_t FairQueue::BestRank() const {
+  std::uint32_t best = UINT32_MAX;
+  for (const auto& [key, queue] : classes_) {
+    if (queue.size > 0) {
+      best = std::min(best, key.second);
+    }
+  }
+  return best == UINT32_MAX ? 0 : best;
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+FairQueue::EarliestDeadline() const {
+  std::optional<std::chrono::steady_clock::time_point> earliest;
+  for (const auto& [key, queue] : classes_) {
+    for (const auto& [name, shares] : queue.operators) {
+      if (!shares.waiting.empty()) {
+        const auto first = shares.waiting.begin()->first.first;
+        earliest = std::min(earliest.value_or(first), first);
+      }
+    }
+  }
+  return earliest;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/decision/retry_budget.h
@@ -0,0 +1,39 @@
+// Defines RetryBudget, which bounds retries to a fraction of the requests, so
+// that retries cannot multiply the load of endpoints that are failing.
+#ifndef DECISION_RETRY_BUDGET_H_
+#define DECISION_RETRY_BUDGET_H_
+
+#include <algorithm>
+
+namespace tanagerloom {
+
+/// A token bucket filled by first attempts and emptied by retries.
+class RetryBudget {
+ public:
+  /// Every request adds this many retries.
+  static constexpr double kRetriesPerRequest = 0.2;
+  /// Retries that may be saved up; lets a quiet node retry at once.
+  static constexpr double kMaxSaved = 50;
+
+  void CountRequest() {
+    saved_ = std::min(kMaxSaved, saved_ + kRetriesPerRequest);
+  }
+
+  /// Takes one retry; false if none is left.
+  bool TakeRetry() {
+    if (saved_ < 1) {
+      return false;
+    }
+    saved_ -= 1;
+    return true;
+  }
+
+  double saved() const { return saved_; }
+
+ private:
+  double saved_ = kMaxSaved;
+};
+
+}  // namespace tanagerloom
+
+#endif  // DECISION_RETRY_BUDGET_H_
--- /dev/null
+++ b/packages/routing/caller_request.cc
@@ -0,0 +1,363 @@
+#include "routing/caller_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "base/id.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kServicesPrefix = "/services/";
+
+// The longest deadline a caller may ask for. Deferred work, such as a care
+// plan, is due within a day.
+constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
+
+constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
+
+// Bytes of prompt text in one block of the prefix hash chain, and the number of
+// blocks hashed. Engines cache prefixes in blocks of a few hundred bytes.
+constexpr std::size_t kPrefixBlockBytes = 256;
+constexpr std::size_t kMaxPrefixBlocks = 64;
+
+Refusal Invalid(int status, std::string code, std::string message) {
+  return {status, std::move(code), std::move(message), Verdict::kNotRun, {}};
+}
+
+// A value as it may appear in a message: short and printable.
+std::string Quoted(std::string_view value) {
+  constexpr std::size_t kMaxShown = 80;
+  std::string out = "'";
+  for (const char c : value.substr(0, kMaxShown)) {
+    out += c >= ' ' && c < 127 ? c : '?';
+  }
+  return out + (value.size() > kMaxShown ? "...'" : "'");
+}
+
+std::optional<Refusal> CheckKey(const HttpRequest& request,
+                                const Estate& estate,
+                                const CallerSpec** caller) {
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto header = request.headers.Find("Authorization");
+  if (!header) {
+    return Invalid(401, "missing_key",
+                   "the header 'Authorization: Bearer KEY' is missing");
+  }
+  if (!header->starts_with(kScheme)) {
+    return Invalid(401, "invalid_key",
+                   "the header 'Authorization' is not of the form 'Bearer "
+                   "KEY'");
+  }
+  *caller = estate.FindCaller(header->substr(kScheme.size()));
+  if (*caller == nullptr) {
+    return Invalid(401, "invalid_key", "the key belongs to no caller");
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> CheckClass(const HttpRequest& request,
+                                  const CallerSpec& caller,
+                                  CallerRequest& out) {
+  const auto header = request.headers.Find("X-Precedence");
+  if (!header && caller.classes.empty()) {
+    return std::nullopt;
+  }
+  const std::string name =
+      header ? std::string(*header) : caller.classes.front();
+  const auto it = out.estate->classes.find(name);
+  if (it == out.estate->classes.end()) {
+    return Invalid(400, "unknown_class",
+                   "the class " + Quoted(name) + " of X-Precedence is unknown");
+  }
+  if (std::find(caller.classes.begin(), caller.classes.end(), name) ==
+      caller.classes.end()) {
+    return Invalid(403, "class_not_allowed",
+                   "the caller " + Quoted(caller.name) +
+                       " may not use the class " + Quoted(name));
+  }
+  out.class_name = name;
+  out.rank = it->second.rank;
+  out.deferred = it->second.may_wait;
+  out.deadline = out.arrived + it->second.default_deadline;
+  return std::nullopt;
+}
+
+std::optional<Refusal> CheckDeadline(const HttpRequest& request,
+                                     CallerRequest& out) {
+  const auto header = request.headers.Find("X-Deadline-Ms");
+  if (!header) {
+    return std::nullopt;
+  }
+  std::int64_t ms = 0;
+  const auto* end = header->data() + header->size();
+  const auto parsed = std::from_chars(header->data(), end, ms);
+  if (parsed.ec != std::errc() || parsed.ptr != end || ms <= 0 ||
+      ms > kMaxDeadlineMs) {
+    return Invalid(400, "invalid_deadline",
+                   "X-Deadline-Ms is " + Quoted(*header) +
+                       "; it must be a whole number from 1 to " +
+                       std::to_string(kMaxDeadlineMs));
+  }
+  out.deadline = out.arrived + std::chrono::milliseconds(ms);
+  return std::nullopt;
+}
+
+// Headers that concern only the connection or this node.
+bool IsForwarded(std::string_view name) {
+  static constexpr std::string_view kKept[] = {
+      "accept",      "accept-language", "content-type",
+      "traceparent", "tracestate",      "user-agent"};
+  const auto equal = [](char a, char b) {
+    return (a >= 'A' && a <= 'Z' ? a + 32 : a) == b;
+  };
+  return std::any_of(std::begin(kKept), std::end(kKept),
+                     [&](std::string_view kept) {
+                       return std::equal(name.begin(), name.end(), kept.begin(),
+                                         kept.end(), equal);
+                     });
+}
+
+HttpRequest EndpointRequest(const HttpRequest& request,
+                            std::string target,
+                            const CallerRequest& out) {
+  HttpRequest result{request.method, std::move(target), {}, {}};
+  for (const auto& it : request.headers.fields()) {
+    if (IsForwarded(it.name)) {
+      result.headers.Add(it.name, it.value);
+    }
+  }
+  result.headers.Set("X-Request-Id", out.id);
+  result.headers.Set("X-Precedence-Rank", std::to_string(out.rank));
+  return result;
+}
+
+// Adds `"stream":true` to a JSON object's text. The engine always streams, so
+// that this node sees progress also while it collects a whole answer.
+std::string WithStream(const std::string& text, json& body) {
+  const auto it = body.find("stream");
+  if (it != body.end() && it->is_boolean() && it->get<bool>()) {
+    return text;
+  }
+  if (it == body.end()) {
+    const auto brace = text.find('{');
+    return text.substr(0, brace + 1) + R"("stream":true)" +
+           (body.empty() ? "" : ",") + text.substr(brace + 1);
+  }
+  body["stream"] = true;
+  return body.dump();
+}
+
+void AppendPrompt(const json& value, std::string& out) {
+  constexpr std::size_t kMaxBytes = kPrefixBlockBytes * kMaxPrefixBlocks;
+  if (out.size() >= kMaxBytes) {
+    return;
+  }
+  if (value.is_string()) {
+    out += value.get_ref<const std::string&>();
+    out += '\n';
+  } else if (value.is_array() || value.is_object()) {
+    for (const auto& it : value) {
+      AppendPrompt(it, out);
+    }
+  }
+}
+
+std::vector<std::uint64_t> PrefixHashes(const std::string& model,
+                                        const json& body) {
+  std::string prompt;
+  for (const char* field : {"messages", "prompt"}) {
+    if (const auto it = body.find(field); it != body.end()) {
+      AppendPrompt(*it, prompt);
+    }
+  }
+  std::vector<std::uint64_t> hashes;
+  std::uint64_t chain = StableHash(model);
+  for (std::size_t at = 0; at + kPrefixBlockBytes <= prompt.size() &&
+                           hashes.size() < kMaxPrefixBlocks;
+       at += kPrefixBlockBytes) {
+    const auto block = std::string_view(prompt).substr(at, kPrefixBlockBytes);
+    chain = StableHash(std::to_string(chain) + std::string(block));
+    hashes.push_back(chain);
+  }
+  return hashes;
+}
+
+// The hash that recognises the same request from any caller. Fields that change
+// with each attempt or don't change what is computed are left out.
+std::uint64_t ModelFingerprint(std::string_view path, json body) {
+  for (const char* field : {"user", "metadata", "stream", "stream_options",
+                            "seed", "request_id", "timestamp"}) {
+    body.erase(field);
+  }
+  return StableHash("POST " + std::string(path) + "\n" + body.dump());
+}
+
+std::optional<Refusal> ReadModelCall(const HttpRequest& request,
+                                     CallerRequest& out) {
+  auto body = json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  if (body.is_discarded()) {
+    return Invalid(400, "malformed_json",
+                   "the body is not valid JSON in UTF-8");
+  }
+  if (!body.is_object()) {
+    return Invalid(400, "malformed_json", "the body is not a JSON object");
+  }
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) {
+    return Invalid(400, "invalid_model", "the field 'model' is not a string");
+  }
+  ModelCall call;
+  call.model_name = model->get<std::string>();
+  if (const auto it = body.find("stream"); it != body.end()) {
+    if (!it->is_boolean()) {
+      return Invalid(400, "invalid_stream",
+                     "the field 'stream' is neither true nor false");
+    }
+    call.stream = it->get<bool>();
+  }
+  const bool chat = request.Path() == "/v1/chat/completions";
+  const char* prompt = chat ? "messages" : "prompt";
+  if (!body.contains(prompt) || (chat && !body[prompt].is_array())) {
+    return Invalid(400, "invalid_prompt",
+                   std::string("the field '") + prompt + "' is missing" +
+                       (chat ? " or not an array" : ""));
+  }
+  const auto resolved = out.estate->Resolve(call.model_name);
+  if (!resolved) {
+    return Invalid(404, "unknown_model",
+                   "the model " + Quoted(call.model_name) + " is not offered");
+  }
+  call.key = resolved->key;
+  call.cell = resolved->model->pool;
+  call.prefix = PrefixHashes(call.key.ToString(), body);
+  out.fingerprint = ModelFingerprint(request.Path(), body);
+  call.engine_request =
+      EndpointRequest(request, std::string(request.Path()), out);
+  call.engine_request.headers.Set("Content-Type", "application/json");
+  call.engine_request.headers.Set("X-Model-Version", call.key.version);
+  call.engine_request.body = WithStream(request.body, body);
+  out.call = std::move(call);
+  return std::nullopt;
+}
+
+bool IsRepeatable(const ServiceSpec& service,
+                  std::string_view method,
+                  std::string_view path) {
+  for (const auto& it : service.rules) {
+    if ((it.method == "*" || it.method == method) &&
+        path.starts_with(it.path_prefix)) {
+      return it.repeatable;
+    }
+  }
+  return false;
+}
+
+std::optional<Refusal> ReadServiceCall(const HttpRequest& request,
+                                       CallerRequest& out) {
+  const auto rest =
+      std::string_view(request.target).substr(kServicesPrefix.size());
+  const auto name = rest.substr(0, rest.find_first_of("/?"));
+  const auto it = out.estate->services.find(name);
+  if (it == out.estate->services.end()) {
+    return Invalid(404, "unknown_service",
+                   "the service " + Quoted(name) + " is not offered");
+  }
+  std::string target(rest.substr(name.size()));
+  if (target.empty() || target[0] != '/') {
+    target.insert(0, "/");
+  }
+  ServiceCall call;
+  call.service = it->first;
+  call.max_in_progress = it->second.max_in_progress;
+  call.repeatable =
+      IsRepeatable(it->second, request.method,
+                   std::string_view(target).substr(0, target.find('?')));
+  if (const auto key = request.headers.Find("Idempotency-Key")) {
+    if (key->empty() || key->size() > kMaxIdempotencyKeyBytes) {
+      return Invalid(400, "invalid_idempotency_key",
+                     "Idempotency-Key must have 1 to " +
+                         std::to_string(kMaxIdempotencyKeyBytes) + " bytes");
+    }
+    call.idempotency_key = *key;
+  }
+  out.fingerprint =
+      StableHash(request.method + " " + request.target + "\n" + request.body);
+  call.endpoint_request = EndpointRequest(request, std::move(target), out);
+  call.endpoint_request.body = request.body;
+  if (!call.idempotency_key.empty()) {
+    call.endpoint_request.headers.Set("Idempotency-Key", call.idempotency_key);
+  }
+  out.call = std::move(call);
+  return std::nullopt;
+}
+
+std::optional<Refusal> ReadCall(const HttpRequest& request,
+                                CallerRequest& out) {
+  const auto path = request.Path();
+  if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    if (request.method != "POST") {
+      return Invalid(
+          405, "method_not_allowed",
+          std::string(path) + " takes POST, not " + Quoted(request.method));
+    }
+    return ReadModelCall(request, out);
+  }
+  if (path == "/v1/models") {
+    if (request.method != "GET") {
+      return Invalid(405, "method_not_allowed",
+                     "/v1/models takes GET, not " + Quoted(request.method));
+    }
+    out.call = ModelList();
+    return std::nullopt;
+  }
+  if (path.starts_with(kServicesPrefix)) {
+    return ReadServiceCall(request, out);
+  }
+  return Invalid(404, "unknown_path",
+                 "the path " + Quoted(path) + " is unknown");
+}
+
+}  // namespace
+
+std::variant<CallerRequest, Refusal> ReadCallerRequest(
+    const HttpRequest& request,
+    std::string id,
+    std::shared_ptr<const Estate> estate,
+    TimePoint now) {
+  constexpr auto kDefaultDeadline = std::chrono::seconds(30);
+  CallerRequest out;
+  out.id = std::move(id);
+  out.arrived = now;
+  out.deadline = now + kDefaultDeadline;
+  out.estate = std::move(estate);
+  if (out.estate->version == 0) {
+    return Refusal{503, "not_configured",
+                   "this node does not know the configuration yet",
+                   Verdict::kNotRun, std::chrono::seconds(1)};
+  }
+  const CallerSpec* caller = nullptr;
+  if (auto refusal = CheckKey(request, *out.estate, &caller)) {
+    return std::move(*refusal);
+  }
+  out.caller = caller->name;
+  out.operator_name = caller->operator_name;
+  if (auto refusal = CheckClass(request, *caller, out)) {
+    return std::move(*refusal);
+  }
+  if (auto refusal = CheckDeadline(request, out)) {
+    return std::move(*refusal);
+  }
+  if (auto refusal = ReadCall(request, out)) {
+    return std::move(*refusal);
+  }
+  return out;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/routing/endpoint_reply.h
@@ -0,0 +1,38 @@
+// Defines how an endpoint's refusal is read: what it says about the request and
+// about the endpoint.
+#ifndef ROUTING_ENDPOINT_REPLY_H_
+#define ROUTING_ENDPOINT_REPLY_H_
+
+#include <optional>
+#include <string_view>
+
+#include "base/verdict.h"
+#include "http/http_message.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// What an endpoint's refusal says.
+struct EndpointRefusal {
+  Verdict verdict = Verdict::kMayHaveRun;
+  std::optional<Duration> backpressure;
+  bool leaving = false;
+};
+
+/// Whether a status is the endpoint's judgement on the request itself, which is
+/// the caller's answer and no failure of the endpoint.
+bool IsCallersFault(int status);
+
+/// Whether a header of an endpoint's response is passed on to the caller; those
+/// of the connection and of the platform's protocol are not.
+bool IsRelayedHeader(std::string_view name);
+
+/// Reads a 429, 503 or other failure. Only `X-Not-Run: true` and 429 state that
+/// nothing ran.
+EndpointRefusal ReadRefusal(int status,
+                            const HttpHeaders& headers,
+                            std::string_view body);
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_ENDPOINT_REPLY_H_
--- /dev/null
+++ b/packages/routing/endpoint_table.cc
@@ -0,0 +1,269 @@
+#include "routing/endpoint_table.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "config/settings.h"
+#include "ports/peer_network.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A load report or a peer's count older than this says nothing any more.
+constexpr Duration kReportLife = seconds(2);
+constexpr Duration kPeerUseLife = seconds(3);
+
+// A leaving notice holds until the VM list, which lags, names the endpoint.
+constexpr Duration kLeavingNoticeLife = seconds(60);
+
+constexpr Duration kUnusedLife = seconds(600);
+
+// Longest backpressure that is honoured, so that a wrong Retry-After cannot
+// take an endpoint out of service for hours.
+constexpr Duration kLongestHold = seconds(60);
+
+// Interval of use messages for each member: 100 ms at 8 nodes. Their number
+// grows with the square of the members, so the interval grows with them.
+constexpr Duration kShareIntervalPerMember = std::chrono::microseconds(12500);
+
+// Bounds one use message to about 3 KB.
+constexpr std::size_t kMaxShared = 64;
+
+std::uint64_t Milliseconds(Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(1, duration_cast<milliseconds>(duration).count()));
+}
+
+}  // namespace
+
+EndpointTable::EndpointTable(const RoutingDependencies& deps) : deps_(deps) {}
+
+EndpointState& EndpointTable::Get(const std::string& endpoint) {
+  return states_[endpoint];
+}
+
+std::uint32_t EndpointTable::PeerUseOf(const EndpointState& state) const {
+  const auto oldest = deps_.clock.Now() - kPeerUseLife;
+  std::uint32_t sum = 0;
+  for (const auto& [node, use] : state.peers) {
+    sum += use.at >= oldest ? use.in_progress : 0;
+  }
+  return sum;
+}
+
+bool EndpointTable::Usable(const EndpointState& state) const {
+  const auto now = deps_.clock.Now();
+  return now >= state.hold_until && now >= state.leaving_until &&
+         now >= state.exclusive_until && state.breaker.Allows(now);
+}
+
+EndpointCandidate EndpointTable::Candidate(const std::string& endpoint,
+                                           const std::string& data_centre,
+                                           std::uint32_t own,
+                                           std::uint32_t limit) {
+  const auto& state = Get(endpoint);
+  const bool fresh = deps_.clock.Now() - state.reported_at < kReportLife;
+  return {.own = own,
+          .peers = PeerUseOf(state) + (state.own - std::min(own, state.own)),
+          .reported = fresh ? state.reported : 0,
+          .limit = limit,
+          .prefix_blocks = 0,
+          .same_data_centre = data_centre == deps_.settings.data_centre,
+          .usable = Usable(state) && !leaving_.contains(endpoint)};
+}
+
+void EndpointTable::OnSend(const std::string& endpoint) {
+  auto& state = Get(endpoint);
+  ++state.own;
+  state.used_at = deps_.clock.Now();
+  if (state.breaker.OnSend(state.used_at)) {
+    Notify(endpoint, EndpointCondition::kProbing, EndpointBreaker::kProbeTime);
+  }
+}
+
+void EndpointTable::OnDone(const std::string& endpoint) {
+  auto& state = Get(endpoint);
+  --state.own;
+  state.used_at = deps_.clock.Now();
+}
+
+void EndpointTable::OnSuccess(const std::string& endpoint) {
+  if (Get(endpoint).breaker.OnSuccess()) {
+    deps_.log.Record(events::kEndpointRecovered, {{"endpoint", endpoint}});
+    Notify(endpoint, EndpointCondition::kRecovered, seconds(1));
+  }
+}
+
+void EndpointTable::OnFailure(const std::string& endpoint) {
+  auto& state = Get(endpoint);
+  const auto pause = state.breaker.pause();
+  if (state.breaker.OnFailure(deps_.clock.Now())) {
+    deps_.log.Record(events::kEndpointHeldBack, {{"endpoint", endpoint},
+                                                 {"cause", "failing"},
+                                                 {"ms", Milliseconds(pause)}});
+    Notify(endpoint, EndpointCondition::kFailing, pause);
+  }
+}
+
+void EndpointTable::OnBackpressure(const std::string& endpoint,
+                                   Duration pause) {
+  pause = std::min(pause, kLongestHold);
+  auto& state = Get(endpoint);
+  const auto until = deps_.clock.Now() + pause;
+  if (until <= state.hold_until) {
+    return;
+  }
+  state.hold_until = until;
+  deps_.log.Record(events::kEndpointHeldBack, {{"endpoint", endpoint},
+                                               {"cause", "overloaded"},
+                                               {"ms", Milliseconds(pause)}});
+  Notify(endpoint, EndpointCondition::kOverloaded, pause);
+}
+
+void EndpointTable::OnLeaving(const std::string& endpoint) {
+  auto& state = Get(endpoint);
+  const auto now = deps_.clock.Now();
+  const bool known = state.leaving_until > now || leaving_.contains(endpoint);
+  state.leaving_until = now + kLeavingNoticeLife;
+  if (!known) {
+    deps_.log.Record(events::kEndpointHeldBack,
+                     {{"endpoint", endpoint},
+                      {"cause", "leaving"},
+                      {"ms", Milliseconds(kLeavingNoticeLife)}});
+    deps_.peers.ReportLeaving(endpoint);
+  }
+}
+
+void EndpointTable::AnnounceExclusive(const std::string& endpoint,
+                                      Duration valid) {
+  Notify(endpoint, EndpointCondition::kOverloaded, valid);
+}
+
+void EndpointTable::Notify(const std::string& endpoint,
+                           EndpointCondition condition,
+                           Duration valid) {
+  deps_.peers.Broadcast(
+      EndpointNotice{endpoint, condition, Milliseconds(valid)});
+}
+
+bool EndpointTable::OnPeerMessage(const std::string& from,
+                                  const PeerMessage& message) {
+  const auto now = deps_.clock.Now();
+  if (const auto* use = std::get_if<EndpointUse>(&message)) {
+    const auto n = std::min(use->endpoints.size(), use->in_progress.size());
+    for (std::size_t i = 0; i < n; ++i) {
+      // Only endpoints that this node uses: a node needs no view of the rest.
+      if (const auto it = states_.find(use->endpoints[i]);
+          it != states_.end()) {
+        it->second.peers[from] = {use->in_progress[i], now};
+      }
+    }
+    return false;
+  }
+  const auto* notice = std::get_if<EndpointNotice>(&message);
+  if (notice == nullptr) {
+    return false;
+  }
+  auto& state = Get(notice->endpoint);
+  const Duration valid = milliseconds(notice->valid_ms);
+  switch (notice->condition) {
+    case EndpointCondition::kLeaving:
+      state.leaving_until = std::max(state.leaving_until,
+                                     now + std::max(valid, kLeavingNoticeLife));
+      return false;
+    case EndpointCondition::kOverloaded:
+      state.exclusive_until =
+          std::max(state.exclusive_until, now + std::min(valid, kLongestHold));
+      return false;
+    case EndpointCondition::kFailing:
+      state.breaker.Open(
+          now, std::min<Duration>(valid, EndpointBreaker::kLongestPause));
+      return false;
+    case EndpointCondition::kRecovered:
+      state.breaker.OnSuccess();
+      return true;
+    case EndpointCondition::kProbing:
+      state.breaker.OnPeerProbe(now, valid);
+      return false;
+  }
+  return false;
+}
+
+void EndpointTable::RefreshLeaving() {
+  leaving_.clear();
+  for (const auto& it : deps_.peers.Vms()) {
+    if (it.leaving) {
+      leaving_.insert(it.id);
+    }
+  }
+}
+
+void EndpointTable::ShareUse() {
+  const auto now = deps_.clock.Now();
+  if (now < next_share_) {
+    return;
+  }
+  const auto members = static_cast<std::int64_t>(deps_.peers.Members().size());
+  next_share_ =
+      now + kShareIntervalPerMember * std::max<std::int64_t>(members, 1);
+  EndpointUse use;
+  for (const auto& [endpoint, state] : states_) {
+    auto& last = shared_[endpoint];
+    // A count that stands is repeated, since peers forget counts after a while.
+    const bool repeat = state.own > 0 && now - state.used_at > kPeerUseLife / 3;
+    if ((last != state.own || repeat) && use.endpoints.size() < kMaxShared) {
+      last = state.own;
+      use.endpoints.push_back(endpoint);
+      use.in_progress.push_back(state.own);
+    }
+  }
+  if (!use.endpoints.empty()) {
+    deps_.peers.Broadcast(use);
+  }
+}
+
+std::vector<std::string> EndpointTable::InUse() const {
+  std::vector<std::string> out;
+  for (const auto& [endpoint, state] : states_) {
+    if (state.own > 0) {
+      out.push_back(endpoint);
+    }
+  }
+  return out;
+}
+
+void EndpointTable::Prune() {
+  const auto oldest = deps_.clock.Now() - kUnusedLife;
+  std::erase_if(states_, [&](const auto& it) {
+    const auto& state = it.second;
+    return state.own == 0 && state.used_at < oldest &&
+           state.leaving_until < oldest && state.hold_until < oldest &&
+           state.exclusive_until < oldest && state.reserved_by.empty();
+  });
+  std::erase_if(shared_,
+                [&](const auto& it) { return !states_.contains(it.first); });
+}
+
+nlohmann::json EndpointTable::Status() const {
+  auto out = nlohmann::json::object();
+  for (const auto& [endpoint, state] : states_) {
+    out[endpoint] = {{"in_progress", state.own},
+                     {"peers_in_progress", PeerUseOf(state)},
+                     {"reported", state.reported},
+                     {"breaker_open", state.breaker.open()},
+                     {"usable", Usable(state) && !leaving_.contains(endpoint)},
+                     {"leaving", leaving_.contains(endpoint) ||
+                                     state.leaving_until > deps_.clock.Now()}};
+  }
+  return out;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/routing/event_stream.h
@@ -0,0 +1,41 @@
+// Defines EventStreamBuffer, which cuts a relayed server-sent event stream at
+// event borders and recognises its end marker without parsing the events.
+#ifndef ROUTING_EVENT_STREAM_H_
+#define ROUTING_EVENT_STREAM_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace tanagerloom {
+
+/// Bytes of a stream that have arrived but were not relayed yet.
+class EventStreamBuffer {
+ public:
+  /// Where newly read bytes are appended.
+  std::string& input() { return pending_; }
+
+  /// Counts `n` bytes appended to input().
+  void OnAppended(std::size_t n) { received_ += n; }
+
+  /// The whole events that wait to be relayed; at most all that arrived.
+  std::string_view WholeEvents() const;
+
+  /// Drops the first `n` bytes, which were relayed.
+  void Consume(std::size_t n);
+
+  /// Whether the last relayed event was `data: [DONE]`.
+  bool ended() const { return ended_; }
+
+  /// Bytes received so far: the offset at which the stream is resumed.
+  std::uint64_t received() const { return received_; }
+
+ private:
+  std::string pending_;
+  std::uint64_t received_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_EVENT_STREAM_H_
--- /dev/null
+++ b/packages/routing/model_attempt.cc
@@ -0,0 +1,333 @@
+#include "routing/model_attempt.h"
+
+#include <algorithm>
+#include <boost/fiber/fiber.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "config/settings.h"
+#include "routing/completion_assembler.h"
+#include "routing/endpoint_reply.h"
+#include "routing/request_scheduler.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// Resumptions in a row that bring no byte before a stream that the caller has
+// begun to read is given up.
+constexpr int kMaxSilentResumes = 6;
+
+// Requests for the rest of a stream before it is given up, and the pause that
+// grows between them.
+constexpr int kResumeTries = 4;
+constexpr Duration kResumePause = std::chrono::milliseconds(100);
+
+// Wait for the end of a response whose end marker has come.
+constexpr Duration kEndTimeout = std::chrono::milliseconds(50);
+
+constexpr Duration kCancelTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+ModelAttempt::ModelAttempt(const RoutingDependencies& deps,
+                           const CallerRequest& request,
+                           const ModelCall& call,
+                           std::string attempt_id,
+                           const EndpointLease& lease,
+                           CallerAnswer& answer,
+                           CancelSource& cancel)
+    : deps_(deps),
+      request_(request),
+      call_(call),
+      attempt_id_(std::move(attempt_id)),
+      lease_(lease),
+      answer_(answer),
+      cancel_(cancel) {
+  cancel_.SetAction([this] {
+    CancelAtEngine();
+    if (exchange_ != nullptr) {
+      exchange_->Abort();
+    }
+  });
+}
+
+ModelAttempt::~ModelAttempt() {
+  cancel_.SetAction(nullptr);
+}
+
+AttemptOutcome ModelAttempt::Run() {
+  if (auto outcome = Open()) {
+    return std::move(*outcome);
+  }
+  if (exchange_ != nullptr) {
+    const auto type = exchange_->headers().Find("Content-Type");
+    if (exchange_->status() != 200 ||
+        (type && !type->starts_with("text/event-stream"))) {
+      return ReadWhole();
+    }
+  }
+  return Relay();
+}
+
+std::optional<AttemptOutcome> ModelAttempt::Interrupted() {
+  if (cancel_.cancelled()) {
+    return AttemptCancelled();
+  }
+  if (!answer_.started() && deps_.clock.Now() >= request_.deadline) {
+    CancelAtEngine();
+    return AttemptExpired();
+  }
+  return std::nullopt;
+}
+
+TimePoint ModelAttempt::ReadDeadline() const {
+  const auto progress = deps_.clock.Now() + deps_.settings.progress_timeout;
+  return answer_.started() ? progress : std::min(progress, request_.deadline);
+}
+
+bool ModelAttempt::AnswersThisRequest() const {
+  const auto id = exchange_->headers().Find("X-Request-Id");
+  return id && *id == attempt_id_;
+}
+
+AttemptOutcome ModelAttempt::Lost(std::string cause, bool crash_sign) const {
+  if (answer_.started()) {
+    return AttemptBroken{std::move(cause), crash_sign};
+  }
+  AttemptFailed failed;
+  failed.cause = std::move(cause);
+  failed.crash_sign = crash_sign;
+  return failed;
+}
+
+// Sends the request. On a response head, or when the head may still come over
+// another connection, it returns nothing and the relay goes on.
+std::optional<AttemptOutcome> ModelAttempt::Open() {
+  auto started = deps_.client.Start(lease_.address(), call_.engine_request,
+                                    {.deadline = ReadDeadline()});
+  if (!started) {
+    const auto& failure = started.assume_error();
+    if (auto interrupted = Interrupted()) {
+      return interrupted;
+    }
+    if (failure.verdict == Verdict::kNotRun) {
+      AttemptFailed failed;
+      failed.verdict = Verdict::kNotRun;
+      failed.cause = failure.error.message;
+      return failed;
+    }
+    return Resume(
+        {failure.error.message, failure.error.kind != ErrorKind::kTimeout});
+  }
+  exchange_ = std::move(started.assume_value());
+  if (cancel_.cancelled()) {
+    return AttemptCancelled();
+  }
+  if (!AnswersThisRequest()) {
+    // The answer belongs to another request; its connection is useless.
+    exchange_->Abort();
+    exchange_.reset();
+    return Resume({"the answer carries another X-Request-Id", false});
+  }
+  return std::nullopt;
+}
+
+std::optional<AttemptOutcome> ModelAttempt::Resume(const ReadFailure& failure) {
+  if (exchange_ != nullptr) {
+    exchange_->Abort();
+    exchange_.reset();
+  }
+  if (++silent_resumes_ > kMaxSilentResumes && answer_.started()) {
+    CancelAtEngine();
+    return Lost(failure.cause, /*crash_sign=*/false);
+  }
+  return OpenResumed(failure);
+}
+
+// Asks for the rest of the stream over a new connection. Once the caller has
+// bytes no other engine can go on, so the request is then repeated a few times.
+std::optional<AttemptOutcome> ModelAttempt::OpenResumed(
+    const ReadFailure& failure) {
+  const HttpRequest resume{"GET",
+                           "/v1/streams/" + attempt_id_ +
+                               "?offset=" + std::to_string(buffer_.received()),
+                           {{"X-Request-Id", attempt_id_}},
+                           ""};
+  const int tries = answer_.started() ? kResumeTries : 1;
+  std::string cause = failure.cause;
+  bool crash_sign = false;
+  for (int i = 0; i < tries; ++i) {
+    if (i > 0) {
+      deps_.clock.SleepFor(kResumePause * i);
+    }
+    auto started = deps_.client.Start(
+        lease_.address(), resume,
+        {.deadline = ReadDeadline(), .fresh_connection = true});
+    if (auto interrupted = Interrupted()) {
+      return interrupted;
+    }
+    if (!started) {
+      const auto& error = started.assume_error();
+      crash_sign =
+          failure.connection_broke && error.verdict == Verdict::kNotRun;
+      cause = failure.cause + "; " + error.error.message;
+      continue;
+    }
+    exchange_ = std::move(started.assume_value());
+    if (exchange_->status() == 200 && AnswersThisRequest()) {
+      deps_.log.Record(events::kStreamResumed, {{"request", request_.id},
+                                                {"endpoint", lease_.endpoint()},
+                                                {"offset", buffer_.received()},
+                                                {"cause", failure.cause}});
+      return std::nullopt;
+    }
+    const int status = exchange_->status();
+    exchange_->Abort();
+    exchange_.reset();
+    cause = failure.cause + "; the stream cannot be resumed: status " +
+            std::to_string(status);
+    crash_sign = failure.connection_broke;
+    if (status == 404) {
+      break;
+    }
+  }
+  CancelAtEngine();
+  return Lost(std::move(cause), crash_sign);
+}
+
+// Reads what arrived. A cut, a silence and an end without the marker are
+// failures.
+std::optional<ModelAttempt::ReadFailure> ModelAttempt::ReadOnce() {
+  auto read = exchange_->ReadSome(buffer_.input(), ReadDeadline());
+  if (!read) {
+    const auto& error = read.assume_error().error;
+    return ReadFailure{error.message, error.kind != ErrorKind::kTimeout};
+  }
+  const auto n = read.assume_value();
+  if (n == 0) {
+    return ReadFailure{"the stream ended without its end marker", false};
+  }
+  buffer_.OnAppended(n);
+  silent_resumes_ = 0;
+  return std::nullopt;
+}
+
+AttemptOutcome ModelAttempt::Relay() {
+  while (true) {
+    if (auto failure = ReadOnce()) {
+      if (auto interrupted = Interrupted()) {
+        return std::move(*interrupted);
+      }
+      if (auto outcome = Resume(*failure)) {
+        return std::move(*outcome);
+      }
+      continue;
+    }
+    if (auto outcome = Deliver()) {
+      return std::move(*outcome);
+    }
+    if (buffer_.ended()) {
+      return Complete();
+    }
+    if (auto interrupted = Interrupted()) {
+      return std::move(*interrupted);
+    }
+  }
+}
+
+// Passes on the whole events that arrived.
+std::optional<AttemptOutcome> ModelAttempt::Deliver() {
+  const auto events = buffer_.WholeEvents();
+  if (events.empty()) {
+    return std::nullopt;
+  }
+  if (!call_.stream) {
+    collected_ += events;
+    buffer_.Consume(events.size());
+    return std::nullopt;
+  }
+  if (!answer_.started()) {
+    answer_.StartStream(200, {{"Content-Type", "text/event-stream"},
+                              {"Cache-Control", "no-cache"}});
+  }
+  const bool written = answer_.Write(events);
+  buffer_.Consume(events.size());
+  if (!written) {
+    if (!cancel_.cancelled()) {
+      CancelAtEngine();
+    }
+    return AttemptCancelled();
+  }
+  return std::nullopt;
+}
+
+AttemptOutcome ModelAttempt::Complete() {
+  if (call_.stream) {
+    answer_.Finish();
+  } else {
+    auto body = AssembleCompletion(collected_);
+    if (!body) {
+      return Lost(body.assume_error().message, /*crash_sign=*/false);
+    }
+    answer_.Send(JsonResponse(200, std::move(body.assume_value())));
+  }
+  // Reads the proper end, so that the connection can be used again.
+  std::string rest;
+  (void)exchange_->ReadSome(rest, deps_.clock.Now() + kEndTimeout);
+  return AttemptDone();
+}
+
+// Reads a response that is not a stream: an error, or an engine that answers
+// whole.
+AttemptOutcome ModelAttempt::ReadWhole() {
+  HttpResponse response{exchange_->status(), {}, {}};
+  if (const auto type = exchange_->headers().Find("Content-Type")) {
+    response.headers.Set("Content-Type", *type);
+  }
+  while (true) {
+    auto read = exchange_->ReadSome(response.body, ReadDeadline());
+    if (!read) {
+      if (auto interrupted = Interrupted()) {
+        return std::move(*interrupted);
+      }
+      const auto& error = read.assume_error().error;
+      return Lost(error.message, error.kind != ErrorKind::kTimeout);
+    }
+    if (read.assume_value() == 0) {
+      break;
+    }
+  }
+  if (response.status == 200 || IsCallersFault(response.status)) {
+    return AttemptResponse{std::move(response)};
+  }
+  return Refused(std::move(response));
+}
+
+AttemptOutcome ModelAttempt::Refused(HttpResponse response) const {
+  const auto reply =
+      ReadRefusal(response.status, exchange_->headers(), response.body);
+  AttemptFailed failed;
+  failed.verdict = reply.verdict;
+  failed.cause = "status " + std::to_string(response.status);
+  failed.backpressure = reply.backpressure;
+  failed.leaving = reply.leaving;
+  failed.missing = response.status == 404;
+  if (failed.missing) {
+    failed.verdict = Verdict::kNotRun;
+  }
+  failed.endpoint_fault = !reply.backpressure && !failed.missing;
+  return failed;
+}
+
+void ModelAttempt::CancelAtEngine() {
+  boost::fibers::fiber([&client = deps_.client, &clock = deps_.clock,
+                        address = lease_.address(), id = attempt_id_] {
+    (void)client.Call(
+        address, {"POST", "/control/cancel/" + id, {}, ""},
+        {.deadline = clock.Now() + kCancelTimeout, .fresh_connection = true});
+  }).detach();
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/routing/model_attempt.h
@@ -0,0 +1,113 @@
+// Defines ModelAttempt: one dispatch of a model request to an engine, with the
+// relay of its stream and its resumption over new connections.
+#ifndef ROUTING_MODEL_ATTEMPT_H_
+#define ROUTING_MODEL_ATTEMPT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "base/address.h"
+#include "base/verdict.h"
+#include "http/http_client.h"
+#include "http/http_message.h"
+#include "routing/caller_answer.h"
+#include "routing/caller_request.h"
+#include "routing/cancel_source.h"
+#include "routing/event_stream.h"
+#include "routing/routing_dependencies.h"
+
+namespace tanagerloom {
+
+class EndpointLease;
+
+/// The caller has its complete answer.
+struct AttemptDone {};
+
+/// The engine answered with something that is passed on as it is.
+struct AttemptResponse {
+  HttpResponse response;
+};
+
+/// The endpoint did not serve the request.
+struct AttemptFailed {
+  Verdict verdict = Verdict::kMayHaveRun;
+  std::string cause;
+  std::optional<Duration> backpressure;  ///< The endpoint asked for a pause.
+  bool leaving = false;                  ///< The endpoint said that it leaves.
+  bool missing = false;        ///< The engine does not hold the model.
+  bool endpoint_fault = true;  ///< Counts against the endpoint's breaker.
+  bool crash_sign = false;     ///< The connection broke while it ran.
+};
+
+/// The stream broke after bytes had reached the caller.
+struct AttemptBroken {
+  std::string cause;
+  bool crash_sign = false;
+};
+
+/// The caller left, or the deadline passed while the request ran.
+struct AttemptCancelled {};
+struct AttemptExpired {};
+
+using AttemptOutcome = std::variant<AttemptDone,
+                                    AttemptResponse,
+                                    AttemptFailed,
+                                    AttemptBroken,
+                                    AttemptCancelled,
+                                    AttemptExpired>;
+
+/// One dispatch. The record's OnDispatch is called before it.
+class ModelAttempt {
+ public:
+  ModelAttempt(const RoutingDependencies& deps,
+               const CallerRequest& request,
+               const ModelCall& call,
+               std::string attempt_id,
+               const EndpointLease& lease,
+               CallerAnswer& answer,
+               CancelSource& cancel);
+  ~ModelAttempt();
+  ModelAttempt(const ModelAttempt&) = delete;
+  ModelAttempt& operator=(const ModelAttempt&) = delete;
+
+  AttemptOutcome Run();
+
+ private:
+  struct ReadFailure {
+    std::string cause;
+    bool connection_broke = false;  ///< Closed by the other side.
+  };
+
+  std::optional<AttemptOutcome> Open();
+  std::optional<AttemptOutcome> Resume(const ReadFailure& failure);
+  std::optional<AttemptOutcome> OpenResumed(const ReadFailure& failure);
+  AttemptOutcome Relay();
+  AttemptOutcome ReadWhole();
+  std::optional<AttemptOutcome> Deliver();
+  std::optional<ReadFailure> ReadOnce();
+  AttemptOutcome Complete();
+  AttemptOutcome Refused(HttpResponse response) const;
+  AttemptOutcome Lost(std::string cause, bool crash_sign) const;
+  std::optional<AttemptOutcome> Interrupted();
+  bool AnswersThisRequest() const;
+  void CancelAtEngine();
+  TimePoint ReadDeadline() const;
+
+  const RoutingDependencies& deps_;
+  const CallerRequest& request_;
+  const ModelCall& call_;
+  std::string attempt_id_;
+  const EndpointLease& lease_;
+  CallerAnswer& answer_;
+  CancelSource& cancel_;
+  std::unique_ptr<HttpExchange> exchange_;
+  EventStreamBuffer buffer_;
+  std::string collected_;
+  int silent_resumes_ = 0;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_MODEL_ATTEMPT_H_
--- /dev/null
+++ b/packages/routing/model_dispatcher.cc
@@ -0,0 +1,183 @@
+#include "routing/model_dispatcher.h"
+
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "placement/placement_view.h"
+#include "routing/request_scheduler.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// A request that failed on this many endpoints is more likely the cause itself.
+constexpr int kMaxAttempts = 6;
+
+constexpr Duration kFirstRetryPause = std::chrono::milliseconds(10);
+
+// The pause before a retry doubles and is spread over half its length, so that
+// requests that failed together don't return together.
+Duration RetryPause(int attempt) {
+  const auto pause = kFirstRetryPause * (1 << attempt);
+  return std::chrono::duration_cast<Duration>(pause * (0.5 + RandomUnit() / 2));
+}
+
+}  // namespace
+
+struct ModelDispatcher::Progress {
+  int attempts = 0;
+  std::string endpoint;  ///< Of the last attempt.
+  std::string cause;     ///< Of its failure.
+  std::set<std::string> avoid;
+};
+
+ModelDispatcher::ModelDispatcher(const RoutingDependencies& deps,
+                                 RequestScheduler& scheduler,
+                                 EndpointTable& endpoints,
+                                 RetryBudget& budget)
+    : deps_(deps),
+      scheduler_(scheduler),
+      endpoints_(endpoints),
+      budget_(budget) {}
+
+void ModelDispatcher::Serve(const CallerRequest& request,
+                            ModelCall call,
+                            CallerAnswer& answer,
+                            CancelSource& cancel) {
+  deps_.placement.CountArrival(call.cell, call.key);
+  budget_.CountRequest();
+  Progress progress;
+  bool again = true;
+  while (again) {
+    WaitTicket ticket;
+    ticket.request = request.id;
+    ticket.target = ModelTarget{call.key, call.cell};
+    ticket.rank = request.rank;
+    ticket.deferred = request.deferred;
+    ticket.operator_name = request.operator_name;
+    ticket.deadline = request.deadline;
+    ticket.prefix = &call.prefix;
+    ticket.avoid = progress.avoid;
+    cancel.SetAction([&] { scheduler_.Cancel(ticket); });
+    if (!cancel.cancelled()) {
+      scheduler_.Wait(ticket);
+    }
+    cancel.SetAction(nullptr);
+    if (cancel.cancelled()) {
+      answer.CallerGone();
+      return;
+    }
+    if (ticket.lease == nullptr) {
+      if (!progress.cause.empty()) {
+        ticket.refusal->message += "; last attempt: " + progress.cause;
+      }
+      answer.Refuse(std::move(*ticket.refusal));
+      return;
+    }
+    ++progress.attempts;
+    progress.endpoint = ticket.lease->endpoint();
+    const std::string attempt_id =
+        progress.attempts == 1
+            ? request.id
+            : request.id + "." + std::to_string(progress.attempts);
+    call.engine_request.headers.Set("X-Request-Id", attempt_id);
+    answer.record().OnDispatch();
+    deps_.log.Record(events::kRequestDispatched,
+                     {{"request", request.id},
+                      {"endpoint", progress.endpoint},
+                      {"attempt", progress.attempts}});
+    const auto started = deps_.clock.Now();
+    auto outcome = ModelAttempt(deps_, request, call, attempt_id, *ticket.lease,
+                                answer, cancel)
+                       .Run();
+    if (std::holds_alternative<AttemptDone>(outcome)) {
+      scheduler_.CountServiceTime(ticket.target, deps_.clock.Now() - started);
+    }
+    ticket.lease.reset();
+    again = Settle(request, call, std::move(outcome), answer, progress);
+  }
+}
+
+bool ModelDispatcher::Settle(const CallerRequest& request,
+                             const ModelCall& call,
+                             AttemptOutcome outcome,
+                             CallerAnswer& answer,
+                             Progress& progress) {
+  auto& record = answer.record();
+  if (auto* failed = std::get_if<AttemptFailed>(&outcome)) {
+    return SettleFailure(request, call, *failed, answer, progress);
+  }
+  if (auto* broken = std::get_if<AttemptBroken>(&outcome)) {
+    endpoints_.OnFailure(progress.endpoint);
+    answer.BreakStream(
+        {502, "response_cut", broken->cause, Verdict::kMayHaveRun, {}});
+    return false;
+  }
+  if (std::holds_alternative<AttemptCancelled>(outcome)) {
+    record.OnVerdict(Verdict::kMayHaveRun);
+    answer.CallerGone();
+    return false;
+  }
+  if (std::holds_alternative<AttemptExpired>(outcome)) {
+    record.OnVerdict(Verdict::kMayHaveRun);
+    answer.Refuse({504,
+                   "deadline_exceeded",
+                   "the answer was not complete before the deadline",
+                   Verdict::kMayHaveRun,
+                   {}});
+    return false;
+  }
+  endpoints_.OnSuccess(progress.endpoint);
+  record.OnVerdict(Verdict::kRan);
+  if (auto* response = std::get_if<AttemptResponse>(&outcome)) {
+    answer.Send(std::move(response->response));
+  }
+  return false;
+}
+
+bool ModelDispatcher::SettleFailure(const CallerRequest& request,
+                                    const ModelCall& call,
+                                    const AttemptFailed& failed,
+                                    CallerAnswer& answer,
+                                    Progress& progress) {
+  answer.record().OnVerdict(failed.verdict);
+  deps_.log.Record(events::kAttemptFailed,
+                   {{"request", request.id},
+                    {"endpoint", progress.endpoint},
+                    {"verdict", VerdictName(failed.verdict)},
+                    {"cause", failed.cause}});
+  if (failed.leaving) {
+    endpoints_.OnLeaving(progress.endpoint);
+  } else if (failed.missing) {
+    deps_.placement.ReportMissing(progress.endpoint, call.key);
+  } else if (failed.backpressure) {
+    endpoints_.OnBackpressure(progress.endpoint, *failed.backpressure);
+  } else if (failed.endpoint_fault) {
+    endpoints_.OnFailure(progress.endpoint);
+  }
+  progress.avoid.insert(progress.endpoint);
+  progress.cause = failed.cause;
+  if (progress.attempts >= kMaxAttempts) {
+    answer.Refuse({502,
+                   "endpoints_failed",
+                   std::to_string(progress.attempts) +
+                       " attempts failed; the last: " + failed.cause,
+                   answer.record().verdict(),
+                   {}});
+    return false;
+  }
+  if (!budget_.TakeRetry()) {
+    answer.Refuse(
+        {503, "retry_budget_exhausted",
+         "too many requests are being retried; last attempt: " + failed.cause,
+         answer.record().verdict(), std::chrono::seconds(2)});
+    return false;
+  }
+  deps_.clock.SleepFor(RetryPause(progress.attempts));
+  return true;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/routing/model_dispatcher.h
@@ -0,0 +1,57 @@
+// Defines ModelDispatcher, which serves a model request: it waits for a
+// replica, dispatches, and retries elsewhere while that is safe and in time.
+#ifndef ROUTING_MODEL_DISPATCHER_H_
+#define ROUTING_MODEL_DISPATCHER_H_
+
+#include <string>
+
+#include "decision/retry_budget.h"
+#include "routing/caller_answer.h"
+#include "routing/caller_request.h"
+#include "routing/cancel_source.h"
+#include "routing/model_attempt.h"
+#include "routing/routing_dependencies.h"
+
+namespace tanagerloom {
+
+class EndpointTable;
+class RequestScheduler;
+
+/// Serves model requests.
+class ModelDispatcher {
+ public:
+  ModelDispatcher(const RoutingDependencies& deps,
+                  RequestScheduler& scheduler,
+                  EndpointTable& endpoints,
+                  RetryBudget& budget);
+
+  /// Answers the request. Suspends until its answer is sent.
+  void Serve(const CallerRequest& request,
+             ModelCall call,
+             CallerAnswer& answer,
+             CancelSource& cancel);
+
+ private:
+  struct Progress;
+
+  /// True if the request is to be tried again.
+  bool Settle(const CallerRequest& request,
+              const ModelCall& call,
+              AttemptOutcome outcome,
+              CallerAnswer& answer,
+              Progress& progress);
+  bool SettleFailure(const CallerRequest& request,
+                     const ModelCall& call,
+                     const AttemptFailed& failed,
+                     CallerAnswer& answer,
+                     Progress& progress);
+
+  const RoutingDependencies& deps_;
+  RequestScheduler& scheduler_;
+  EndpointTable& endpoints_;
+  RetryBudget& budget_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_MODEL_DISPATCHER_H_
--- /dev/null
+++ b/packages/routing/request_record.cc
@@ -0,0 +1,61 @@
+#include "routing/request_record.h"
+
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace tanagerloom {
+
+RequestRecord::RequestRecord(std::string id, bool repeatable)
+    : id_(std::move(id)), repeatable_(repeatable) {}
+
+RequestRecord::~RequestRecord() {
+  CheckInvariantLazy(
+      answers_ == 1 || caller_gone_, "one_answer_per_request", [&] {
+        return nlohmann::json{{"request", id_}, {"answers", answers_}};
+      });
+}
+
+bool RequestRecord::MayDispatch() const {
+  return answers_ == 0 && (repeatable_ || dispatches_ == not_run_);
+}
+
+void RequestRecord::OnDispatch() {
+  CheckInvariantLazy(answers_ == 0, "no_dispatch_after_answer", [&] {
+    return nlohmann::json{{"request", id_}};
+  });
+  CheckInvariantLazy(repeatable_ || dispatches_ == not_run_,
+                     "at_most_one_dispatch", [&] {
+                       return nlohmann::json{{"request", id_},
+                                             {"dispatches", dispatches_},
+                                             {"not_run", not_run_}};
+                     });
+  ++dispatches_;
+}
+
+void RequestRecord::OnVerdict(Verdict verdict) {
+  not_run_ += verdict == Verdict::kNotRun ? 1 : 0;
+  CheckInvariantLazy(not_run_ <= dispatches_, "one_verdict_per_dispatch", [&] {
+    return nlohmann::json{
+        {"request", id_}, {"dispatches", dispatches_}, {"not_run", not_run_}};
+  });
+}
+
+void RequestRecord::OnAnswer(Verdict verdict) {
+  ++answers_;
+  CheckInvariantLazy(answers_ == 1, "one_answer_per_request", [&] {
+    return nlohmann::json{{"request", id_}, {"answers", answers_}};
+  });
+  CheckInvariantLazy(verdict != Verdict::kNotRun || dispatches_ == not_run_,
+                     "not_run_refusal_is_true", [&] {
+                       return nlohmann::json{{"request", id_},
+                                             {"dispatches", dispatches_},
+                                             {"not_run", not_run_}};
+                     });
+}
+
+Verdict RequestRecord::verdict() const {
+  return dispatches_ == not_run_ ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/routing/request_scheduler.h
@@ -0,0 +1,174 @@
+// Defines RequestScheduler: the queues of waiting requests, one for each model
+// and service, and the hand-out of endpoint slots to them.
+#ifndef ROUTING_REQUEST_SCHEDULER_H_
+#define ROUTING_REQUEST_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/address.h"
+#include "config/model_key.h"
+#include "decision/fair_queue.h"
+#include "routing/endpoint_table.h"
+#include "routing/refusal.h"
+#include "routing/routing_dependencies.h"
+#include "runtime/event_flag.h"
+
+namespace tanagerloom {
+
+class RequestScheduler;
+
+/// A model whose loaded replicas serve a queue.
+struct ModelTarget {
+  ModelKey key;
+  std::string cell;
+};
+
+/// A service whose endpoints serve a queue.
+struct ServiceTarget {
+  std::string service;
+  std::string pool;
+  std::uint32_t max_in_progress = 1;
+};
+
+using QueueTarget = std::variant<ModelTarget, ServiceTarget>;
+
+/// The right to have one request in progress at an endpoint.
+class EndpointLease {
+ public:
+  EndpointLease(RequestScheduler& scheduler,
+                std::string queue,
+                std::string endpoint,
+                Address address,
+                std::string request);
+  ~EndpointLease();
+  EndpointLease(const EndpointLease&) = delete;
+  EndpointLease& operator=(const EndpointLease&) = delete;
+
+  const std::string& endpoint() const { return endpoint_; }
+  const Address& address() const { return address_; }
+  const std::string& queue() const { return queue_; }
+  const std::string& request() const { return request_; }
+
+ private:
+  RequestScheduler& scheduler_;
+  std::string queue_;
+  std::string endpoint_;
+  Address address_;
+  std::string request_;
+};
+
+/// What a waiting request needs; lives on the stack of the request's fiber.
+struct WaitTicket {
+  std::string request;
+  QueueTarget target;
+  std::uint32_t rank = 0;
+  bool deferred = false;
+  std::string operator_name;
+  TimePoint deadline;
+  const std::vector<std::uint64_t>* prefix = nullptr;
+  std::set<std::string> avoid;  ///< Endpoints where it failed already.
+  bool alone = false;           ///< Suspected of crashing endpoints.
+
+  /// Signalled when `lease`, `refusal` or `cancelled` is set.
+  EventFlag changed;
+  std::unique_ptr<EndpointLease> lease;
+  std::optional<Refusal> refusal;
+  bool cancelled = false;
+};
+
+/// Queues requests and assigns them to endpoints.
+class RequestScheduler {
+ public:
+  RequestScheduler(const RoutingDependencies& deps, EndpointTable& endpoints);
+
+  /// Starts the fibers that follow placement and report demand.
+  void Start();
+
+  /// Suspends until the ticket has a lease or a refusal, or is cancelled.
+  void Wait(WaitTicket& ticket);
+
+  /// Wakes a waiting request whose caller has left.
+  void Cancel(WaitTicket& ticket);
+
+  /// Records how long a request held its slot, for the estimates.
+  void CountServiceTime(const QueueTarget& target, Duration time);
+
+  /// Refuses all waiting requests, with the verdict that nothing ran.
+  void RefuseWaiting(const Refusal& refusal);
+
+  /// Assigns what can be assigned in all queues.
+  void PumpAll();
+
+  std::size_t waiting() const { return waiting_; }
+  nlohmann::json Status() const;
+
+ private:
+  friend class EndpointLease;
+
+  struct Queue {
+    QueueTarget target;
+    FairQueue fair;
+    std::unordered_map<std::uint64_t, WaitTicket*> tickets;
+    std::map<std::string, std::uint32_t> in_progress;  ///< By endpoint.
+    std::uint32_t running = 0;
+    double mean_service_s = 0;
+    bool demand_changed = false;
+    TimePoint used_at;
+  };
+
+  struct Endpoint {
+    std::string name;
+    Address address;
+    std::string data_centre;
+    EndpointCandidate candidate;
+  };
+
+  Queue& QueueOf(const QueueTarget& target);
+  std::vector<Endpoint> EndpointsOf(const Queue& queue);
+  std::uint32_t LimitOf(const Queue& queue) const;
+
+  void Pump(const std::string& name, Queue& queue);
+  std::optional<std::size_t> Choose(const WaitTicket& ticket,
+                                    std::vector<Endpoint>& endpoints);
+  std::optional<std::size_t> ChooseAlone(const WaitTicket& ticket,
+                                         std::vector<Endpoint>& endpoints);
+  void Assign(const std::string& name,
+              Queue& queue,
+              WaitTicket& ticket,
+              Endpoint& endpoint);
+  void Release(const EndpointLease& lease);
+  void DropReservations(const std::string& request);
+
+  std::optional<Refusal> Review(Queue& queue,
+                                const WaitTicket& ticket,
+                                std::size_t ahead);
+  void ReviewAll();
+  void ReportDemand(Queue& queue);
+  void MarkDemand(Queue& queue, bool urgent);
+  void FollowPlacement();
+  void Tick();
+  void PruneQueues();
+
+  const RoutingDependencies& deps_;
+  EndpointTable& endpoints_;
+  std::map<std::string, Queue> queues_;
+  std::uint64_t next_id_ = 0;
+  std::size_t waiting_ = 0;
+  bool pumping_ = false;
+};
+
+/// The name of a target's queue, such as "model:M@1".
+std::string QueueName(const QueueTarget& target);
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_REQUEST_SCHEDULER_H_
--- /dev/null
+++ b/packages/routing/routing_dependencies.h
@@ -0,0 +1,33 @@
+// Defines RoutingDependencies, what the request path uses of the rest of the
+// node. All of it outlives the CallerApi.
+#ifndef ROUTING_ROUTING_DEPENDENCIES_H_
+#define ROUTING_ROUTING_DEPENDENCIES_H_
+
+namespace tanagerloom {
+
+class Clock;
+class EngineControl;
+class EstateSource;
+class EventLog;
+class HttpClient;
+class ObjectStore;
+class PeerNetwork;
+class PlacementView;
+struct Settings;
+
+/// References to the parts that the request path uses.
+struct RoutingDependencies {
+  HttpClient& client;
+  PlacementView& placement;
+  PeerNetwork& peers;
+  ObjectStore& objects;
+  EstateSource& estate;
+  EngineControl& engines;
+  Clock& clock;
+  EventLog& log;
+  const Settings& settings;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_ROUTING_DEPENDENCIES_H_
--- /dev/null
+++ b/packages/routing/service_dispatcher.h
@@ -0,0 +1,67 @@
+// Defines ServiceDispatcher, which serves calls of plain services. A call that
+// may not be repeated is dispatched again only after "not run".
+#ifndef ROUTING_SERVICE_DISPATCHER_H_
+#define ROUTING_SERVICE_DISPATCHER_H_
+
+#include <string>
+#include <variant>
+
+#include "decision/retry_budget.h"
+#include "http/http_client.h"
+#include "routing/caller_answer.h"
+#include "routing/caller_request.h"
+#include "routing/cancel_source.h"
+#include "routing/routing_dependencies.h"
+
+namespace tanagerloom {
+
+class EndpointLease;
+class EndpointTable;
+class RequestScheduler;
+
+/// How a service call ended: the endpoint's response, a refusal, or the caller
+/// left first.
+struct CallerLeft {};
+using ServiceOutcome = std::variant<HttpResponse, Refusal, CallerLeft>;
+
+/// Serves service calls.
+class ServiceDispatcher {
+ public:
+  ServiceDispatcher(const RoutingDependencies& deps,
+                    RequestScheduler& scheduler,
+                    EndpointTable& endpoints,
+                    RetryBudget& budget);
+
+  /// Runs the call at an endpoint, without answering the caller.
+  ServiceOutcome Run(const CallerRequest& request,
+                     const ServiceCall& call,
+                     RequestRecord& record,
+                     CancelSource& cancel);
+
+ private:
+  struct Progress;
+
+  HttpResult<HttpResponse> Attempt(const CallerRequest& request,
+                                   const ServiceCall& call,
+                                   const EndpointLease& lease,
+                                   const Progress& progress,
+                                   CancelSource& cancel);
+  /// The outcome of a failed attempt; empty if it is to be tried again.
+  std::optional<ServiceOutcome> SettleFailure(const CallerRequest& request,
+                                              const HttpFailure& failure,
+                                              RequestRecord& record,
+                                              Progress& progress);
+  /// Reads an endpoint's refusal; empty if the response is the answer.
+  std::optional<HttpFailure> RefusalOf(const HttpResponse& response,
+                                       const ServiceCall& call,
+                                       Progress& progress);
+
+  const RoutingDependencies& deps_;
+  RequestScheduler& scheduler_;
+  EndpointTable& endpoints_;
+  RetryBudget& budget_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ROUTING_SERVICE_DISPATCHER_H_
