--- a/packages/base/id.cc
+++ b/packages/base/id.cc
@@ -34,12 +34,20 @@
 }
 
 std::uint64_t StableHash(std::string_view text) {
-  constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+  StableHasher hasher;
+  hasher.Add(text);
+  return hasher.Value();
+}
+
+void StableHasher::Add(std::string_view text) {
   constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
-  std::uint64_t hash = kFnvOffset;
   for (const char c : text) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * kFnvPrime;
+    hash_ = (hash_ ^ static_cast<unsigned char>(c)) * kFnvPrime;
   }
+}
+
+std::uint64_t StableHasher::Value() const {
+  std::uint64_t hash = hash_;
   // FNV alone leaves the high bits of short keys correlated.
   hash ^= hash >> 33;
   hash *= 0xff51afd7ed558ccdULL;
--- a/packages/base/id.h
+++ b/packages/base/id.h
@@ -22,6 +22,18 @@
 /// coordinators and key ranges.
 std::uint64_t StableHash(std::string_view text);
 
+/// StableHash of text that comes in pieces.
+class StableHasher {
+ public:
+  void Add(std::string_view text);
+
+  /// The StableHash of everything added so far.
+  std::uint64_t Value() const;
+
+ private:
+  std::uint64_t hash_ = 14695981039346656037ULL;
+};
+
 }  // namespace tanagerloom
 
 #endif  // BASE_ID_H_
--- a/packages/routing/caller_request.cc
+++ b/packages/routing/caller_request.cc
@@ -22,10 +22,13 @@
 
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 
-// Bytes of prompt text in one block of the prefix hash chain, and the number of
-// blocks hashed. Engines cache prefixes in blocks of a few hundred bytes.
-constexpr std::size_t kPrefixBlockBytes = 256;
-constexpr std::size_t kMaxPrefixBlocks = 64;
+// Bytes of one block of the engines' prefix caches, and the number of blocks
+// compared; the first 8 KB tell the conversations of a model apart.
+constexpr std::size_t kPrefixBlockBytes = 64;
+constexpr std::size_t kMaxPrefixBlocks = 128;
+
+// Deeper JSON is refused, since writing it again uses the stack.
+constexpr int kMaxJsonDepth = 64;
 
 Refusal Invalid(int status, std::string code, std::string message) {
   return {status, std::move(code), std::move(message), Verdict::kNotRun, {}};
@@ -138,53 +141,58 @@
   return result;
 }
 
-// Adds `"stream":true` to a JSON object's text. The engine always streams, so
-// that this node sees progress also while it collects a whole answer.
-std::string WithStream(const std::string& text, json& body) {
-  const auto it = body.find("stream");
-  if (it != body.end() && it->is_boolean() && it->get<bool>()) {
-    return text;
-  }
-  if (it == body.end()) {
-    const auto brace = text.find('{');
-    return text.substr(0, brace + 1) + R"("stream":true)" +
-           (body.empty() ? "" : ",") + text.substr(brace + 1);
-  }
-  body["stream"] = true;
-  return body.dump();
+// The body for the engine: it always streams, so that this node sees progress
+// also while it collects a whole answer, and gets the class as its priority.
+std::string EngineBody(const std::string& text,
+                       const json& body,
+                       std::int64_t priority) {
+  if (body.contains("priority") || body.contains("stream")) {
+    json changed = body;
+    changed["stream"] = true;
+    changed["priority"] = priority;
+    return changed.dump();
+  }
+  const auto brace = text.find('{');
+  return text.substr(0, brace + 1) + R"("stream":true,"priority":)" +
+         std::to_string(priority) + "," + text.substr(brace + 1);
 }
 
-void AppendPrompt(const json& value, std::string& out) {
-  constexpr std::size_t kMaxBytes = kPrefixBlockBytes * kMaxPrefixBlocks;
-  if (out.size() >= kMaxBytes) {
-    return;
-  }
-  if (value.is_string()) {
-    out += value.get_ref<const std::string&>();
-    out += '\n';
-  } else if (value.is_array() || value.is_object()) {
-    for (const auto& it : value) {
-      AppendPrompt(it, out);
+std::string PromptText(const json& body) {
+  if (const auto prompt = body.find("prompt");
+      prompt != body.end() && prompt->is_string()) {
+    return prompt->get<std::string>();
+  }
+  std::string text;
+  const auto messages = body.find("messages");
+  if (messages == body.end()) {
+    return text;
+  }
+  for (const auto& it : *messages) {
+    if (it.is_object() && it.contains("content") && it["content"].is_string()) {
+      text += it["content"].get_ref<const std::string&>();
+    }
+    text += '\n';
+    if (text.size() >= kPrefixBlockBytes * kMaxPrefixBlocks) {
+      break;
     }
   }
+  return text;
 }
 
+// Hashes of the prompt's prefixes, as engines name them in cache events: of the
+// model's name in the request, a line feed and the prompt up to each block.
 std::vector<std::uint64_t> PrefixHashes(const std::string& model,
                                         const json& body) {
-  std::string prompt;
-  for (const char* field : {"messages", "prompt"}) {
-    if (const auto it = body.find(field); it != body.end()) {
-      AppendPrompt(*it, prompt);
-    }
-  }
+  const std::string prompt = PromptText(body);
   std::vector<std::uint64_t> hashes;
-  std::uint64_t chain = StableHash(model);
+  StableHasher hasher;
+  hasher.Add(model);
+  hasher.Add("\n");
   for (std::size_t at = 0; at + kPrefixBlockBytes <= prompt.size() &&
                            hashes.size() < kMaxPrefixBlocks;
        at += kPrefixBlockBytes) {
-    const auto block = std::string_view(prompt).substr(at, kPrefixBlockBytes);
-    chain = StableHash(std::to_string(chain) + std::string(block));
-    hashes.push_back(chain);
+    hasher.Add(std::string_view(prompt).substr(at, kPrefixBlockBytes));
+    hashes.push_back(hasher.Value());
   }
   return hashes;
 }
@@ -199,9 +207,37 @@
   return StableHash("POST " + std::string(path) + "\n" + body.dump());
 }
 
+// Whether the nesting of JSON text stays within kMaxJsonDepth.
+bool IsShallow(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      i += c == '\\' ? 1 : 0;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '{' || c == '[') {
+      if (++depth > kMaxJsonDepth) {
+        return false;
+      }
+    } else if (c == '}' || c == ']') {
+      --depth;
+    }
+  }
+  return true;
+}
+
 std::optional<Refusal> ReadModelCall(const HttpRequest& request,
                                      CallerRequest& out) {
-  auto body = json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  if (!IsShallow(request.body)) {
+    return Invalid(400, "malformed_json",
+                   "the body is nested deeper than " +
+                       std::to_string(kMaxJsonDepth) + " levels");
+  }
+  const auto body =
+      json::parse(request.body, nullptr, /*allow_exceptions=*/false);
   if (body.is_discarded()) {
     return Invalid(400, "malformed_json",
                    "the body is not valid JSON in UTF-8");
@@ -222,12 +258,12 @@
     }
     call.stream = it->get<bool>();
   }
-  const bool chat = request.Path() == "/v1/chat/completions";
-  const char* prompt = chat ? "messages" : "prompt";
-  if (!body.contains(prompt) || (chat && !body[prompt].is_array())) {
+  call.chat = request.Path() == "/v1/chat/completions";
+  const char* prompt = call.chat ? "messages" : "prompt";
+  if (!body.contains(prompt) || (call.chat && !body[prompt].is_array())) {
     return Invalid(400, "invalid_prompt",
                    std::string("the field '") + prompt + "' is missing" +
-                       (chat ? " or not an array" : ""));
+                       (call.chat ? " or not an array" : ""));
   }
   const auto resolved = out.estate->Resolve(call.model_name);
   if (!resolved) {
@@ -236,13 +272,16 @@
   }
   call.key = resolved->key;
   call.cell = resolved->model->pool;
-  call.prefix = PrefixHashes(call.key.ToString(), body);
+  call.prefix = PrefixHashes(call.model_name, body);
   out.fingerprint = ModelFingerprint(request.Path(), body);
   call.engine_request =
       EndpointRequest(request, std::string(request.Path()), out);
   call.engine_request.headers.Set("Content-Type", "application/json");
   call.engine_request.headers.Set("X-Model-Version", call.key.version);
-  call.engine_request.body = WithStream(request.body, body);
+  // Deferred work goes after all other classes at the engine, too.
+  constexpr std::int64_t kDeferredPriority = 1000;
+  call.engine_request.body = EngineBody(
+      request.body, body, out.rank + (out.deferred ? kDeferredPriority : 0));
   out.call = std::move(call);
   return std::nullopt;
 }
--- a/packages/routing/caller_request.h
+++ b/packages/routing/caller_request.h
@@ -23,6 +23,7 @@
   ModelKey key;
   std::string cell;
   std::string model_name;             ///< As the caller wrote it.
+  bool chat = false;                  ///< A chat completion.
   bool stream = false;                ///< The caller wants server-sent events.
   HttpRequest engine_request;         ///< Asks for a stream in any case.
   std::vector<std::uint64_t> prefix;  ///< Hashes of the prompt's blocks.
--- a/packages/routing/endpoint_reply.cc
+++ b/packages/routing/endpoint_reply.cc
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace tanagerloom {
 
 namespace {
 
-// Pause after a 429 that names none. A 503 without Retry-After need not mean
-// load, so it sets no pause.
+// Pause after a refusal for load that names none.
 constexpr Duration kDefaultPause = std::chrono::milliseconds(500);
 
 std::optional<Duration> RetryAfter(const HttpHeaders& headers) {
@@ -28,6 +28,18 @@
       std::chrono::duration<double>(std::min(seconds, kLongestSeconds)));
 }
 
+// The "reason" of a refusal's body.
+std::string ReasonOf(std::string_view body) {
+  const auto json =
+      nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) {
+    return {};
+  }
+  const auto it = json.find("reason");
+  return it != json.end() && it->is_string() ? it->get<std::string>()
+                                             : std::string();
+}
+
 }  // namespace
 
 bool IsCallersFault(int status) {
@@ -51,18 +63,23 @@
                             const HttpHeaders& headers,
                             std::string_view body) {
   EndpointRefusal refusal;
-  const bool not_run = headers.Find("X-Not-Run") == "true";
-  if (not_run || status == 429) {
+  refusal.missing = status == 404;
+  if (headers.Find("X-Not-Run") == "true" || status == 429 || status == 404) {
     refusal.verdict = Verdict::kNotRun;
   }
+  bool overloaded = status == 429;
+  if (status == 503) {
+    const auto reason = ReasonOf(body);
+    refusal.leaving = reason == "leaving";
+    refusal.missing = reason == "not_loaded";
+    overloaded = reason == "overloaded";
+  }
   if (status == 503 || status == 429) {
     refusal.backpressure = RetryAfter(headers);
   }
-  if (status == 429 && !refusal.backpressure) {
+  if (overloaded && !refusal.backpressure) {
     refusal.backpressure = kDefaultPause;
   }
-  refusal.leaving =
-      status == 503 && body.find("\"leaving\"") != std::string_view::npos;
   return refusal;
 }
 
--- a/packages/routing/endpoint_reply.h
+++ b/packages/routing/endpoint_reply.h
@@ -16,7 +16,8 @@
 struct EndpointRefusal {
   Verdict verdict = Verdict::kMayHaveRun;
   std::optional<Duration> backpressure;
-  bool leaving = false;
+  bool leaving = false;  ///< The endpoint takes no new work.
+  bool missing = false;  ///< The engine does not hold the model.
 };
 
 /// Whether a status is the endpoint's judgement on the request itself, which is
--- a/packages/routing/event_stream.cc
+++ b/packages/routing/event_stream.cc
@@ -18,9 +18,40 @@
           events[events.size() - kEndMarker.size() - 1] == '\n');
 }
 
+std::uint64_t CountDataLines(std::string_view events) {
+  constexpr std::string_view kLine = "\ndata:";
+  std::uint64_t n = events.starts_with(kLine.substr(1)) ? 1 : 0;
+  for (auto at = events.find(kLine); at != std::string_view::npos;
+       at = events.find(kLine, at + kLine.size())) {
+    ++n;
+  }
+  return n;
+}
+
+// Whether the last event carries a finish reason, after which only the end
+// marker comes. A cheap search; the text of a token is escaped and cannot
+// contain it.
+bool LastEventFinishes(std::string_view events) {
+  constexpr std::string_view kReason = "\"finish_reason\":";
+  const auto at = events.rfind(kReason);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const auto value = events.find_first_not_of(' ', at + kReason.size());
+  return value != std::string_view::npos && events[value] == '"';
+}
+
 }  // namespace
 
-std::string_view EventStreamBuffer::WholeEvents() const {
+std::string_view EventStreamBuffer::WholeEvents() {
+  if (skip_to_end_) {
+    // The engine repeats its last event; only the end marker is new.
+    const auto marker = pending_.rfind(kEndMarker);
+    pending_.erase(0, marker == std::string::npos ? 0 : marker);
+    if (marker == std::string::npos) {
+      return {};
+    }
+  }
   const std::string_view text = pending_;
   for (auto at = text.rfind('\n'); at != std::string_view::npos && at > 0;
        at = text.rfind('\n', at - 1)) {
@@ -33,8 +64,16 @@
 }
 
 void EventStreamBuffer::Consume(std::size_t n) {
-  ended_ = ended_ || EndsWithMarker(std::string_view(pending_).substr(0, n));
+  const auto consumed = std::string_view(pending_).substr(0, n);
+  ended_ = ended_ || EndsWithMarker(consumed);
+  events_ += CountDataLines(consumed);
+  finished_ = finished_ || LastEventFinishes(consumed);
   pending_.erase(0, n);
 }
 
+void EventStreamBuffer::Restart() {
+  pending_.clear();
+  skip_to_end_ = finished_;
+}
+
 }  // namespace tanagerloom
--- a/packages/routing/event_stream.h
+++ b/packages/routing/event_stream.h
@@ -15,11 +15,8 @@
   /// Where newly read bytes are appended.
   std::string& input() { return pending_; }
 
-  /// Counts `n` bytes appended to input().
-  void OnAppended(std::size_t n) { received_ += n; }
-
   /// The whole events that wait to be relayed; at most all that arrived.
-  std::string_view WholeEvents() const;
+  std::string_view WholeEvents();
 
   /// Drops the first `n` bytes, which were relayed.
   void Consume(std::size_t n);
@@ -27,12 +24,17 @@
   /// Whether the last relayed event was `data: [DONE]`.
   bool ended() const { return ended_; }
 
-  /// Bytes received so far: the offset at which the stream is resumed.
-  std::uint64_t received() const { return received_; }
+  /// Data events consumed so far: the offset at which the stream is resumed.
+  std::uint64_t events() const { return events_; }
+
+  /// Prepares for the same stream from events() on over a new connection.
+  void Restart();
 
  private:
   std::string pending_;
-  std::uint64_t received_ = 0;
+  std::uint64_t events_ = 0;
+  bool finished_ = false;     ///< An event with a finish reason was consumed.
+  bool skip_to_end_ = false;  ///< Only the end marker is still missing.
   bool ended_ = false;
 };
 
--- a/packages/routing/model_attempt.cc
+++ b/packages/routing/model_attempt.cc
@@ -150,9 +150,11 @@
 // bytes no other engine can go on, so the request is then repeated a few times.
 std::optional<AttemptOutcome> ModelAttempt::OpenResumed(
     const ReadFailure& failure) {
+  buffer_.Restart();
   const HttpRequest resume{"GET",
                            "/v1/streams/" + attempt_id_ +
-                               "?offset=" + std::to_string(buffer_.received()),
+                               "?offset=" + std::to_string(buffer_.events()) +
+                               (call_.chat ? "&format=chat" : "&format=text"),
                            {{"X-Request-Id", attempt_id_}},
                            ""};
   const int tries = answer_.started() ? kResumeTries : 1;
@@ -179,7 +181,7 @@
     if (exchange_->status() == 200 && AnswersThisRequest()) {
       deps_.log.Record(events::kStreamResumed, {{"request", request_.id},
                                                 {"endpoint", lease_.endpoint()},
-                                                {"offset", buffer_.received()},
+                                                {"offset", buffer_.events()},
                                                 {"cause", failure.cause}});
       return std::nullopt;
     }
@@ -209,7 +211,7 @@
   if (n == 0) {
     return ReadFailure{"the stream ended without its end marker", false};
   }
-  buffer_.OnAppended(n);
+
   silent_resumes_ = 0;
   return std::nullopt;
 }
@@ -313,11 +315,8 @@
   failed.cause = "status " + std::to_string(response.status);
   failed.backpressure = reply.backpressure;
   failed.leaving = reply.leaving;
-  failed.missing = response.status == 404;
-  if (failed.missing) {
-    failed.verdict = Verdict::kNotRun;
-  }
-  failed.endpoint_fault = !reply.backpressure && !failed.missing;
+  failed.missing = reply.missing;
+  failed.endpoint_fault = reply.verdict != Verdict::kNotRun;
   return failed;
 }
 
