Add the peer protocol and the peer network

The wire package has the FlatBuffers schema, frames with a 4-byte length and the verifier; membership has the handshake by HMAC-SHA256 over two fresh challenges, the links, floods with duplicate suppression, link states from which reachability follows, and PeerService.

PeerNetwork gets SetConfigVersion with an empty default, because Member::config_version had no source.

Fleet behaviour, faults and the figures of control traffic are not tested yet.

--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -11,6 +11,34 @@
 inline constexpr EventId kNodeStarted{100, Severity::kInfo, "node_started"};
 inline constexpr EventId kNodeStopping{101, Severity::kInfo, "node_stopping"};
 inline constexpr EventId kNodeStopped{102, Severity::kInfo, "node_stopped"};
+inline constexpr EventId kPeerConnected{200, Severity::kInfo, "peer_connected"};
+inline constexpr EventId kPeerDisconnected{201, Severity::kInfo,
+                                           "peer_disconnected"};
+inline constexpr EventId kPeerRefused{202, Severity::kWarning, "peer_refused"};
+inline constexpr EventId kFrameRefused{203, Severity::kWarning,
+                                       "frame_refused"};
+inline constexpr EventId kPeerSilent{204, Severity::kWarning, "peer_silent"};
+inline constexpr EventId kMemberReachable{205, Severity::kInfo,
+                                          "member_reachable"};
+inline constexpr EventId kMemberUnreachable{206, Severity::kWarning,
+                                            "member_unreachable"};
+inline constexpr EventId kMemberLeaving{207, Severity::kInfo, "member_leaving"};
+inline constexpr EventId kMemberRestarted{208, Severity::kInfo,
+                                          "member_restarted"};
+inline constexpr EventId kStaleIncarnation{209, Severity::kWarning,
+                                           "stale_incarnation"};
+inline constexpr EventId kVmListChanged{210, Severity::kInfo,
+                                        "vm_list_changed"};
+inline constexpr EventId kVmListUnavailable{211, Severity::kWarning,
+                                            "vm_list_unavailable"};
+inline constexpr EventId kVmListAvailable{212, Severity::kInfo,
+                                          "vm_list_available"};
+inline constexpr EventId kEndpointLeaving{213, Severity::kInfo,
+                                          "endpoint_leaving"};
+inline constexpr EventId kMessagesDropped{214, Severity::kWarning,
+                                          "messages_dropped"};
+inline constexpr EventId kProcessPaused{215, Severity::kWarning,
+                                        "process_paused"};
 inline constexpr EventId kDecisionStored{300, Severity::kInfo,
                                          "decision_stored"};
 inline constexpr EventId kDecisionConflict{301, Severity::kDebug,
--- /dev/null
+++ b/packages/membership/envelope.cc
@@ -0,0 +1,320 @@
+#include "membership/envelope.h"
+
+#include <type_traits>
+
+#include "wire/generated/peer_generated.h"
+#include "wire/verified_envelope.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::size_t kInitialBuilderBytes = 256;
+
+std::string Text(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+std::string Bytes(const flatbuffers::Vector<std::uint8_t>* bytes) {
+  if (bytes == nullptr) {
+    return {};
+  }
+  return {reinterpret_cast<const char*>(bytes->data()), bytes->size()};
+}
+
+std::vector<std::string> Texts(
+    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>*
+        texts) {
+  std::vector<std::string> out;
+  if (texts != nullptr) {
+    out.reserve(texts->size());
+    for (const auto* it : *texts) {
+      out.push_back(it->str());
+    }
+  }
+  return out;
+}
+
+// Offset 0 leaves the field out, which an empty string needs no bytes for.
+flatbuffers::Offset<flatbuffers::String> Put(Builder& builder,
+                                             const std::string& text) {
+  return text.empty() ? flatbuffers::Offset<flatbuffers::String>()
+                      : builder.CreateString(text);
+}
+
+auto PutBytes(Builder& builder, const std::string& bytes) {
+  return builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+}
+
+auto PutTexts(Builder& builder, const std::vector<std::string>& texts) {
+  using Offset = flatbuffers::Offset<
+      flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>;
+  return texts.empty() ? Offset() : builder.CreateVectorOfStrings(texts);
+}
+
+// Encodes a body and returns its union type and offset.
+struct BodyEncoder {
+  using Encoded = std::pair<wire::Body, flatbuffers::Offset<void>>;
+
+  Builder& builder;
+
+  Encoded operator()(const std::monostate&) const {
+    return {wire::Body::NONE, {}};
+  }
+  Encoded operator()(const Hello& body) const {
+    const auto challenge = PutBytes(builder, body.challenge);
+    return {wire::Body::Hello,
+            wire::CreateHello(builder, challenge, body.mesh).Union()};
+  }
+  Encoded operator()(const Challenge& body) const {
+    const auto challenge = PutBytes(builder, body.challenge);
+    return {wire::Body::Challenge,
+            wire::CreateChallenge(builder, challenge).Union()};
+  }
+  Encoded operator()(const Proof& body) const {
+    const auto mac = PutBytes(builder, body.mac);
+    return {wire::Body::Proof, wire::CreateProof(builder, mac).Union()};
+  }
+  Encoded operator()(const Heartbeat& body) const {
+    return {wire::Body::Heartbeat,
+            wire::CreateHeartbeat(builder, body.config_version).Union()};
+  }
+  Encoded operator()(const Digest& body) const {
+    std::vector<flatbuffers::Offset<wire::LinkState>> entries;
+    entries.reserve(body.entries.size());
+    for (const auto& it : body.entries) {
+      const auto node = Put(builder, it.node);
+      const auto incarnation = Put(builder, it.incarnation);
+      const auto added = PutTexts(builder, it.added);
+      const auto removed = PutTexts(builder, it.removed);
+      entries.push_back(wire::CreateLinkState(builder, node, incarnation,
+                                              it.version, it.full, it.leaving,
+                                              it.gone, added, removed));
+    }
+    const auto list = builder.CreateVector(entries);
+    return {wire::Body::Digest, wire::CreateDigest(builder, list).Union()};
+  }
+  Encoded operator()(const DigestRequest&) const {
+    return {wire::Body::DigestRequest,
+            wire::CreateDigestRequest(builder).Union()};
+  }
+  Encoded operator()(const PeerMessage& message) const {
+    return std::visit(*this, message);
+  }
+  Encoded operator()(const Demand& body) const {
+    std::vector<flatbuffers::Offset<wire::DemandEntry>> entries;
+    entries.reserve(body.entries.size());
+    for (const auto& it : body.entries) {
+      const auto model = Put(builder, it.model);
+      const auto version = Put(builder, it.version);
+      const auto adapter = Put(builder, it.adapter);
+      entries.push_back(wire::CreateDemandEntry(
+          builder, model, version, adapter, it.waiting, it.running, it.rank,
+          it.earliest_deadline_ms, it.arrivals));
+    }
+    const auto cell = Put(builder, body.cell);
+    const auto list = builder.CreateVector(entries);
+    return {wire::Body::Demand,
+            wire::CreateDemand(builder, cell, body.number, list).Union()};
+  }
+  Encoded operator()(const DemandAck& body) const {
+    const auto cell = Put(builder, body.cell);
+    return {wire::Body::DemandAck,
+            wire::CreateDemandAck(builder, cell, body.number).Union()};
+  }
+  Encoded operator()(const RecordUpdate& body) const {
+    const auto cell = Put(builder, body.cell);
+    const auto record = Put(builder, body.record);
+    return {wire::Body::RecordUpdate,
+            wire::CreateRecordUpdate(builder, cell, body.object_version, record)
+                .Union()};
+  }
+  Encoded operator()(const ConfigUpdate& body) const {
+    const auto root = Put(builder, body.root);
+    return {wire::Body::ConfigUpdate,
+            wire::CreateConfigUpdate(builder, body.version, body.object_version,
+                                     root)
+                .Union()};
+  }
+  Encoded operator()(const EndpointNotice& body) const {
+    const auto endpoint = Put(builder, body.endpoint);
+    return {wire::Body::EndpointNotice,
+            wire::CreateEndpointNotice(
+                builder, endpoint, static_cast<std::uint8_t>(body.condition),
+                body.valid_ms)
+                .Union()};
+  }
+  Encoded operator()(const EndpointUse& body) const {
+    const auto endpoints = PutTexts(builder, body.endpoints);
+    const auto in_progress = builder.CreateVector(body.in_progress);
+    return {wire::Body::EndpointUse,
+            wire::CreateEndpointUse(builder, endpoints, in_progress).Union()};
+  }
+  Encoded operator()(const CrashNotice& body) const {
+    return {wire::Body::CrashNotice,
+            wire::CreateCrashNotice(builder, body.fingerprint, body.crashes,
+                                    body.valid_ms)
+                .Union()};
+  }
+  Encoded operator()(const OrderDone& body) const {
+    const auto cell = Put(builder, body.cell);
+    const auto server = Put(builder, body.server);
+    const auto order = Put(builder, body.order);
+    return {wire::Body::Done,
+            wire::CreateDone(builder, cell, server, order).Union()};
+  }
+};
+
+Digest DecodeDigest(const wire::Digest& body) {
+  Digest out;
+  if (body.entries() != nullptr) {
+    for (const auto* it : *body.entries()) {
+      out.entries.push_back({Text(it->node()), Text(it->incarnation()),
+                             it->version(), it->full(), it->leaving(),
+                             it->gone(), Texts(it->added()),
+                             Texts(it->removed())});
+    }
+  }
+  return out;
+}
+
+Demand DecodeDemand(const wire::Demand& body) {
+  Demand out{Text(body.cell()), body.number(), {}};
+  if (body.entries() != nullptr) {
+    for (const auto* it : *body.entries()) {
+      out.entries.push_back({Text(it->model()), Text(it->version()),
+                             Text(it->adapter()), it->waiting(), it->running(),
+                             it->rank(), it->earliest_deadline_ms(),
+                             it->arrivals()});
+    }
+  }
+  return out;
+}
+
+Result<EnvelopeBody> DecodeEndpointNotice(const wire::EndpointNotice& body) {
+  if (body.condition() >
+      static_cast<std::uint8_t>(EndpointCondition::kProbing)) {
+    return MakeError(ErrorKind::kInvalid,
+                     "endpoint condition " + std::to_string(body.condition()));
+  }
+  return EnvelopeBody(PeerMessage(EndpointNotice{
+      Text(body.endpoint()), static_cast<EndpointCondition>(body.condition()),
+      body.valid_ms()}));
+}
+
+Result<EnvelopeBody> DecodeEndpointUse(const wire::EndpointUse& body) {
+  EndpointUse out{Texts(body.endpoints()), {}};
+  if (body.in_progress() != nullptr) {
+    out.in_progress.assign(body.in_progress()->begin(),
+                           body.in_progress()->end());
+  }
+  if (out.endpoints.size() != out.in_progress.size()) {
+    return MakeError(ErrorKind::kInvalid,
+                     "endpoint use with " +
+                         std::to_string(out.endpoints.size()) +
+                         " endpoints and " +
+                         std::to_string(out.in_progress.size()) + " counts");
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
+Result<EnvelopeBody> DecodeBody(const wire::Envelope& envelope) {
+  // The verifier accepts a union whose value is absent.
+  if (envelope.body_type() != wire::Body::NONE && envelope.body() == nullptr) {
+    return MakeError(ErrorKind::kInvalid, "envelope body is absent");
+  }
+  switch (envelope.body_type()) {
+    case wire::Body::NONE:
+      return EnvelopeBody();
+    case wire::Body::Hello: {
+      const auto& body = *envelope.body_as_Hello();
+      return EnvelopeBody(Hello{Bytes(body.challenge()), body.mesh()});
+    }
+    case wire::Body::Challenge:
+      return EnvelopeBody(
+          Challenge{Bytes(envelope.body_as_Challenge()->challenge())});
+    case wire::Body::Proof:
+      return EnvelopeBody(Proof{Bytes(envelope.body_as_Proof()->mac())});
+    case wire::Body::Heartbeat:
+      return EnvelopeBody(
+          Heartbeat{envelope.body_as_Heartbeat()->config_version()});
+    case wire::Body::Digest:
+      return EnvelopeBody(DecodeDigest(*envelope.body_as_Digest()));
+    case wire::Body::DigestRequest:
+      return EnvelopeBody(DigestRequest{});
+    case wire::Body::Demand:
+      return EnvelopeBody(
+          PeerMessage(DecodeDemand(*envelope.body_as_Demand())));
+    case wire::Body::DemandAck: {
+      const auto& body = *envelope.body_as_DemandAck();
+      return EnvelopeBody(
+          PeerMessage(DemandAck{Text(body.cell()), body.number()}));
+    }
+    case wire::Body::RecordUpdate: {
+      const auto& body = *envelope.body_as_RecordUpdate();
+      return EnvelopeBody(PeerMessage(RecordUpdate{
+          Text(body.cell()), body.object_version(), Text(body.record())}));
+    }
+    case wire::Body::ConfigUpdate: {
+      const auto& body = *envelope.body_as_ConfigUpdate();
+      return EnvelopeBody(PeerMessage(ConfigUpdate{
+          body.version(), body.object_version(), Text(body.root())}));
+    }
+    case wire::Body::EndpointNotice:
+      return DecodeEndpointNotice(*envelope.body_as_EndpointNotice());
+    case wire::Body::EndpointUse:
+      return DecodeEndpointUse(*envelope.body_as_EndpointUse());
+    case wire::Body::CrashNotice: {
+      const auto& body = *envelope.body_as_CrashNotice();
+      return EnvelopeBody(PeerMessage(
+          CrashNotice{body.fingerprint(), body.crashes(), body.valid_ms()}));
+    }
+    case wire::Body::Done: {
+      const auto& body = *envelope.body_as_Done();
+      return EnvelopeBody(PeerMessage(OrderDone{
+          Text(body.cell()), Text(body.server()), Text(body.order())}));
+    }
+  }
+  return MakeError(ErrorKind::kInvalid,
+                   "envelope body type " +
+                       std::to_string(static_cast<int>(envelope.body_type())));
+}
+
+}  // namespace
+
+std::string EncodeEnvelope(const Envelope& envelope) {
+  Builder builder(kInitialBuilderBytes);
+  const auto [type, body] = std::visit(BodyEncoder{builder}, envelope.body);
+  const auto sender = Put(builder, envelope.sender);
+  const auto incarnation = Put(builder, envelope.incarnation);
+  builder.Finish(wire::CreateEnvelope(
+      builder, envelope.time.micros, envelope.time.counter, sender, incarnation,
+      envelope.flood_number, type, body));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+Result<Envelope> DecodeEnvelope(std::string_view payload) {
+  const auto verified = VerifyEnvelope(payload);
+  if (!verified) {
+    return verified.assume_error();
+  }
+  const wire::Envelope* wire_envelope = verified.assume_value();
+  Envelope out;
+  out.time =
+      HybridTime{wire_envelope->time_micros(), wire_envelope->time_counter()};
+  out.sender = Text(wire_envelope->sender());
+  out.incarnation = Text(wire_envelope->incarnation());
+  out.flood_number = wire_envelope->flood_number();
+  auto body = DecodeBody(*wire_envelope);
+  if (!body) {
+    return body.assume_error();
+  }
+  out.body = std::move(body).assume_value();
+  return out;
+}
+
+}  // namespace tanagerloom
--- a/packages/ports/peer_network.h
+++ b/packages/ports/peer_network.h
@@ -2,6 +2,7 @@
 #ifndef PORTS_PEER_NETWORK_H_
 #define PORTS_PEER_NETWORK_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,10 @@
   /// Adds a handler called when the set of live members changes.
   virtual void OnMembersChanged(std::function<void()> handler) = 0;
 
+  /// States the configuration version in force on this node; peers with a
+  /// direct link see it in Member::config_version.
+  virtual void SetConfigVersion(std::uint64_t version) { (void)version; }
+
   /// All VMs of the last VM list, endpoints included, with leaving notices
   /// from peers merged in.
   virtual std::vector<Vm> Vms() const = 0;
