--- /dev/null
+++ b/packages/decision/cell_record.cc
@@ -0,0 +1,195 @@
+#include "decision/cell_record.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace tanagerloom {
+
+namespace {
+
+ReplicaState ParseState(std::string_view name) {
+  if (name == "loaded") {
+    return ReplicaState::kLoaded;
+  }
+  return name == "unloading" ? ReplicaState::kUnloading
+                             : ReplicaState::kLoading;
+}
+
+WeightSource ParseSource(std::string_view name) {
+  if (name == "memory") {
+    return WeightSource::kMemory;
+  }
+  return name == "disk" ? WeightSource::kDisk : WeightSource::kRemote;
+}
+
+DecisionReason ParseReason(std::string_view name) {
+  if (name == "prewarm") {
+    return DecisionReason::kPrewarm;
+  }
+  return name == "standby" ? DecisionReason::kStandby : DecisionReason::kDemand;
+}
+
+nlohmann::json ReplicaToJson(const ReplicaRecord& replica) {
+  return {{"model", replica.key.model},
+          {"version", replica.key.version},
+          {"adapter", replica.key.adapter},
+          {"memory_mb", replica.memory_mb},
+          {"state", ReplicaStateName(replica.state)},
+          {"fence", replica.fence},
+          {"order", replica.order},
+          {"executor", replica.executor},
+          {"senders", replica.senders},
+          {"source", WeightSourceName(replica.source)},
+          {"decided_ms", replica.decided_ms},
+          {"reason", DecisionReasonName(replica.reason)}};
+}
+
+ReplicaRecord ParseReplica(const nlohmann::json& json) {
+  ReplicaRecord replica;
+  replica.key = {json.at("model").get<std::string>(),
+                 json.at("version").get<std::string>(),
+                 json.at("adapter").get<std::string>()};
+  replica.memory_mb = json.at("memory_mb").get<std::uint64_t>();
+  replica.state = ParseState(json.at("state").get<std::string>());
+  replica.fence = json.at("fence").get<std::uint64_t>();
+  replica.order = json.at("order").get<std::string>();
+  replica.executor = json.at("executor").get<std::string>();
+  replica.senders = json.at("senders").get<std::vector<std::string>>();
+  replica.source = ParseSource(json.at("source").get<std::string>());
+  replica.decided_ms = json.at("decided_ms").get<std::uint64_t>();
+  replica.reason = ParseReason(json.at("reason").get<std::string>());
+  return replica;
+}
+
+nlohmann::json ServerToJson(const ServerRecord& server) {
+  auto replicas = nlohmann::json::array();
+  for (const auto& it : server.replicas) {
+    replicas.push_back(ReplicaToJson(it));
+  }
+  return {{"memory_mb", server.memory_mb},
+          {"fence", server.fence},
+          {"boot", server.boot},
+          {"leaving", server.leaving},
+          {"replicas", std::move(replicas)}};
+}
+
+ServerRecord ParseServer(const nlohmann::json& json) {
+  ServerRecord server;
+  server.memory_mb = json.at("memory_mb").get<std::uint64_t>();
+  server.fence = json.at("fence").get<std::uint64_t>();
+  server.boot = json.at("boot").get<std::string>();
+  server.leaving = json.at("leaving").get<bool>();
+  for (const auto& it : json.at("replicas")) {
+    server.replicas.push_back(ParseReplica(it));
+  }
+  return server;
+}
+
+}  // namespace
+
+std::uint64_t ServerRecord::ReservedMb() const {
+  std::uint64_t sum = 0;
+  for (const auto& it : replicas) {
+    sum += it.memory_mb;
+  }
+  return sum;
+}
+
+std::uint64_t ServerRecord::FreeMb() const {
+  const auto reserved = ReservedMb();
+  return reserved < memory_mb ? memory_mb - reserved : 0;
+}
+
+const ReplicaRecord* ServerRecord::Find(const ModelKey& key) const {
+  const auto it = std::ranges::find(replicas, key, &ReplicaRecord::key);
+  return it == replicas.end() ? nullptr : &*it;
+}
+
+ReplicaRecord* ServerRecord::Find(const ModelKey& key) {
+  const auto it = std::ranges::find(replicas, key, &ReplicaRecord::key);
+  return it == replicas.end() ? nullptr : &*it;
+}
+
+std::uint32_t CellRecord::CountReplicas(const ModelKey& key) const {
+  std::uint32_t count = 0;
+  for (const auto& [id, server] : servers) {
+    count += server.Find(key) != nullptr ? 1 : 0;
+  }
+  return count;
+}
+
+bool CellRecord::HasWrite(std::string_view write_id) const {
+  return std::ranges::find(writes, write_id) != writes.end();
+}
+
+std::string_view ReplicaStateName(ReplicaState state) {
+  switch (state) {
+    case ReplicaState::kLoading:
+      return "loading";
+    case ReplicaState::kLoaded:
+      return "loaded";
+    case ReplicaState::kUnloading:
+      return "unloading";
+  }
+  return "loading";
+}
+
+std::string_view WeightSourceName(WeightSource source) {
+  switch (source) {
+    case WeightSource::kMemory:
+      return "memory";
+    case WeightSource::kDisk:
+      return "disk";
+    case WeightSource::kRemote:
+      return "remote";
+  }
+  return "remote";
+}
+
+std::string_view DecisionReasonName(DecisionReason reason) {
+  switch (reason) {
+    case DecisionReason::kDemand:
+      return "demand";
+    case DecisionReason::kPrewarm:
+      return "prewarm";
+    case DecisionReason::kStandby:
+      return "standby";
+  }
+  return "demand";
+}
+
+nlohmann::json RecordToJson(const CellRecord& record) {
+  auto servers = nlohmann::json::object();
+  for (const auto& [id, server] : record.servers) {
+    servers[id] = ServerToJson(server);
+  }
+  return {{"cell", record.cell},
+          {"config_version", record.config_version},
+          {"sequence", record.sequence},
+          {"writes", record.writes},
+          {"servers", std::move(servers)}};
+}
+
+std::string WriteRecord(const CellRecord& record) {
+  return RecordToJson(record).dump();
+}
+
+Result<CellRecord> ParseRecord(std::string_view text) {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    CellRecord record;
+    record.cell = json.at("cell").get<std::string>();
+    record.config_version = json.at("config_version").get<std::uint64_t>();
+    record.sequence = json.at("sequence").get<std::uint64_t>();
+    record.writes = json.at("writes").get<std::vector<std::string>>();
+    for (const auto& [id, server] : json.at("servers").items()) {
+      record.servers.emplace(id, ParseServer(server));
+    }
+    return record;
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kInternal,
+                     std::string("placement record: ") + error.what());
+  }
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/decision/demand_book.h
@@ -0,0 +1,59 @@
+// Defines DemandBook, the demand of all nodes for the models of a cell as its
+// coordinator knows it.
+#ifndef DECISION_DEMAND_BOOK_H_
+#define DECISION_DEMAND_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/model_key.h"
+
+namespace tanagerloom {
+
+/// Demand for one model, of one node or summed over nodes.
+struct ModelDemand {
+  std::uint32_t waiting = 0;
+  std::uint32_t running = 0;
+  std::uint32_t rank = 0;         ///< Best rank among the waiting.
+  std::uint64_t deadline_ms = 0;  ///< Local monotonic time; 0 if none waits.
+  std::uint32_t arrivals = 0;
+
+  bool operator==(const ModelDemand&) const = default;
+};
+
+/// Demand by node. Times are local monotonic milliseconds.
+class DemandBook {
+ public:
+  /// Demand that was not renewed for this long is dropped, because its node may
+  /// be gone. Nodes renew it every second while something waits or runs.
+  static constexpr std::uint64_t kExpiryMs = 5000;
+
+  /// Replaces what a node has for a model. Ignores numbers that are not newer
+  /// than the last one of the node and model.
+  void Set(const std::string& node,
+           std::uint64_t number,
+           const ModelKey& key,
+           const ModelDemand& demand,
+           std::uint64_t now_ms);
+
+  /// Drops demand that was not renewed.
+  void Expire(std::uint64_t now_ms);
+
+  /// The sum for each model that has something waiting or running.
+  std::map<ModelKey, ModelDemand> Total() const;
+
+ private:
+  struct Entry {
+    std::uint64_t number = 0;
+    std::uint64_t renewed_ms = 0;
+    ModelDemand demand;
+  };
+
+  std::map<ModelKey, std::map<std::string, Entry>> entries_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // DECISION_DEMAND_BOOK_H_
--- /dev/null
+++ b/packages/placement/cell_controller.h
@@ -0,0 +1,123 @@
+// Defines CellController, one node's part in the placement of one cell. As the
+// cell's coordinator, or when the coordinator can't be reached, it compares the
+// record with engines and demand, stores decisions and sends their orders.
+#ifndef PLACEMENT_CELL_CONTROLLER_H_
+#define PLACEMENT_CELL_CONTROLLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "decision/demand_book.h"
+#include "decision/planner.h"
+#include "decision/reconcile.h"
+#include "placement/engine_monitor.h"
+#include "placement/order_executor.h"
+#include "placement/placement_dependencies.h"
+#include "placement/record_store.h"
+#include "ports/peer_message.h"
+#include "runtime/event_flag.h"
+
+namespace tanagerloom {
+
+class TaskGroup;
+
+/// Placement of one cell as this node sees and drives it.
+class CellController {
+ public:
+  /// `on_change` is called when the record or the servers' state changes.
+  CellController(std::string cell,
+                 const PlacementDependencies& deps,
+                 RecordStore& records,
+                 TaskGroup& tasks,
+                 std::function<void()> on_change);
+
+  /// Runs passes until Stop().
+  void Run();
+  void Stop();
+
+  /// One pass: reconcile, plan, store, send orders. Returns the time until the
+  /// next pass is due without a wake-up.
+  Duration Step();
+
+  /// Makes Run() start a pass soon.
+  void Wake() { wake_.Signal(); }
+
+  void SetDemand(const std::string& node, const Demand& demand);
+  void HandleRecord(const RecordUpdate& update);
+  void HandleOrderDone(const std::string& from, const OrderDone& done);
+
+  /// Lets this node decide for a while although another node is coordinator,
+  /// because that one does not acknowledge demand.
+  void ActWithoutCoordinator();
+
+  /// The rendezvous-hash winner among the live members.
+  std::string Coordinator() const;
+  bool IsCoordinator() const;
+  bool IsActing() const;
+
+  /// Whether this process still has orders to finish.
+  bool HasOwnOrders() const;
+
+  const StoredRecord& view() const { return *view_; }
+  const EngineMonitor& monitor() const { return monitor_; }
+  nlohmann::json Status() const;
+
+ private:
+  using View = std::shared_ptr<const StoredRecord>;
+
+  bool Drives() const { return IsCoordinator() || IsActing(); }
+  Duration Pass();
+  void ReadVms();
+  void PollEngines();
+  std::map<std::string, Duration> PollIntervals() const;
+  bool Refresh();
+  void SetView(StoredRecord stored);
+  /// Reconciles and plans from the current view and stores the result. False
+  /// if the platform did not take it.
+  bool Decide();
+  ReconcileOutcome Reconcile(CellRecord& next);
+  void ApplyPlan(CellRecord& next);
+  void Report(const ReconcileOutcome& outcome, const CellRecord& stored);
+  void Announce();
+  void SendDone();
+  bool SenderIsDone(std::string_view server,
+                    const ReplicaRecord& replica,
+                    std::string_view process) const;
+  std::uint64_t SeenMs(const ReplicaRecord& replica) const;
+  bool ConfirmOrder(const std::string& server, const ReplicaRecord& replica);
+  bool HoldOrder(const std::string& server, const ReplicaRecord& replica) const;
+  bool HasOpenOrders() const;
+  std::uint32_t RemoteLoadsInProgress(const CellRecord& record) const;
+
+  std::string cell_;
+  PlacementDependencies deps_;
+  RecordStore& records_;
+  std::function<void()> on_change_;
+  EventFlag wake_;
+  bool stopping_ = false;
+  View view_;
+  bool have_view_ = false;
+  TimePoint confirmed_{};  ///< The view is not older than this.
+  TimePoint last_refresh_{};
+  std::optional<TimePoint> acting_until_;
+  std::uint32_t failures_ = 0;  ///< Platform calls that failed in a row.
+  TimePoint retry_at_{};
+  DemandBook book_;
+  EngineMonitor monitor_;
+  OrderExecutor executor_;
+  std::map<std::pair<std::string, ReplicaState>, std::uint64_t> seen_;
+  std::set<std::pair<std::string, std::string>> done_;  ///< Order, process.
+  std::map<std::string, TimePoint> done_sent_;          ///< By order.
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLACEMENT_CELL_CONTROLLER_H_
--- /dev/null
+++ b/packages/placement/engine_monitor.h
@@ -0,0 +1,70 @@
+// Defines EngineMonitor, which reads the state of the engines of a cell and
+// keeps what is known about each server.
+#ifndef PLACEMENT_ENGINE_MONITOR_H_
+#define PLACEMENT_ENGINE_MONITOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+#include "decision/engine_report.h"
+#include "ports/vm_list.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+class EngineControl;
+class TaskGroup;
+
+/// Milliseconds of a monotonic clock, at least 1, for decisions.
+std::uint64_t LocalMs(const Clock& clock);
+
+/// Facts about the servers of one cell.
+class EngineMonitor {
+ public:
+  /// Calls `on_report` after each state read.
+  EngineMonitor(EngineControl& engines,
+                const Clock& clock,
+                TaskGroup& tasks,
+                std::function<void()> on_report);
+
+  /// Takes over the VM list; `vms` are the engines of the cell.
+  void SetVms(const std::vector<Vm>& vms);
+
+  /// Starts reading the state of each server whose last read began at least
+  /// `interval` ago and has ended.
+  void PollDue(const std::map<std::string, Duration>& intervals);
+
+  /// Marks a server as leaving until the VM list says otherwise.
+  void MarkLeaving(const std::string& server);
+
+  std::optional<Address> AddressOf(const std::string& server) const;
+  std::string DataCentreOf(const std::string& server) const;
+  const ServerFactsMap& facts() const { return facts_; }
+
+ private:
+  struct Poll {
+    Address address;
+    std::string data_centre;
+    bool reading = false;
+    std::optional<TimePoint> last_started;
+  };
+
+  void Read(const std::string& server);
+
+  EngineControl& engines_;
+  const Clock& clock_;
+  TaskGroup& tasks_;
+  std::function<void()> on_report_;
+  std::map<std::string, Poll> polls_;
+  ServerFactsMap facts_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLACEMENT_ENGINE_MONITOR_H_
--- /dev/null
+++ b/packages/placement/order_executor.cc
@@ -0,0 +1,204 @@
+#include "placement/order_executor.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "placement/engine_monitor.h"
+#include "placement/task_group.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstRetry{200};
+constexpr milliseconds kLongestRetry{2000};
+
+CheckpointSource ToCheckpointSource(WeightSource source) {
+  switch (source) {
+    case WeightSource::kMemory:
+      return CheckpointSource::kMemory;
+    case WeightSource::kDisk:
+      return CheckpointSource::kDisk;
+    case WeightSource::kRemote:
+      return CheckpointSource::kRemote;
+  }
+  return CheckpointSource::kRemote;
+}
+
+EngineOrder ToOrder(const ReplicaRecord& replica) {
+  return {.order = replica.order,
+          .fence = replica.fence,
+          .action = replica.state == ReplicaState::kUnloading
+                        ? OrderAction::kUnload
+                        : OrderAction::kLoad,
+          .model = replica.key.model,
+          .version = replica.key.version,
+          .adapter = replica.key.adapter,
+          .memory_mb = replica.memory_mb,
+          .source = ToCheckpointSource(replica.source)};
+}
+
+}  // namespace
+
+OrderExecutor::OrderExecutor(EngineControl& engines,
+                             const Clock& clock,
+                             EventLog& log,
+                             TaskGroup& tasks,
+                             std::string self,
+                             Duration sender_gone,
+                             ExecutorHooks hooks)
+    : engines_(engines),
+      clock_(clock),
+      log_(log),
+      tasks_(tasks),
+      self_(std::move(self)),
+      sender_gone_(sender_gone),
+      hooks_(std::move(hooks)) {}
+
+bool OrderExecutor::IsOpen(const ReplicaRecord& replica) const {
+  return replica.executor == self_ && replica.state != ReplicaState::kLoaded &&
+         !answers_.contains(replica.order);
+}
+
+void OrderExecutor::Sync(const CellRecord& record) {
+  Forget(record);
+  const auto now = clock_.Now();
+  for (const auto& [id, server] : record.servers) {
+    for (const auto& replica : server.replicas) {
+      if (!IsOpen(replica)) {
+        continue;
+      }
+      const auto [it, added] = outgoing_.try_emplace(replica.order);
+      auto& outgoing = it->second;
+      if (added) {
+        outgoing.server = id;
+        outgoing.replica = replica;
+      }
+      if (outgoing.sending || now < outgoing.next_send ||
+          (stopping_ && !outgoing.unanswered) || hooks_.hold(id, replica)) {
+        continue;
+      }
+      outgoing.sending = true;
+      tasks_.Spawn([this, order = replica.order] { Send(order); });
+    }
+  }
+}
+
+void OrderExecutor::Forget(const CellRecord& record) {
+  std::set<std::string_view> current;
+  for (const auto& [id, server] : record.servers) {
+    for (const auto& replica : server.replicas) {
+      current.insert(replica.order);
+    }
+  }
+  const auto now = clock_.Now();
+  std::erase_if(outgoing_, [&](const auto& it) {
+    const auto& outgoing = it.second;
+    if (outgoing.sending) {
+      return false;
+    }
+    if (!outgoing.unanswered) {
+      return !current.contains(it.first);
+    }
+    // The connection of a call without an answer is closed; what it carried is
+    // taken as lost after the same time as that of a sender that is gone.
+    return !current.contains(it.first) &&
+           now > outgoing.last_sent + sender_gone_;
+  });
+  std::erase_if(answers_,
+                [&](const auto& it) { return !current.contains(it.first); });
+}
+
+void OrderExecutor::Send(const std::string& order) {
+  const auto server = outgoing_[order].server;
+  const auto replica = outgoing_[order].replica;
+  const auto address = hooks_.address(server);
+  if (!address || !hooks_.confirm(server, replica)) {
+    outgoing_[order].sending = false;
+    Retry(outgoing_[order]);
+    return;
+  }
+  auto& outgoing = outgoing_[order];
+  outgoing.unanswered = true;
+  outgoing.last_sent = clock_.Now();
+  ++outgoing.attempts;
+  ++orders_sent_;
+  log_.Record(events::kOrderSent, {{"server", server},
+                                   {"order", order},
+                                   {"fence", replica.fence},
+                                   {"model", replica.key.ToString()}});
+  Finish(order, engines_.Send(*address, ToOrder(replica)));
+  hooks_.on_answer();
+}
+
+void OrderExecutor::Finish(const std::string& order,
+                           Result<OrderAnswer> answer) {
+  auto& outgoing = outgoing_[order];
+  outgoing.sending = false;
+  if (!answer) {
+    const auto& error = answer.assume_error();
+    // A refused connection proves that this send did not arrive; it says
+    // nothing about an earlier one.
+    if (error.kind == ErrorKind::kUnavailable && outgoing.attempts == 1) {
+      outgoing.unanswered = false;
+      outgoing.attempts = 0;
+    }
+    log_.Record(events::kOrderFailed, {{"server", outgoing.server},
+                                       {"order", order},
+                                       {"cause", error.message}});
+    Retry(outgoing);
+    return;
+  }
+  OrderFacts facts{.answered = true,
+                   .answered_ms = LocalMs(clock_),
+                   .refused = false,
+                   .reason = ""};
+  if (const auto* refused = std::get_if<OrderRefused>(&answer.assume_value())) {
+    facts.refused = true;
+    facts.reason = refused->reason;
+    log_.Record(events::kOrderFailed, {{"server", outgoing.server},
+                                       {"order", order},
+                                       {"cause", refused->reason}});
+  }
+  answers_[order] = std::move(facts);
+  outgoing_.erase(order);
+}
+
+void OrderExecutor::Retry(Outgoing& outgoing) {
+  const auto doubled = kFirstRetry * (1U << std::min(outgoing.attempts, 4U));
+  const auto delay = std::min<milliseconds>(doubled, kLongestRetry);
+  // Jitter keeps the executors of one outage from retrying together.
+  outgoing.next_send = clock_.Now() + std::chrono::duration_cast<Duration>(
+                                          delay * (0.5 + RandomUnit() / 2));
+}
+
+bool OrderExecutor::HasOutstanding(std::string_view server,
+                                   const ModelKey& key) const {
+  return std::ranges::any_of(outgoing_, [&](const auto& it) {
+    const auto& outgoing = it.second;
+    return (outgoing.sending || outgoing.unanswered) &&
+           outgoing.server == server && outgoing.replica.key == key;
+  });
+}
+
+void OrderExecutor::NoteAnswer(const std::string& order) {
+  auto& facts = answers_[order];
+  if (!facts.answered) {
+    facts.answered = true;
+    facts.answered_ms = LocalMs(clock_);
+  }
+}
+
+bool OrderExecutor::has_outstanding() const {
+  return std::ranges::any_of(outgoing_, [](const auto& it) {
+    return it.second.sending || it.second.unanswered;
+  });
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/placement/order_executor.h
@@ -0,0 +1,99 @@
+// Defines OrderExecutor, which sends the orders that a stored record names this
+// process as executor for, and remembers which were answered.
+#ifndef PLACEMENT_ORDER_EXECUTOR_H_
+#define PLACEMENT_ORDER_EXECUTOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/address.h"
+#include "decision/cell_record.h"
+#include "decision/reconcile.h"
+#include "ports/engine_control.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+class EventLog;
+class TaskGroup;
+
+/// What the executor needs from the controller of a cell.
+struct ExecutorHooks {
+  std::function<std::optional<Address>(const std::string& server)> address;
+  /// Whether the order has to wait, such as an unload with requests running.
+  std::function<bool(const std::string& server, const ReplicaRecord&)> hold;
+  /// Whether the stored record still names this process as the executor of the
+  /// order. Reads the record again if the view may be stale.
+  std::function<bool(const std::string& server, const ReplicaRecord&)> confirm;
+  std::function<void()> on_answer;
+};
+
+/// Sends orders of one cell; each send has its own fiber.
+class OrderExecutor {
+ public:
+  OrderExecutor(EngineControl& engines,
+                const Clock& clock,
+                EventLog& log,
+                TaskGroup& tasks,
+                std::string self,
+                Duration sender_gone,
+                ExecutorHooks hooks);
+
+  /// Sends the open orders of `record` that are due and forgets the orders that
+  /// are no longer of use.
+  void Sync(const CellRecord& record);
+
+  /// Stops sending orders that were not sent yet.
+  void Stop() { stopping_ = true; }
+
+  /// Whether an order of this process for the replica may still arrive.
+  bool HasOutstanding(std::string_view server, const ModelKey& key) const;
+
+  /// Answers to orders, by order id.
+  const std::map<std::string, OrderFacts>& answers() const { return answers_; }
+
+  /// Takes over that another process got an answer to an order.
+  void NoteAnswer(const std::string& order);
+
+  /// Whether an order was ever sent without an answer.
+  bool has_outstanding() const;
+
+  std::uint64_t orders_sent() const { return orders_sent_; }
+
+ private:
+  struct Outgoing {
+    std::string server;
+    ReplicaRecord replica;
+    bool sending = false;
+    bool unanswered = false;  ///< Was sent, and may still arrive.
+    std::uint32_t attempts = 0;
+    TimePoint last_sent{};
+    TimePoint next_send{};
+  };
+
+  bool IsOpen(const ReplicaRecord& replica) const;
+  void Forget(const CellRecord& record);
+  void Send(const std::string& order);
+  void Finish(const std::string& order, Result<OrderAnswer> answer);
+  void Retry(Outgoing& outgoing);
+
+  EngineControl& engines_;
+  const Clock& clock_;
+  EventLog& log_;
+  TaskGroup& tasks_;
+  std::string self_;
+  Duration sender_gone_;
+  ExecutorHooks hooks_;
+  std::map<std::string, Outgoing> outgoing_;  ///< By order id.
+  std::map<std::string, OrderFacts> answers_;
+  std::uint64_t orders_sent_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLACEMENT_ORDER_EXECUTOR_H_
--- /dev/null
+++ b/packages/placement/placement_service.cc
@@ -0,0 +1,263 @@
+#include "placement/placement_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "base/event_log.h"
+#include "config/estate_source.h"
+#include "config/settings.h"
+#include "ports/peer_network.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDemandInterval{20};
+// Demand is renewed before the coordinator's book drops it.
+constexpr milliseconds kRenewInterval{1000};
+constexpr milliseconds kIdleInterval{1000};
+constexpr milliseconds kStopCheck{20};
+
+std::string NodeOf(const std::string& process) {
+  return process.substr(0, process.find('/'));
+}
+
+}  // namespace
+
+PlacementService::PlacementService(const PlacementDependencies& deps)
+    : deps_(deps), records_(deps.store, deps.log) {
+  deps_.peers.OnMessage([this](const auto& from, const auto& message) {
+    OnMessage(from, message);
+  });
+  deps_.peers.OnMembersChanged([this] { WakeAll(); });
+  deps_.estate.OnChange([this] { WakeAll(); });
+}
+
+PlacementService::~PlacementService() {
+  RequestStop(Duration::zero());
+}
+
+void PlacementService::Start() {
+  started_ = true;
+  AddCells();
+  tasks_.Spawn([this] { SendDemandLoop(); });
+}
+
+void PlacementService::RequestStop(Duration bound) {
+  const auto end = deps_.clock.Now() + bound;
+  const auto has_orders = [&] {
+    return std::ranges::any_of(
+        cells_, [](const auto& it) { return it.second->HasOwnOrders(); });
+  };
+  while (!stopping_ && has_orders() && deps_.clock.Now() < end) {
+    deps_.clock.SleepFor(kStopCheck);
+  }
+  stopping_ = true;
+  for (auto& [name, cell] : cells_) {
+    cell->Stop();
+  }
+  demand_changed_.Signal();
+  tasks_.Wait();
+}
+
+void PlacementService::Step() {
+  AddCells();
+  for (auto& [name, demand] : demand_) {
+    SendDemand(name, demand);
+  }
+  for (auto& [name, cell] : cells_) {
+    cell->Step();
+  }
+}
+
+void PlacementService::AddCells() {
+  for (const auto& [name, pool] : deps_.estate.Current()->pools) {
+    Cell(name);
+  }
+}
+
+CellController& PlacementService::Cell(const std::string& cell) {
+  auto& it = cells_[cell];
+  if (!it) {
+    it = std::make_unique<CellController>(cell, deps_, records_, tasks_,
+                                          [this] { changed_.Signal(); });
+    if (started_ && !stopping_) {
+      tasks_.Spawn([controller = it.get()] { controller->Run(); });
+    }
+  }
+  return *it;
+}
+
+void PlacementService::WakeAll() {
+  AddCells();
+  for (auto& [name, cell] : cells_) {
+    cell->Wake();
+  }
+  changed_.Signal();
+}
+
+void PlacementService::OnMessage(const std::string& from,
+                                 const PeerMessage& message) {
+  if (const auto* demand = std::get_if<Demand>(&message)) {
+    OnDemand(from, *demand);
+  } else if (const auto* ack = std::get_if<DemandAck>(&message)) {
+    auto& it = demand_[ack->cell];
+    it.acknowledged = std::max(it.acknowledged, ack->number);
+    if (it.acknowledged >= it.number) {
+      it.unacknowledged_since.reset();
+    }
+  } else if (const auto* update = std::get_if<RecordUpdate>(&message)) {
+    Cell(update->cell).HandleRecord(*update);
+  } else if (const auto* done = std::get_if<OrderDone>(&message)) {
+    Cell(done->cell).HandleOrderDone(from, *done);
+  }
+}
+
+void PlacementService::OnDemand(const std::string& from, const Demand& demand) {
+  auto& cell = Cell(demand.cell);
+  cell.SetDemand(NodeOf(from), demand);
+  // Only a node that acts on the demand acknowledges it.
+  if (cell.IsCoordinator() && !stopping_) {
+    deps_.peers.Send(NodeOf(from), DemandAck{demand.cell, demand.number});
+  }
+}
+
+void PlacementService::SetDemand(const std::string& cell,
+                                 const ModelKey& key,
+                                 const LocalDemand& demand) {
+  auto& local = demand_[cell].models[key];
+  local.dirty = true;
+  local.demand = demand;
+  demand_changed_.Signal();
+}
+
+void PlacementService::CountArrival(const std::string& cell,
+                                    const ModelKey& key) {
+  auto& local = demand_[cell].models[key];
+  ++local.arrivals;
+  local.dirty = true;
+}
+
+void PlacementService::SendDemandLoop() {
+  while (!stopping_) {
+    const auto seen = demand_changed_.count();
+    bool busy = false;
+    for (auto& [name, demand] : demand_) {
+      SendDemand(name, demand);
+      busy = busy || demand.unacknowledged_since.has_value();
+    }
+    if (!busy) {
+      demand_changed_.WaitUntil(
+          seen, std::chrono::steady_clock::now() + kIdleInterval);
+    }
+    deps_.clock.SleepFor(kDemandInterval);
+  }
+}
+
+Demand PlacementService::TakeDemand(const std::string& cell,
+                                    CellDemand& demand) {
+  Demand message{cell, ++demand.number, {}};
+  const auto now = deps_.clock.Now();
+  for (auto it = demand.models.begin(); it != demand.models.end();) {
+    auto& [key, local] = *it;
+    std::uint64_t deadline_ms = 0;
+    if (local.demand.earliest_deadline) {
+      const auto left = std::chrono::duration_cast<milliseconds>(
+          *local.demand.earliest_deadline - now);
+      deadline_ms = static_cast<std::uint64_t>(
+          std::max<milliseconds::rep>(1, left.count()));
+    }
+    message.entries.push_back({key.model, key.version, key.adapter,
+                               local.demand.waiting, local.demand.running,
+                               local.demand.rank, deadline_ms, local.arrivals});
+    local.arrivals = 0;
+    local.dirty = false;
+    const bool idle = local.demand.waiting + local.demand.running == 0;
+    it = idle ? demand.models.erase(it) : std::next(it);
+  }
+  return message;
+}
+
+void PlacementService::SendDemand(const std::string& cell, CellDemand& demand) {
+  const auto now = deps_.clock.Now();
+  const bool dirty = std::ranges::any_of(
+      demand.models, [](const auto& it) { return it.second.dirty; });
+  const bool waiting = std::ranges::any_of(demand.models, [](const auto& it) {
+    return it.second.demand.waiting > 0;
+  });
+  const bool due =
+      !demand.models.empty() && now >= demand.last_sent + kRenewInterval;
+  auto& controller = Cell(cell);
+  if (dirty || due) {
+    const auto message = TakeDemand(cell, demand);
+    demand.last_sent = now;
+    // This node keeps its own demand too, in case it has to decide itself.
+    controller.SetDemand(deps_.peers.node_id(), message);
+    if (!controller.IsCoordinator()) {
+      if (!demand.unacknowledged_since) {
+        demand.unacknowledged_since = now;
+      }
+      deps_.peers.Send(controller.Coordinator(), message);
+    }
+  }
+  if (controller.IsCoordinator()) {
+    demand.unacknowledged_since.reset();
+  }
+  if (waiting && demand.unacknowledged_since &&
+      now >= *demand.unacknowledged_since + deps_.settings.demand_timeout) {
+    controller.ActWithoutCoordinator();
+  }
+}
+
+std::vector<ReplicaLocation> PlacementService::Replicas(
+    const ModelKey& key) const {
+  std::vector<ReplicaLocation> locations;
+  for (const auto& [name, cell] : cells_) {
+    for (const auto& [id, server] : cell->view().record.servers) {
+      const auto* replica = server.Find(key);
+      if (replica == nullptr || replica->state != ReplicaState::kLoaded ||
+          server.leaving) {
+        continue;
+      }
+      const auto facts = cell->monitor().facts().find(id);
+      const auto address = cell->monitor().AddressOf(id);
+      if (address && facts != cell->monitor().facts().end() &&
+          facts->second.listed && !facts->second.leaving) {
+        locations.push_back({id, *address, cell->monitor().DataCentreOf(id)});
+      }
+    }
+  }
+  return locations;
+}
+
+LoadForecast PlacementService::Forecast(const ModelKey& key) const {
+  (void)key;
+  return {};
+}
+
+void PlacementService::ReportMissing(const std::string& server,
+                                     const ModelKey& key) {
+  (void)server;
+  (void)key;
+  WakeAll();
+}
+
+nlohmann::json PlacementService::Status() const {
+  auto cells = nlohmann::json::object();
+  for (const auto& [name, cell] : cells_) {
+    cells[name] = cell->Status();
+  }
+  const auto& calls = records_.calls();
+  return {{"cells", std::move(cells)},
+          {"platform_calls",
+           {{"reads", calls.reads},
+            {"writes", calls.writes},
+            {"conflicts", calls.conflicts},
+            {"lost_answers", calls.lost_answers},
+            {"failures", calls.failures}}}};
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/placement/placement_service.h
@@ -0,0 +1,90 @@
+// Defines PlacementService, the placement of all cells on one node: it gathers
+// the node's demand, sends it to the coordinators, and drives the cells that
+// this node coordinates.
+#ifndef PLACEMENT_PLACEMENT_SERVICE_H_
+#define PLACEMENT_PLACEMENT_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "placement/cell_controller.h"
+#include "placement/placement_dependencies.h"
+#include "placement/placement_view.h"
+#include "placement/record_store.h"
+#include "placement/task_group.h"
+
+namespace tanagerloom {
+
+/// Placement on one node.
+class PlacementService final : public PlacementView {
+ public:
+  explicit PlacementService(const PlacementDependencies& deps);
+  ~PlacementService() override;
+  PlacementService(const PlacementService&) = delete;
+  PlacementService& operator=(const PlacementService&) = delete;
+
+  /// Starts the fibers.
+  void Start();
+
+  /// Decides nothing more and finishes the orders of this process, at most for
+  /// `bound`; then ends the fibers.
+  void RequestStop(Duration bound);
+
+  /// One pass over demand and cells; Start() does it repeatedly.
+  void Step();
+
+  /// For operators: for each cell the record, replicas and reserved memory;
+  /// and the platform calls.
+  nlohmann::json Status() const;
+
+  std::vector<ReplicaLocation> Replicas(const ModelKey& key) const override;
+  void SetDemand(const std::string& cell,
+                 const ModelKey& key,
+                 const LocalDemand& demand) override;
+  void CountArrival(const std::string& cell, const ModelKey& key) override;
+  LoadForecast Forecast(const ModelKey& key) const override;
+  void ReportMissing(const std::string& server, const ModelKey& key) override;
+  EventFlag& changed() override { return changed_; }
+
+ private:
+  struct Local {
+    LocalDemand demand;
+    std::uint32_t arrivals = 0;
+    bool dirty = false;
+  };
+  struct CellDemand {
+    std::map<ModelKey, Local> models;
+    std::uint64_t number = 0;
+    std::uint64_t acknowledged = 0;
+    std::optional<TimePoint> unacknowledged_since;
+    TimePoint last_sent{};
+  };
+
+  void OnMessage(const std::string& from, const PeerMessage& message);
+  void OnDemand(const std::string& from, const Demand& demand);
+  CellController& Cell(const std::string& cell);
+  void AddCells();
+  void SendDemandLoop();
+  void SendDemand(const std::string& cell, CellDemand& demand);
+  Demand TakeDemand(const std::string& cell, CellDemand& demand);
+  void WakeAll();
+
+  PlacementDependencies deps_;
+  RecordStore records_;
+  EventFlag changed_;
+  EventFlag demand_changed_;
+  std::map<std::string, std::unique_ptr<CellController>> cells_;
+  std::map<std::string, CellDemand> demand_;
+  bool started_ = false;
+  bool stopping_ = false;
+  TaskGroup tasks_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLACEMENT_PLACEMENT_SERVICE_H_
