--- /dev/null
+++ b/packages/node/node.cc
@@ -0,0 +1,183 @@
+#include "node/node.h"
+
+#include <boost/fiber/fiber.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/invariant.h"
+#include "control/admin_server.h"
+#include "control/config_store.h"
+#include "control/metrics.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "membership/peer_service.h"
+#include "placement/placement_dependencies.h"
+#include "placement/placement_service.h"
+#include "platform/http_engine_control.h"
+#include "platform/http_object_store.h"
+#include "platform/http_vm_list.h"
+#include "routing/caller_api.h"
+#include "routing/routing_dependencies.h"
+#include "runtime/event_flag.h"
+#include "runtime/runtime.h"
+#include "runtime/steady_clock.h"
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr auto kHandOverBound = std::chrono::seconds(10);
+// Time for the balancer to see that the node is not ready before the caller
+// listener closes.
+constexpr auto kUnreadyLead = std::chrono::milliseconds(500);
+
+}  // namespace
+
+struct Node::Parts {
+  Parts(Settings given, EventLog& event_log)
+      : settings(std::move(given)),
+        log(event_log),
+        client(Runtime::Get().io()),
+        store(client, clock, settings.platform, settings.platform_timeout),
+        vm_list(client, clock, settings.platform, settings.platform_timeout),
+        engines(client, clock, settings.engine_timeout),
+        peers(Runtime::Get().io(), vm_list, clock, log, settings),
+        config(store, peers, clock, log, settings),
+        placement(PlacementDependencies{store, engines, peers, config, clock,
+                                        log, settings}),
+        callers(RoutingDependencies{client, placement, peers, store, config,
+                                    engines, clock, log, settings}),
+        caller_server(
+            Runtime::Get().io(),
+            HttpServerLimits{},
+            [this](const HttpRequest& request, HttpResponder& responder) {
+              callers.Handle(request, responder);
+            }),
+        admin(Runtime::Get().io(), config, peers, log, metrics, Callbacks()) {}
+
+  AdminCallbacks Callbacks();
+  void AddMetrics();
+  nlohmann::json Status();
+
+  Settings settings;
+  EventLog& log;
+  SteadyClock clock;
+  HttpClient client;
+  HttpObjectStore store;
+  HttpVmList vm_list;
+  HttpEngineControl engines;
+  PeerService peers;
+  ConfigStore config;
+  PlacementService placement;
+  CallerApi callers;
+  HttpServer caller_server;
+  Metrics metrics;
+  AdminServer admin;
+
+  std::function<void()> request_stop;
+  int stop_signals = 0;
+  bool stopped = false;
+  EventFlag stop_changed;
+};
+
+AdminCallbacks Node::Parts::Callbacks() {
+  return {
+      .not_ready_reason =
+          [this] {
+            return stop_signals > 0 ? std::string("shutting down")
+                                    : std::string();
+          },
+      .drain = [this] { request_stop(); },
+      .placement = [this] { return placement.Status(); },
+      .status = [this] { return Status(); },
+  };
+}
+
+nlohmann::json Node::Parts::Status() {
+  const auto& calls = store.calls();
+  return {{"peers", peers.Status()},
+          {"callers", callers.Status()},
+          {"platform_calls",
+           {{"reads", calls.reads},
+            {"writes", calls.writes},
+            {"watches", calls.watches},
+            {"failures", calls.failures}}},
+          {"invariants_checked", InvariantsChecked()}};
+}
+
+void Node::Parts::AddMetrics() {
+  const auto& calls = store.calls();
+  const auto add_calls = [&](const char* kind, const std::uint64_t& count) {
+    metrics.AddCounterReader(
+        "tanagerloom_platform_calls_total", "Calls to the object API.",
+        [&count] { return static_cast<double>(count); }, {{"kind", kind}});
+  };
+  add_calls("read", calls.reads);
+  add_calls("write", calls.writes);
+  add_calls("watch", calls.watches);
+  add_calls("failure", calls.failures);
+  metrics.AddCounterReader(
+      "tanagerloom_invariants_checked_total", "Checked invariants.",
+      [] { return static_cast<double>(InvariantsChecked()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_requests_in_progress",
+      "Requests accepted and not yet answered.",
+      [this] { return static_cast<double>(callers.requests_in_progress()); });
+}
+
+Node::Node(Settings settings, EventLog& log)
+    : parts_(std::make_unique<Parts>(std::move(settings), log)) {
+  parts_->request_stop = [this] { RequestStop(); };
+}
+
+Node::~Node() = default;
+
+Result<void> Node::Start() {
+  auto& parts = *parts_;
+  parts.AddMetrics();
+  BOOST_OUTCOME_TRYV(parts.admin.Listen(parts.settings.admin_listen));
+  BOOST_OUTCOME_TRYV(parts.peers.Start());
+  parts.config.Start();
+  parts.placement.Start();
+  parts.callers.Start();
+  BOOST_OUTCOME_TRYV(parts.caller_server.Listen(parts.settings.caller_listen));
+  parts.log.Record(events::kNodeStarted, {{"node", parts.settings.node_id},
+                                          {"incarnation", parts.peers.self()}});
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void Node::RequestStop() {
+  auto& parts = *parts_;
+  ++parts.stop_signals;
+  parts.log.Record(events::kNodeStopping, {{"signals", parts.stop_signals}});
+  if (parts.stop_signals == 1) {
+    boost::fibers::fiber([this] { RunShutdown(); }).detach();
+  } else if (parts.stop_signals == 2) {
+    boost::fibers::fiber([this] { (void)parts_->callers.Drain(); }).detach();
+  }
+}
+
+void Node::RunShutdown() {
+  auto& parts = *parts_;
+  parts.peers.AnnounceLeaving();
+  parts.clock.SleepFor(kUnreadyLead);
+  parts.caller_server.StopAccepting();
+  const auto left = parts.callers.Drain();
+  parts.placement.RequestStop(kHandOverBound);
+  parts.peers.Stop();
+  parts.log.Record(events::kNodeStopped, {{"requests", left}});
+  parts.stopped = true;
+  parts.stop_changed.Signal();
+}
+
+void Node::WaitUntilStopped() {
+  auto& parts = *parts_;
+  while (!parts.stopped) {
+    parts.stop_changed.WaitUntil(parts.stop_changed.count(),
+                                 parts.clock.Now() + std::chrono::hours(1));
+  }
+}
+
+}  // namespace tanagerloom
