--- /dev/null
+++ b/testing/harness/process.cc
@@ -0,0 +1,143 @@
+#include "testing/harness/process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/fiber/operations.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace tanagerloom::testing_support {
+
+namespace {
+
+constexpr auto kPollStep = std::chrono::milliseconds(10);
+// Below the kernel's default range of ports for outgoing connections.
+constexpr int kFirstPort = 12000;
+constexpr int kLastPort = 32000;
+
+[[noreturn]] void RunChild(const std::vector<std::string>& arguments,
+                           const std::string& log_path,
+                           pid_t parent) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != parent) {
+    _exit(127);
+  }
+  const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  // Sockets of the test must not stay open in the child.
+  for (int fd = 3; fd < 4096; ++fd) {
+    close(fd);
+  }
+  std::vector<char*> argv;
+  for (const auto& it : arguments) {
+    argv.push_back(const_cast<char*>(it.c_str()));
+  }
+  argv.push_back(nullptr);
+  execv(argv[0], argv.data());
+  _exit(127);
+}
+
+bool CanBind(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)) == 0;
+  close(fd);
+  return free;
+}
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& arguments,
+                 std::string log_path)
+    : log_path_(std::move(log_path)) {
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ == 0) {
+    RunChild(arguments, log_path_, parent);
+  }
+}
+
+Process::~Process() {
+  Kill();
+}
+
+void Process::Signal(int number) {
+  if (Running()) {
+    kill(pid_, number);
+  }
+}
+
+void Process::Kill() {
+  if (Running()) {
+    kill(pid_, SIGKILL);
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    status_ = 128 + SIGKILL;
+  }
+}
+
+void Process::Pause() {
+  Signal(SIGSTOP);
+}
+
+void Process::Resume() {
+  Signal(SIGCONT);
+}
+
+bool Process::Running() {
+  if (status_ || pid_ <= 0) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) {
+    return true;
+  }
+  status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  return false;
+}
+
+std::optional<int> Process::WaitForExit(std::chrono::milliseconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  while (Running() && std::chrono::steady_clock::now() < end) {
+    boost::this_fiber::sleep_for(kPollStep);
+  }
+  return status_;
+}
+
+std::string Process::Output() const {
+  std::ifstream in(log_path_);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::uint16_t FreePort() {
+  // Starts at a place of its own, so that tests run beside each other.
+  static int next = kFirstPort + getpid() * 97 % (kLastPort - kFirstPort);
+  while (true) {
+    next = next >= kLastPort ? kFirstPort : next + 1;
+    if (CanBind(static_cast<std::uint16_t>(next))) {
+      return static_cast<std::uint16_t>(next);
+    }
+  }
+}
+
+std::string ProgramPath(const std::string& name) {
+  const char* folder = std::getenv("TANAGERLOOM_BIN");
+  return std::string(folder == nullptr ? "." : folder) + "/" + name;
+}
+
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/testing/harness/wait.h
@@ -0,0 +1,28 @@
+// Defines WaitUntil, by which tests wait for a condition of other processes.
+#ifndef TESTING_HARNESS_WAIT_H_
+#define TESTING_HARNESS_WAIT_H_
+
+#include <boost/fiber/operations.hpp>
+#include <chrono>
+
+namespace tanagerloom::testing_support {
+
+/// Polls `condition` until it holds; false on the timeout, which is generous
+/// because it bounds only a failing test.
+template <typename Condition>
+bool WaitUntil(Condition condition,
+               std::chrono::milliseconds timeout = std::chrono::seconds(30)) {
+  constexpr auto kStep = std::chrono::milliseconds(20);
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    boost::this_fiber::sleep_for(kStep);
+  }
+  return true;
+}
+
+}  // namespace tanagerloom::testing_support
+
+#endif  // TESTING_HARNESS_WAIT_H_
