Keep the engine's cache list alive while it is read

Cause: the loop over items() of a temporary read freed memory once an engine reported a cached model. correctness.engine_control failed before and passes after.

--- a/packages/platform/http_engine_control.cc
+++ b/packages/platform/http_engine_control.cc
@@ -54,8 +54,9 @@
   state.memory_mb = json.at("memory_mb").get<std::uint64_t>();
   state.used_mb = json.value("used_mb", std::uint64_t{0});
   state.leaving = json.value("leaving", false);
-  for (const auto& [model, source] :
-       json.value("cached", nlohmann::json::object()).items()) {
+  // items() refers to the object, which must outlive the loop.
+  const auto cached = json.value("cached", nlohmann::json::object());
+  for (const auto& [model, source] : cached.items()) {
     state.cached[model] = ParseSource(source.get<std::string>());
   }
   for (const auto& it : json.at("entries")) {
