--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -40,8 +40,8 @@
                                                    "configuration_unreachable"};
 inline constexpr EventId kConfigurationUnusable{504, Severity::kError,
                                                 "configuration_unusable"};
-inline constexpr EventId kConfigurationOlderIgnored{
-    505, Severity::kWarning, "configuration_older_ignored"};
+inline constexpr EventId kConfigurationOlder{505, Severity::kWarning,
+                                             "configuration_older_ignored"};
 inline constexpr EventId kConfigurationRetried{506, Severity::kDebug,
                                                "configuration_retried"};
 inline constexpr EventId kDrainRequested{507, Severity::kInfo,
--- a/packages/config/file_diff.cc
+++ b/packages/config/file_diff.cc
@@ -49,8 +49,9 @@
     return;
   }
   for (const auto& key : Keys(*before, *after)) {
-    AddDetails(path.empty() ? key : path + "/" + key, Member(*before, key),
-               Member(*after, key), out);
+    std::string item_path = path.empty() ? "" : path + "/";
+    item_path += key;
+    AddDetails(item_path, Member(*before, key), Member(*after, key), out);
   }
 }
 
--- a/packages/control/config_applier.cc
+++ b/packages/control/config_applier.cc
@@ -275,7 +275,7 @@
     }
     if (unsure) {
       std::uint64_t object_version = 0;
-      const auto found = ReadBack(id, root.version, object_version);
+      auto found = ReadBack(id, root.version, object_version);
       if (found && found.value()) {
         return found;
       }
--- a/packages/control/config_store.cc
+++ b/packages/control/config_store.cc
@@ -164,7 +164,7 @@
   NoteVersion(root.version);
   if (root.version <= root_.version) {
     if (root.version < root_.version && object_version > object_version_) {
-      events_.Record(events::kConfigurationOlderIgnored,
+      events_.Record(events::kConfigurationOlder,
                      {{"version", root.version}, {"in_force", root_.version}});
     }
     object_version_ = std::max(object_version_, object_version);
--- a/packages/ctl/ctl_context.cc
+++ b/packages/ctl/ctl_context.cc
@@ -9,17 +9,19 @@
 namespace tanagerloom {
 
 std::string CtlContext::Option(const std::string& name) const {
-  const auto it = args.find(name);
-  return it != args.end() && it->second.isString() ? it->second.asString() : "";
+  const auto all = Options(name);
+  return all.empty() ? "" : all.front();
 }
 
 std::vector<std::string> CtlContext::Options(const std::string& name) const {
   const auto it = args.find(name);
-  if (it == args.end() || !it->second.isStringList()) {
-    const auto text = Option(name);
-    return text.empty() ? std::vector<std::string>() : std::vector{text};
+  if (it == args.end() ||
+      !(it->second.isString() || it->second.isStringList())) {
+    return {};
   }
-  return it->second.asStringList();
+  // The parser makes a list of a name that may be repeated in any command.
+  return it->second.isString() ? std::vector{it->second.asString()}
+                               : it->second.asStringList();
 }
 
 bool CtlContext::Flag(const std::string& name) const {
--- a/packages/ctl/ctl_context.h
+++ b/packages/ctl/ctl_context.h
@@ -22,9 +22,9 @@
   std::ostream& out;
   std::ostream& err;
 
-  /// An option's text; empty if it was not given.
+  /// The first text of an option or argument; empty if it was not given.
   std::string Option(const std::string& name) const;
-  /// A repeatable option's or argument's texts.
+  /// All texts of an option or argument.
   std::vector<std::string> Options(const std::string& name) const;
   bool Flag(const std::string& name) const;
 
