--- a/testing/run/demo.py
+++ b/testing/run/demo.py
@@ -115,8 +115,8 @@
 
 
 def show_timeline(estate: Estate):
-    nodes = ",".join(f"127.0.0.1:{it.admin}" for it in estate.nodes)
-    text = estate.ctl("timeline", "--node", nodes, "--token", "estate-demo-token")
+    nodes = [f"--node=127.0.0.1:{it.admin}" for it in estate.nodes]
+    text = estate.ctl("timeline", *nodes)
     lines = text.splitlines()
     print(f"\ntime line, the first of {len(lines)} lines:")
     print("\n".join(lines[:15]))
