--- a/testing/run/demo.py
+++ b/testing/run/demo.py
@@ -135,9 +135,9 @@
     estate = start()
     results = {"cold starts": cold_start_burst(estate), "loads": check_loads(estate),
                "stream": stream_answer(estate), "booking": book_once(estate)}
+    estate.keep = arguments.keep
     show_timeline(estate)
     if arguments.keep:
-        estate.keep = True
         print_curl(estate)
     else:
         statuses = estate.stop_nodes()
