--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -44,6 +44,9 @@
   std::uint32_t max_waiting = 20000;  ///< Requests queued on this node.
   std::uint32_t max_in_progress = 8;  ///< Requests of one node per replica.
   std::chrono::milliseconds config_poll_interval{3000};
+  /// "cost", "fixed" or "never": how long idle models stay loaded. The last two
+  /// are baselines for comparison.
+  std::string keep_alive_policy = "cost";
 };
 
 /// One problem of a settings or configuration file.
--- a/packages/decision/cell_record.cc
+++ b/packages/decision/cell_record.cc
@@ -85,6 +85,31 @@
   return server;
 }
 
+nlohmann::json FailuresToJson(const ModelKey& key,
+                              const LoadFailures& failures) {
+  auto servers = nlohmann::json::object();
+  for (const auto& [id, it] : failures.servers) {
+    servers[id] = {{"count", it.count}, {"last_ms", it.last_ms}};
+  }
+  return {{"model", key.model},
+          {"version", key.version},
+          {"adapter", key.adapter},
+          {"cause", failures.cause},
+          {"servers", std::move(servers)}};
+}
+
+void ParseFailures(const nlohmann::json& json, CellRecord& record) {
+  const ModelKey key{json.at("model").get<std::string>(),
+                     json.at("version").get<std::string>(),
+                     json.at("adapter").get<std::string>()};
+  auto& failures = record.failures[key];
+  failures.cause = json.at("cause").get<std::string>();
+  for (const auto& [id, it] : json.at("servers").items()) {
+    failures.servers[id] = {it.at("count").get<std::uint32_t>(),
+                            it.at("last_ms").get<std::uint64_t>()};
+  }
+}
+
 }  // namespace
 
 std::uint64_t ServerRecord::ReservedMb() const {
@@ -163,11 +188,16 @@
   for (const auto& [id, server] : record.servers) {
     servers[id] = ServerToJson(server);
   }
+  auto failures = nlohmann::json::array();
+  for (const auto& [key, it] : record.failures) {
+    failures.push_back(FailuresToJson(key, it));
+  }
   return {{"cell", record.cell},
           {"config_version", record.config_version},
           {"sequence", record.sequence},
           {"writes", record.writes},
-          {"servers", std::move(servers)}};
+          {"servers", std::move(servers)},
+          {"failures", std::move(failures)}};
 }
 
 std::string WriteRecord(const CellRecord& record) {
@@ -185,6 +215,9 @@
     for (const auto& [id, server] : json.at("servers").items()) {
       record.servers.emplace(id, ParseServer(server));
     }
+    for (const auto& it : json.value("failures", nlohmann::json::array())) {
+      ParseFailures(it, record);
+    }
     return record;
   } catch (const nlohmann::json::exception& error) {
     return MakeError(ErrorKind::kInternal,
--- a/packages/decision/cell_record.h
+++ b/packages/decision/cell_record.h
@@ -13,6 +13,7 @@
 
 #include "base/error.h"
 #include "config/model_key.h"
+#include "decision/load_failures.h"
 
 namespace tanagerloom {
 
@@ -66,6 +67,8 @@
   std::uint64_t sequence = 0;
   std::vector<std::string> writes;  ///< Ids of the last writes, newest last.
   std::map<std::string, ServerRecord, std::less<>> servers;
+  /// Keys whose loads failed since they last succeeded.
+  std::map<ModelKey, LoadFailures> failures;
 
   /// Replicas of a key in any state.
   std::uint32_t CountReplicas(const ModelKey& key) const;
--- a/packages/decision/demand_book.cc
+++ b/packages/decision/demand_book.cc
@@ -13,7 +13,27 @@
   if (entry.number != 0 && number < entry.number) {
     return;
   }
-  entry = {number, now_ms, demand};
+  const auto since_ms =
+      entry.demand.waiting > 0 ? entry.demand.since_ms : now_ms;
+  const bool arrived = entry.arrived || demand.arrivals > 0;
+  entry = {number, now_ms, demand, arrived};
+  entry.demand.since_ms = demand.waiting > 0 ? since_ms : 0;
+}
+
+std::vector<ModelKey> DemandBook::TakeUsed() {
+  std::vector<ModelKey> used;
+  for (auto& [key, nodes] : entries_) {
+    bool in_use = false;
+    for (auto& [node, entry] : nodes) {
+      in_use = in_use || entry.arrived || entry.demand.waiting > 0 ||
+               entry.demand.running > 0;
+      entry.arrived = false;
+    }
+    if (in_use) {
+      used.push_back(key);
+    }
+  }
+  return used;
 }
 
 void DemandBook::Expire(std::uint64_t now_ms) {
@@ -33,6 +53,8 @@
       const auto& it = entry.demand;
       if (it.waiting > 0) {
         sum.rank = sum.waiting == 0 ? it.rank : std::min(sum.rank, it.rank);
+        sum.since_ms = sum.waiting == 0 ? it.since_ms
+                                        : std::min(sum.since_ms, it.since_ms);
         if (it.deadline_ms != 0) {
           sum.deadline_ms = sum.deadline_ms == 0
                                 ? it.deadline_ms
--- a/packages/decision/demand_book.h
+++ b/packages/decision/demand_book.h
@@ -19,6 +19,7 @@
   std::uint32_t rank = 0;         ///< Best rank among the waiting.
   std::uint64_t deadline_ms = 0;  ///< Local monotonic time; 0 if none waits.
   std::uint32_t arrivals = 0;
+  std::uint64_t since_ms = 0;  ///< Since when something waits.
 
   bool operator==(const ModelDemand&) const = default;
 };
@@ -41,6 +42,10 @@
   /// Drops demand that was not renewed.
   void Expire(std::uint64_t now_ms);
 
+  /// Keys that were in use since the last call: with waiting, running or newly
+  /// arrived requests.
+  std::vector<ModelKey> TakeUsed();
+
   /// The sum for each model that has something waiting or running.
   std::map<ModelKey, ModelDemand> Total() const;
 
@@ -49,6 +54,7 @@
     std::uint64_t number = 0;
     std::uint64_t renewed_ms = 0;
     ModelDemand demand;
+    bool arrived = false;  ///< Since TakeUsed().
   };
 
   std::map<ModelKey, std::map<std::string, Entry>> entries_;
--- a/packages/decision/engine_report.h
+++ b/packages/decision/engine_report.h
@@ -45,6 +45,13 @@
   }
 };
 
+/// A load report of an engine, which lags.
+struct ServerLoad {
+  std::uint64_t read_started_ms = 0;  ///< Local monotonic milliseconds.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+};
+
 /// What a node knows about a server.
 struct ServerFacts {
   bool listed = false;   ///< In the VM list.
@@ -52,6 +59,7 @@
   std::uint64_t unlisted_since_ms = 0;  ///< Valid if not listed.
   bool reachable = false;               ///< The last state read succeeded.
   std::optional<EngineReport> report;
+  std::optional<ServerLoad> load;  ///< Read only when it is needed.
 };
 
 using ServerFactsMap = std::map<std::string, ServerFacts, std::less<>>;
--- /dev/null
+++ b/packages/decision/keep_alive.cc
@@ -0,0 +1,66 @@
+#include "decision/keep_alive.h"
+
+#include <algorithm>
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr double kSecondsPerHour = 3600;
+// Between the two factors nothing changes, so that a model near the break-even
+// point is not loaded and unloaded in turn.
+constexpr double kKeepFactor = 0.7;
+constexpr double kPrewarmFactor = 1.5;
+
+// What being loaded in a window ahead saves in cold starts, divided by what it
+// costs in idle time. Being loaded pays if this is above 1.
+double Payoff(const ArrivalHistory& history,
+              const KeepAliveCosts& costs,
+              double from_s) {
+  const double window_s =
+      std::max(2 * costs.cold_start_s, history.WindowSeconds(from_s));
+  const auto chance = history.Chance(from_s, window_s);
+  const double saved =
+      chance.probability * costs.cold_start_s * costs.cold_start_cost_per_s;
+  const double idle =
+      chance.mean_idle_s / kSecondsPerHour * costs.idle_cost_per_hour;
+  return idle > 0 ? saved / idle : saved;
+}
+
+}  // namespace
+
+KeepAlivePolicy KeepAlivePolicyOf(std::string_view name) {
+  if (name == "fixed") {
+    return FixedKeepAlive{};
+  }
+  if (name == "never") {
+    return NeverUnload{};
+  }
+  return CostKeepAlive{};
+}
+
+bool ShouldUnload(const KeepAlivePolicy& policy,
+                  const ArrivalHistory& history,
+                  const KeepAliveCosts& costs,
+                  std::uint64_t now_ms) {
+  const auto idle_s = history.IdleSeconds(now_ms);
+  if (const auto* fixed = std::get_if<FixedKeepAlive>(&policy)) {
+    return idle_s >= fixed->idle_s;
+  }
+  return std::holds_alternative<CostKeepAlive>(policy) &&
+         idle_s > costs.cold_start_s &&
+         Payoff(history, costs, idle_s) < kKeepFactor;
+}
+
+bool ShouldPrewarm(const KeepAlivePolicy& policy,
+                   const ArrivalHistory& history,
+                   const KeepAliveCosts& costs,
+                   std::uint64_t now_ms) {
+  if (!std::holds_alternative<CostKeepAlive>(policy) || !history.used()) {
+    return false;
+  }
+  const auto ready_s = history.IdleSeconds(now_ms) + costs.cold_start_s;
+  return Payoff(history, costs, ready_s) > kPrewarmFactor;
+}
+
+}  // namespace tanagerloom
--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -3,180 +3,375 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace tanagerloom {
 
 namespace {
 
-// One replica that demand asks for.
+constexpr std::uint64_t kNever = std::numeric_limits<std::uint64_t>::max();
+// A replica stays at least this many cold starts long, so that a wrong estimate
+// can't load and unload it in turn.
+constexpr double kShortestStayColdStarts = 2;
+
+// One replica to load.
 struct Want {
   ModelKey key;
   std::uint32_t replica_number = 0;  // 0 for the first one.
   ModelDemand demand;
   std::uint64_t extra_mb = 0;  // Room to keep for an adapter.
+  DecisionReason reason = DecisionReason::kDemand;
 };
 
-std::uint32_t CountUsable(const CellRecord& record, const ModelKey& key) {
-  std::uint32_t count = 0;
-  for (const auto& [id, server] : record.servers) {
-    const auto* replica = server.Find(key);
-    if (replica != nullptr && !server.leaving &&
-        replica->state != ReplicaState::kUnloading) {
-      ++count;
+// Makes one plan; `trial_` is the record with the choices so far applied.
+class Planner {
+ public:
+  explicit Planner(const PlanInput& input)
+      : input_(input),
+        trial_(input.record),
+        remote_left_(input.remote_loads_allowed),
+        adapters_left_(input.adapter_loads_allowed) {}
+
+  Plan Run() {
+    UnloadFromLeavingServers();
+    UnloadIdle();
+    for (const auto& want : ListWants()) {
+      Place(want);
+    }
+    if (plan_.loads.empty() && plan_.waiting_for_slots == 0) {
+      Prewarm();
     }
+    return std::move(plan_);
   }
-  return count;
-}
 
-std::uint32_t Desired(const ModelDemand& demand,
-                      std::uint32_t limit,
-                      std::uint32_t requests_per_replica) {
-  if (demand.waiting == 0) {
-    return 0;
+ private:
+  EvictionInput Evictions() const {
+    return {input_.estate,
+            input_.demand,
+            input_.servers,
+            input_.histories,
+            input_.policy,
+            input_.now_ms,
+            input_.demand_is_complete};
   }
-  const auto requests = demand.waiting + demand.running;
-  const auto count =
-      (requests + requests_per_replica - 1) / requests_per_replica;
-  return std::min(limit, std::max(1U, count));
-}
 
-// First replicas come before further ones; then the rank, the deadline and the
-// number of waiting requests decide.
-auto Urgency(const Want& want) {
-  const auto deadline = want.demand.deadline_ms == 0
-                            ? std::numeric_limits<std::uint64_t>::max()
-                            : want.demand.deadline_ms;
-  return std::tuple(
-      want.replica_number, want.demand.rank, deadline,
-      std::numeric_limits<std::uint32_t>::max() - want.demand.waiting);
-}
+  bool IsUsable(const std::string& id) const {
+    const auto it = input_.servers.find(id);
+    return it != input_.servers.end() && it->second.listed &&
+           !it->second.leaving && it->second.reachable &&
+           it->second.report.has_value() && !it->second.report->leaving;
+  }
 
-void AddWants(const PlanInput& input,
-              const ModelKey& key,
-              const ModelDemand& demand,
-              std::uint64_t extra_mb,
-              std::vector<Want>& wants) {
-  const auto allowance = AllowanceOf(input.estate, key);
-  const auto desired =
-      Desired(demand, allowance.replica_limit, input.requests_per_replica);
-  const auto have = CountUsable(input.record, key);
-  for (auto n = have; n < desired; ++n) {
-    wants.push_back({key, n, demand, extra_mb});
+  std::uint32_t CountUsable(const ModelKey& key) const {
+    std::uint32_t count = 0;
+    for (const auto& [id, server] : trial_.servers) {
+      const auto* replica = server.Find(key);
+      if (replica != nullptr && !server.leaving && IsUsable(id) &&
+          replica->state != ReplicaState::kUnloading) {
+        ++count;
+      }
+    }
+    return count;
   }
-}
 
-std::vector<Want> ListWants(const PlanInput& input) {
-  std::vector<Want> wants;
-  for (const auto& [key, demand] : input.demand) {
-    if (!key.adapter.empty() && CountUsable(input.record, key.Base()) == 0) {
-      const auto extra = AllowanceOf(input.estate, key).memory_mb;
-      auto base_demand = demand;
-      base_demand.waiting = std::min(1U, demand.waiting);
-      base_demand.running = 0;
-      if (!input.demand.contains(key.Base())) {
-        AddWants(input, key.Base(), base_demand, extra, wants);
+  std::uint32_t CountStaying(const ModelKey& key) const {
+    std::uint32_t count = 0;
+    for (const auto& [id, server] : trial_.servers) {
+      const auto* replica = server.Find(key);
+      if (replica != nullptr && replica->state != ReplicaState::kUnloading) {
+        ++count;
       }
-      continue;
     }
-    AddWants(input, key, demand, 0, wants);
+    return count;
   }
-  std::ranges::stable_sort(wants, {}, Urgency);
-  return wants;
-}
 
-bool IsUsable(const PlanInput& input, const std::string& id) {
-  const auto it = input.servers.find(id);
-  return it != input.servers.end() && it->second.listed &&
-         !it->second.leaving && it->second.reachable &&
-         it->second.report.has_value() && !it->second.report->leaving;
-}
+  std::uint32_t Desired(const ModelDemand& demand, std::uint32_t limit) const {
+    if (demand.waiting == 0) {
+      return 0;
+    }
+    const auto requests = demand.waiting + demand.running;
+    const auto count = (requests + input_.requests_per_replica - 1) /
+                       input_.requests_per_replica;
+    return std::min(limit, std::max(1U, count));
+  }
 
-bool HoldsLoadedBase(const ServerRecord& server, const ModelKey& key) {
-  const auto* base = server.Find(key.Base());
-  return base != nullptr && base->state == ReplicaState::kLoaded;
-}
+  void AddWants(const ModelKey& key,
+                const ModelDemand& demand,
+                std::uint64_t extra_mb,
+                std::vector<Want>& wants) const {
+    const auto failures = input_.record.failures.find(key);
+    if (failures != input_.record.failures.end() &&
+        input_.wall_ms < failures->second.KeyRetryMs()) {
+      return;
+    }
+    const auto allowance = AllowanceOf(input_.estate, key);
+    const auto desired = Desired(demand, allowance.replica_limit);
+    for (auto n = CountUsable(key); n < desired; ++n) {
+      wants.push_back({key, n, demand, extra_mb});
+    }
+  }
 
-// Lower is better: the fastest source, then the emptiest server.
-auto PlacementCost(const PlanInput& input,
-                   const std::string& id,
-                   const ServerRecord& server,
-                   const ModelKey& key) {
-  const auto share =
-      server.memory_mb == 0
-          ? 1.0
-          : static_cast<double>(server.ReservedMb()) / server.memory_mb;
-  return std::tuple(static_cast<int>(SourceOn(input.servers, id, key)), share,
-                    id);
-}
+  // First replicas come before further ones; then the rank, the deadline and
+  // the number of waiting requests decide. The baseline policy takes them in
+  // the order of arrival.
+  auto Urgency(const Want& want) const {
+    if (std::holds_alternative<FixedKeepAlive>(input_.policy)) {
+      return std::tuple(0U, 0U, want.demand.since_ms, 0U);
+    }
+    const auto deadline =
+        want.demand.deadline_ms == 0 ? kNever : want.demand.deadline_ms;
+    return std::tuple(
+        want.replica_number, want.demand.rank, deadline,
+        std::numeric_limits<std::uint32_t>::max() - want.demand.waiting);
+  }
+
+  std::vector<Want> ListWants() const {
+    std::vector<Want> wants;
+    for (const auto& [key, demand] : input_.demand) {
+      if (key.adapter.empty() || CountUsable(key.Base()) > 0) {
+        AddWants(key, demand, 0, wants);
+      } else if (!input_.demand.contains(key.Base())) {
+        auto base_demand = demand;
+        base_demand.waiting = std::min(1U, demand.waiting);
+        base_demand.running = 0;
+        AddWants(key.Base(), base_demand,
+                 AllowanceOf(input_.estate, key).memory_mb, wants);
+      }
+    }
+    std::ranges::stable_sort(wants, {},
+                             [this](const Want& it) { return Urgency(it); });
+    // Adapters of one base may each ask for its first replica.
+    std::set<std::pair<ModelKey, std::uint32_t>> seen;
+    std::erase_if(wants, [&](const Want& it) {
+      return !seen.emplace(it.key, it.replica_number).second;
+    });
+    return wants;
+  }
 
-std::optional<std::string> ChooseServer(const PlanInput& input,
-                                        const CellRecord& record,
-                                        const Want& want,
-                                        std::uint64_t memory_mb) {
-  std::optional<std::string> best;
-  for (const auto& [id, server] : record.servers) {
-    if (!IsUsable(input, id) || server.leaving ||
-        server.Find(want.key) != nullptr ||
-        server.FreeMb() < memory_mb + want.extra_mb) {
-      continue;
+  bool CanHold(const std::string& id, const Want& want) const {
+    const auto& server = trial_.servers.find(id)->second;
+    if (!IsUsable(id) || server.leaving || server.Find(want.key) != nullptr) {
+      return false;
     }
-    if (!want.key.adapter.empty() && !HoldsLoadedBase(server, want.key)) {
-      continue;
+    const auto failures = input_.record.failures.find(want.key);
+    if (failures != input_.record.failures.end() &&
+        input_.wall_ms < failures->second.ServerRetryMs(id)) {
+      return false;
     }
-    if (!best ||
-        PlacementCost(input, id, server, want.key) <
-            PlacementCost(input, *best, record.servers.find(*best)->second,
-                          want.key)) {
-      best = id;
+    if (want.key.adapter.empty()) {
+      return true;
     }
+    const auto* base = server.Find(want.key.Base());
+    return base != nullptr && base->state == ReplicaState::kLoaded;
   }
-  return best;
-}
 
-}  // namespace
+  // Free memory that is not promised to a more urgent want, and with it the
+  // memory that unloading replicas will free.
+  std::pair<std::uint64_t, std::uint64_t> Room(const std::string& id) const {
+    const auto& server = trial_.servers.find(id)->second;
+    std::uint64_t unloading = 0;
+    for (const auto& it : server.replicas) {
+      unloading += it.state == ReplicaState::kUnloading ? it.memory_mb : 0;
+    }
+    const auto it = promised_mb_.find(id);
+    const auto promised = it == promised_mb_.end() ? 0 : it->second;
+    const auto total = server.FreeMb() + unloading;
+    const auto later = total > promised ? total - promised : 0;
+    return {std::min(server.FreeMb(), later), later};
+  }
 
-WeightSource SourceOn(const ServerFactsMap& servers,
-                      const std::string& server,
-                      const ModelKey& key) {
-  const auto it = servers.find(server);
-  if (!key.adapter.empty() || it == servers.end() || !it->second.report) {
-    return WeightSource::kRemote;
+  // Lower is better: the fastest source, then the emptiest server.
+  auto PlacementCost(const std::string& id, const ModelKey& key) const {
+    const auto& server = trial_.servers.find(id)->second;
+    const auto share = server.memory_mb == 0
+                           ? 1.0
+                           : static_cast<double>(server.ReservedMb()) /
+                                 static_cast<double>(server.memory_mb);
+    return std::tuple(static_cast<int>(SourceOn(input_.servers, id, key)),
+                      share, id);
   }
-  const auto cached = it->second.report->cached.find(key.model);
-  return cached == it->second.report->cached.end() ? WeightSource::kRemote
-                                                   : cached->second;
-}
 
-Plan PlanCell(const PlanInput& input) {
-  Plan plan;
-  auto trial = input.record;
-  auto remote_left = input.remote_loads_allowed;
-  for (const auto& want : ListWants(input)) {
-    const auto allowance = AllowanceOf(input.estate, want.key);
-    const auto server = ChooseServer(input, trial, want, allowance.memory_mb);
+  std::optional<std::string> ChooseServer(const Want& want,
+                                          std::uint64_t need_mb) const {
+    std::optional<std::string> best;
+    for (const auto& [id, server] : trial_.servers) {
+      if (CanHold(id, want) && Room(id).first >= need_mb &&
+          (!best ||
+           PlacementCost(id, want.key) < PlacementCost(*best, want.key))) {
+        best = id;
+      }
+    }
+    return best;
+  }
+
+  void Place(const Want& want) {
+    const auto allowance = AllowanceOf(input_.estate, want.key);
+    const auto need_mb = allowance.memory_mb + want.extra_mb;
+    if (trial_.CountReplicas(want.key) >= allowance.replica_limit) {
+      return;
+    }
+    const auto server = ChooseServer(want, need_mb);
     if (!server) {
-      continue;
+      if (want.reason == DecisionReason::kDemand) {
+        MakeRoom(want, need_mb);
+      }
+      return;
     }
-    const auto source = SourceOn(input.servers, *server, want.key);
-    const bool uses_store =
-        source == WeightSource::kRemote && want.key.adapter.empty();
-    if (uses_store && remote_left == 0) {
-      continue;
+    const auto source = SourceOn(input_.servers, *server, want.key);
+    auto* left = LimitOf(want.key, source);
+    if (left != nullptr && *left == 0) {
+      ++plan_.waiting_for_slots;
+      promised_mb_[*server] += need_mb;
+      return;
     }
     const LoadDecision decision{.server = *server,
                                 .key = want.key,
                                 .memory_mb = allowance.memory_mb,
                                 .replica_limit = allowance.replica_limit,
                                 .source = source,
-                                .reason = DecisionReason::kDemand};
-    if (!DecideLoad(trial, decision, {})) {
-      continue;
+                                .reason = want.reason,
+                                .order = ""};
+    if (DecideLoad(trial_, decision, {})) {
+      if (left != nullptr) {
+        --*left;
+      }
+      plan_.loads.push_back(decision);
     }
-    remote_left -= uses_store ? 1 : 0;
-    plan.loads.push_back(decision);
   }
-  return plan;
+
+  std::uint32_t* LimitOf(const ModelKey& key, WeightSource source) {
+    if (!key.adapter.empty()) {
+      return &adapters_left_;
+    }
+    return UsesWeightStore(key, source) ? &remote_left_ : nullptr;
+  }
+
+  // Promises memory that is being freed, or evicts unused replicas for it.
+  void MakeRoom(const Want& want, std::uint64_t need_mb) {
+    std::optional<Eviction> best;
+    std::string best_server;
+    for (const auto& [id, server] : trial_.servers) {
+      if (!CanHold(id, want)) {
+        continue;
+      }
+      const auto later = Room(id).second;
+      if (later >= need_mb) {
+        promised_mb_[id] += need_mb;
+        return;
+      }
+      auto eviction = ChooseEviction(
+          Evictions(), trial_, id, need_mb - later,
+          want.key.adapter.empty() ? ModelKey{} : want.key.Base());
+      if (eviction && (!best || eviction->cost < best->cost)) {
+        best = std::move(eviction);
+        best_server = id;
+      }
+    }
+    if (best) {
+      for (const auto& it : best->unloads) {
+        Unload(it.server, it.key);
+      }
+      promised_mb_[best_server] += need_mb;
+    }
+  }
+
+  void Unload(const std::string& server, const ModelKey& key) {
+    if (DecideUnload(trial_, server, key, {})) {
+      plan_.unloads.push_back({server, key});
+    }
+  }
+
+  // Visits loaded replicas, adapters first, because a base can't be unloaded
+  // before its adapters.
+  template <typename Visit>
+  void VisitLoaded(Visit visit) {
+    for (const bool adapters : {true, false}) {
+      for (const auto& [id, server] : input_.record.servers) {
+        for (const auto& it : server.replicas) {
+          if (it.state == ReplicaState::kLoaded &&
+              it.key.adapter.empty() != adapters) {
+            visit(id, server, it);
+          }
+        }
+      }
+    }
+  }
+
+  // The order is sent when no request runs there any more; deciding it now lets
+  // the model be loaded elsewhere as soon as possible.
+  void UnloadFromLeavingServers() {
+    VisitLoaded([this](const auto& id, const auto& server, const auto& it) {
+      const auto facts = input_.servers.find(id);
+      const bool listed = facts != input_.servers.end() && facts->second.listed;
+      if (listed && (server.leaving || facts->second.leaving)) {
+        Unload(id, it.key);
+      }
+    });
+  }
+
+  void UnloadIdle() {
+    const auto evictions = Evictions();
+    VisitLoaded([&](const auto& id, const auto&, const auto& it) {
+      if (!IsUnused(evictions, id, it.key)) {
+        return;
+      }
+      const auto limit = AllowanceOf(input_.estate, it.key).replica_limit;
+      if (CountStaying(it.key) > limit || IsIdleTooLong(id, it)) {
+        Unload(id, it.key);
+      }
+    });
+  }
+
+  bool IsIdleTooLong(const std::string& server,
+                     const ReplicaRecord& replica) const {
+    const auto history = input_.histories.find(replica.key);
+    if (history == input_.histories.end()) {
+      return false;
+    }
+    const auto costs =
+        CostsOf(input_.estate, input_.servers, server, replica.key);
+    const auto stay_ms = static_cast<std::uint64_t>(kShortestStayColdStarts *
+                                                    costs.cold_start_s * 1000);
+    return input_.wall_ms > replica.decided_ms + stay_ms &&
+           ShouldUnload(input_.policy, history->second, costs, input_.now_ms);
+  }
+
+  void Prewarm() {
+    for (const auto& [key, history] : input_.histories) {
+      if (!key.adapter.empty() || input_.demand.contains(key) ||
+          input_.record.failures.contains(key) || CountUsable(key) > 0) {
+        continue;
+      }
+      if (ShouldPrewarm(input_.policy, history,
+                        CostsOf(input_.estate, input_.servers, "", key),
+                        input_.now_ms)) {
+        Place({.key = key,
+               .replica_number = 0,
+               .demand = {},
+               .extra_mb = 0,
+               .reason = DecisionReason::kPrewarm});
+      }
+    }
+  }
+
+  const PlanInput& input_;
+  CellRecord trial_;
+  std::uint32_t remote_left_;
+  std::uint32_t adapters_left_;
+  std::map<std::string, std::uint64_t> promised_mb_;
+  Plan plan_;
+};
+
+}  // namespace
+
+Plan PlanCell(const PlanInput& input) {
+  return Planner(input).Run();
+}
+
+bool UsesWeightStore(const ModelKey& key, WeightSource source) {
+  return key.adapter.empty() && source == WeightSource::kRemote;
 }
 
 }  // namespace tanagerloom
--- a/packages/decision/planner.h
+++ b/packages/decision/planner.h
@@ -5,13 +5,15 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 #include "config/estate.h"
+#include "decision/arrival_history.h"
 #include "decision/cell_record.h"
 #include "decision/demand_book.h"
 #include "decision/engine_report.h"
+#include "decision/eviction.h"
+#include "decision/keep_alive.h"
 #include "decision/record_operations.h"
 
 namespace tanagerloom {
@@ -22,30 +24,30 @@
   const Estate& estate;
   const std::map<ModelKey, ModelDemand>& demand;
   const ServerFactsMap& servers;
+  const std::map<ModelKey, ArrivalHistory>& histories;
+  KeepAlivePolicy policy;
   std::uint32_t remote_loads_allowed = 0;
+  std::uint32_t adapter_loads_allowed = 0;
   std::uint32_t requests_per_replica = 8;
-};
-
-/// A replica to unload.
-struct UnloadChoice {
-  std::string server;
-  ModelKey key;
-
-  bool operator==(const UnloadChoice&) const = default;
+  std::uint64_t now_ms = 0;   ///< Local monotonic time.
+  std::uint64_t wall_ms = 0;  ///< As in the record.
+  /// Whether `demand` holds the running requests of all nodes. If not, only
+  /// replicas on servers that report no load at all may be unloaded.
+  bool demand_is_complete = true;
 };
 
 /// Choices, in the order in which they are to be applied.
 struct Plan {
   std::vector<UnloadChoice> unloads;
   std::vector<LoadDecision> loads;
+  /// Loads from the weight store that wait for a slot.
+  std::uint32_t waiting_for_slots = 0;
 };
 
 Plan PlanCell(const PlanInput& input);
 
-/// The fastest source from which a server can load a model.
-WeightSource SourceOn(const ServerFactsMap& servers,
-                      const std::string& server,
-                      const ModelKey& key);
+/// Whether a load is counted against the limits of the weight store.
+bool UsesWeightStore(const ModelKey& key, WeightSource source);
 
 }  // namespace tanagerloom
 
--- a/packages/decision/reconcile.cc
+++ b/packages/decision/reconcile.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Well above the longest back-off, so that it goes on doubling.
+constexpr std::uint64_t kKeepFailuresMs = 600000;
+
 // Reconciles the replicas of one server with its report.
 class ServerReconciler {
  public:
@@ -30,8 +33,9 @@
     }
     // Adapters come first, because a base is only removed after them.
     auto replicas = record_.servers.find(server_)->second.replicas;
-    std::ranges::stable_partition(
-        replicas, [](const auto& it) { return !it.key.adapter.empty(); });
+    std::stable_partition(replicas.begin(), replicas.end(), [](const auto& it) {
+      return !it.key.adapter.empty();
+    });
     for (const auto& replica : replicas) {
       Reconcile(replica);
     }
@@ -46,8 +50,9 @@
 
   void RemoveServer(const char* cause) {
     auto replicas = record_.servers.find(server_)->second.replicas;
-    std::ranges::stable_partition(
-        replicas, [](const auto& it) { return !it.key.adapter.empty(); });
+    std::stable_partition(replicas.begin(), replicas.end(), [](const auto& it) {
+      return !it.key.adapter.empty();
+    });
     for (const auto& replica : replicas) {
       Remove(replica, cause);
     }
@@ -130,6 +135,7 @@
   }
 
   void Failed(const ReplicaRecord& replica, std::string cause) {
+    NoteLoadFailure(record_, server_, replica.key, cause, input_.self.now_ms);
     outcome_.failed.push_back(Change(replica, cause));
     RemoveOrUnload(replica, std::move(cause));
   }
@@ -157,7 +163,7 @@
     }
     const bool overdue =
         input_.now_ms > input_.seen_ms(replica) + input_.order_progress_ms;
-    if (!overdue && input_.may_still_run(replica.executor)) {
+    if (!overdue && input_.executor_present(replica.executor)) {
       return;
     }
     if (AdoptOrder(record_, server_, replica.key, replica.order,
@@ -199,6 +205,9 @@
 ReconcileOutcome ReconcileCell(CellRecord& record,
                                const ReconcileInput& input) {
   ReconcileOutcome outcome;
+  std::erase_if(record.failures, [&](const auto& it) {
+    return input.self.now_ms > it.second.LastMs() + kKeepFailuresMs;
+  });
   for (const auto& [id, facts] : input.servers) {
     if (facts.listed && facts.report && !record.servers.contains(id)) {
       UpdateServer(record, id,
--- a/packages/decision/reconcile.h
+++ b/packages/decision/reconcile.h
@@ -34,7 +34,8 @@
   /// When this process first saw an entry with its order in its present state.
   std::function<std::uint64_t(const ReplicaRecord&)> seen_ms;
   SenderDone sender_done;
-  std::function<bool(std::string_view process)> may_still_run;
+  /// Whether the executor of an order is running and reachable.
+  std::function<bool(std::string_view process)> executor_present;
   Decider self;
   bool engines_check_fence = false;
   std::uint64_t now_ms = 0;
--- a/packages/decision/record_operations.cc
+++ b/packages/decision/record_operations.cc
@@ -39,6 +39,19 @@
   });
 }
 
+bool HasAdapterInUse(const ServerRecord& server, const ModelKey& base) {
+  return std::ranges::any_of(server.replicas, [&](const auto& it) {
+    return !it.key.adapter.empty() && it.key.Base() == base &&
+           it.state != ReplicaState::kUnloading;
+  });
+}
+
+bool HasUsableBase(const ServerRecord& server, const ReplicaRecord& adapter) {
+  const auto* base = server.Find(adapter.key.Base());
+  return base != nullptr && (base->state != ReplicaState::kUnloading ||
+                             adapter.state == ReplicaState::kUnloading);
+}
+
 void AddSender(ReplicaRecord& replica, std::string_view process) {
   if (std::ranges::find(replica.senders, process) == replica.senders.end()) {
     replica.senders.emplace_back(process);
@@ -104,7 +117,7 @@
   }
   for (const auto& it : server.replicas) {
     CheckInvariantLazy(
-        it.key.adapter.empty() || keys.contains(it.key.Base()),
+        it.key.adapter.empty() || HasUsableBase(server, it),
         "adapter_has_its_base", [&] {
           return nlohmann::json{{"server", id}, {"model", it.key.ToString()}};
         });
@@ -145,16 +158,17 @@
     return Refusal(decision.server, decision.key, std::move(cause));
   }
   auto& server = record.servers.find(decision.server)->second;
-  server.replicas.push_back({.key = decision.key,
-                             .memory_mb = decision.memory_mb,
-                             .state = ReplicaState::kLoading,
-                             .fence = ++server.fence,
-                             .order = NewId("ord-"),
-                             .executor = decider.process,
-                             .senders = {decider.process},
-                             .source = decision.source,
-                             .decided_ms = decider.now_ms,
-                             .reason = decision.reason});
+  server.replicas.push_back(
+      {.key = decision.key,
+       .memory_mb = decision.memory_mb,
+       .state = ReplicaState::kLoading,
+       .fence = ++server.fence,
+       .order = decision.order.empty() ? NewId("ord-") : decision.order,
+       .executor = decider.process,
+       .senders = {decider.process},
+       .source = decision.source,
+       .decided_ms = decider.now_ms,
+       .reason = decision.reason});
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -170,7 +184,7 @@
     return Refusal(server_id, key, "it is being unloaded");
   }
   auto& server = *FindServer(record, server_id);
-  if (key.adapter.empty() && HasAdapterOf(server, key)) {
+  if (key.adapter.empty() && HasAdapterInUse(server, key)) {
     return Refusal(server_id, key, "adapters on the server need it");
   }
   StartUnload(server, *replica, decider);
@@ -199,6 +213,7 @@
     return Refusal(server, key, "no load with this order is in progress");
   }
   replica->state = ReplicaState::kLoaded;
+  record.failures.erase(key);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -221,8 +236,8 @@
   for (auto& [id, server] : record.servers) {
     for (auto& replica : server.replicas) {
       const auto before = replica;
-      std::erase_if(replica.senders, [&](const auto& process) {
-        return is_done(id, before, process);
+      std::erase_if(replica.senders, [&, server_id = id](const auto& process) {
+        return is_done(server_id, before, process);
       });
     }
   }
@@ -254,6 +269,14 @@
   return server != before;
 }
 
+void NoteLoadFailure(CellRecord& record,
+                     const std::string& server,
+                     const ModelKey& key,
+                     std::string cause,
+                     std::uint64_t wall_ms) {
+  record.failures[key].Add(server, std::move(cause), wall_ms);
+}
+
 bool RemoveEmptyServer(CellRecord& record, std::string_view server) {
   const auto it = record.servers.find(server);
   if (it == record.servers.end() || !it->second.replicas.empty()) {
@@ -284,7 +307,7 @@
     const auto earlier = it == before.end() ? 0 : it->second;
     const auto limit = AllowanceOf(estate, key).replica_limit;
     CheckInvariantLazy(count <= std::max(limit, earlier),
-                       "replicas_within_limit", [&] {
+                       "replicas_within_limit", [&, key = key, count = count] {
                          return nlohmann::json{{"model", key.ToString()},
                                                {"replicas", count},
                                                {"limit", limit},
--- a/packages/decision/record_operations.h
+++ b/packages/decision/record_operations.h
@@ -28,6 +28,7 @@
   std::uint32_t replica_limit = 0;
   WeightSource source = WeightSource::kRemote;
   DecisionReason reason = DecisionReason::kDemand;
+  std::string order;  ///< The order id; a new one if empty.
 };
 
 /// What an accepted configuration allows for a key.
@@ -48,7 +49,7 @@
 
 /// Turns a replica into an unloading one with a new order and fence. Earlier
 /// senders stay listed. Refuses when a server or replica is missing, is already
-/// unloading, or adapters on the server still need it.
+/// unloading, or adapters on the server that are not unloading need it.
 Result<void> DecideUnload(CellRecord& record,
                           std::string_view server,
                           const ModelKey& key,
@@ -61,7 +62,8 @@
                          const ModelKey& key,
                          const Decider& decider);
 
-/// Records that the engine reported the replica of this order as loaded.
+/// Records that the engine reported the replica of this order as loaded, and
+/// forgets earlier failures of its key.
 Result<void> MarkLoaded(CellRecord& record,
                         std::string_view server,
                         const ModelKey& key,
@@ -104,6 +106,13 @@
                   std::string_view server,
                   const ServerReport& report);
 
+/// Counts a failed load of a key on a server.
+void NoteLoadFailure(CellRecord& record,
+                     const std::string& server,
+                     const ModelKey& key,
+                     std::string cause,
+                     std::uint64_t wall_ms);
+
 /// Removes a server without replicas. Returns whether it was removed.
 bool RemoveEmptyServer(CellRecord& record, std::string_view server);
 
@@ -113,7 +122,8 @@
 /// Checks the invariants of a record that is about to replace `previous`:
 /// reserved memory is at most the capacity of each server, no key has more
 /// replicas than its limit unless it already had, no server holds a key twice,
-/// and every adapter has its base. A violation aborts the process.
+/// and every adapter has its base, which is not unloading before the adapter
+/// is. A violation aborts the process.
 void CheckRecord(const CellRecord& previous,
                  const CellRecord& next,
                  const Estate& estate);
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -31,6 +31,21 @@
 // Nodes learn from the record that a replica is to be unloaded; requests they
 // dispatched before that appear in the demand within this time.
 constexpr std::uint64_t kUnloadGraceMs = 100;
+// Load reports lag; one read this long after the decision shows requests that
+// were dispatched before it.
+constexpr std::uint64_t kLoadReportLagMs = 1000;
+// Nodes renew their demand every second; a new coordinator knows the running
+// requests of all nodes after this time.
+constexpr milliseconds kDemandKnownAfter{1500};
+constexpr milliseconds kSlotRetry{100};
+// A slot whose order is not in the record may belong to a decision of another
+// node that is being stored.
+constexpr std::uint64_t kUnknownSlotMs = 5000;
+// A load that takes longer is taken as stuck and gives up its slot.
+constexpr std::uint64_t kLongestLoadMs = 600000;
+constexpr milliseconds kMissingTime{3000};
+// All nodes together read the records at most this often.
+constexpr int kReadsPerSecond = 50;
 
 milliseconds Ms(std::uint64_t ms) {
   return milliseconds(static_cast<std::int64_t>(ms));
@@ -41,11 +56,13 @@
 CellController::CellController(std::string cell,
                                const PlacementDependencies& deps,
                                RecordStore& records,
+                               SlotStore& slots,
                                TaskGroup& tasks,
                                std::function<void()> on_change)
     : cell_(std::move(cell)),
       deps_(deps),
       records_(records),
+      slots_(slots),
       on_change_(std::move(on_change)),
       view_(std::make_shared<StoredRecord>()),
       monitor_(deps.engines, deps.clock, tasks, [this] { Wake(); }),
@@ -95,26 +112,68 @@
 }
 
 Duration CellController::Pass() {
+  NoticePause();
   ReadVms();
-  book_.Expire(LocalMs(deps_.clock));
+  NoteUse();
   const auto now = deps_.clock.Now();
+  if (!IsCoordinator()) {
+    coordinator_since_.reset();
+  } else if (!coordinator_since_) {
+    coordinator_since_ = now;
+  }
   if (now < retry_at_) {
     return retry_at_ - now;
   }
-  if (!have_view_ || now > last_refresh_ + kRefreshInterval) {
-    if (!Refresh()) {
-      return milliseconds(kFirstPlatformRetry);
-    }
+  if ((!have_view_ || now > last_refresh_ + RefreshInterval()) && !Refresh()) {
+    return kFirstPlatformRetry;
   }
   if (!Drives()) {
-    return HasOwnOrders() ? milliseconds(kSlowestOpenPoll)
-                          : milliseconds(kIdlePoll);
+    return HasOwnOrders() ? kSlowestOpenPoll : kIdlePoll;
   }
-  PollEngines();
+  monitor_.SetLoadWanted(ServersToReadLoadOf());
+  monitor_.PollDue(PollIntervals());
   if (!Decide()) {
-    return milliseconds(kFirstPlatformRetry);
+    return kFirstPlatformRetry;
   }
-  return HasOpenOrders() ? milliseconds(kFastestPoll) : milliseconds(kIdlePoll);
+  const auto due = monitor_.UntilDue(PollIntervals());
+  return waiting_for_slots_ > 0 || HasOpenOrders()
+             ? std::min<Duration>(due, kSlotRetry)
+             : due;
+}
+
+void CellController::NoticePause() {
+  const auto now = deps_.clock.Now();
+  if (last_pass_ &&
+      now > *last_pass_ + kIdlePoll + deps_.settings.order_progress) {
+    have_view_ = false;
+    coordinator_since_.reset();
+    acting_until_.reset();
+    monitor_.Invalidate();
+  }
+  last_pass_ = now;
+}
+
+void CellController::NoteUse() {
+  const auto now_ms = LocalMs(deps_.clock);
+  book_.Expire(now_ms);
+  for (const auto& key : book_.TakeUsed()) {
+    histories_[key].NoteUse(now_ms);
+    if (!key.adapter.empty()) {
+      histories_[key.Base()].NoteUse(now_ms);
+    }
+  }
+}
+
+Duration CellController::RefreshInterval() const {
+  if (Drives()) {
+    return kRefreshInterval;
+  }
+  const auto reads =
+      deps_.peers.Members().size() *
+      std::max<std::size_t>(1, deps_.estate.Current()->pools.size());
+  return std::max<Duration>(
+      kRefreshInterval,
+      std::chrono::seconds(static_cast<std::int64_t>(reads) / kReadsPerSecond));
 }
 
 void CellController::ReadVms() {
@@ -152,8 +211,18 @@
   return intervals;
 }
 
-void CellController::PollEngines() {
-  monitor_.PollDue(PollIntervals());
+std::set<std::string> CellController::ServersToReadLoadOf() const {
+  std::set<std::string> servers;
+  const bool complete = DemandIsComplete();
+  for (const auto& [id, server] : view_->record.servers) {
+    const bool unloading = std::ranges::any_of(
+        server.replicas,
+        [](const auto& it) { return it.state == ReplicaState::kUnloading; });
+    if (!complete || unloading) {
+      servers.insert(id);
+    }
+  }
+  return servers;
 }
 
 bool CellController::Refresh() {
@@ -178,14 +247,26 @@
   if (have_view_ && stored.version <= view_->version) {
     return;
   }
+  if (stored.version == view_->version && stored.version != 0) {
+    have_view_ = true;
+    return;
+  }
   have_view_ = true;
   view_ = std::make_shared<const StoredRecord>(std::move(stored));
   const auto now_ms = LocalMs(deps_.clock);
+  for (const auto& [key, seen] : seen_) {
+    if (key.second == ReplicaState::kLoading) {
+      finished_.insert(key.first);
+    }
+  }
   decltype(seen_) seen;
   std::set<std::string_view> orders;
   for (const auto& [id, server] : view_->record.servers) {
     for (const auto& it : server.replicas) {
       orders.insert(it.order);
+      if (it.state == ReplicaState::kLoading) {
+        finished_.erase(it.order);
+      }
       const auto key = std::pair(it.order, it.state);
       const auto old = seen_.find(key);
       seen[key] = old == seen_.end() ? now_ms : old->second;
@@ -204,33 +285,27 @@
   return it == seen_.end() ? LocalMs(deps_.clock) : it->second;
 }
 
+struct CellController::Decision {
+  View base;
+  std::shared_ptr<const Estate> estate;
+  CellRecord next;
+  ReconcileOutcome outcome;
+  std::set<std::string> orders;  // Orders of new loads that need slots.
+  bool complete = true;          // False if the platform failed.
+};
+
 bool CellController::Decide() {
   for (int attempt = 0; attempt < kAttemptsPerPass; ++attempt) {
-    const auto base = view_;
-    const auto estate = deps_.estate.Current();
-    auto next = base->record;
-    const auto outcome = Reconcile(next);
-    // A node that is behind on the configuration does not know the limits.
-    if (!stopping_ && estate->version >= next.config_version) {
-      ApplyPlan(next);
-    }
-    if (next == base->record) {
+    auto decision = MakeDecision();
+    if (!decision.complete) {
+      return false;
+    }
+    if (decision.next == decision.base->record) {
+      FreeSlots();
       return true;
     }
-    next.config_version = std::max(next.config_version, estate->version);
-    RemoveDoneSenders(next,
-                      [this](auto server, const auto& replica, auto process) {
-                        return SenderIsDone(server, replica, process);
-                      });
-    const auto started = deps_.clock.Now();
-    auto stored = records_.Replace(*base, std::move(next), *estate);
-    if (stored) {
-      failures_ = 0;
-      confirmed_ = started;
-      last_refresh_ = started;
-      SetView(std::move(stored).assume_value());
-      Report(outcome, view_->record);
-      Announce();
+    if (StoreDecision(std::move(decision))) {
+      FreeSlots();
       return true;
     }
     if (!Refresh()) {
@@ -240,64 +315,272 @@
   return true;
 }
 
-ReconcileOutcome CellController::Reconcile(CellRecord& next) {
+CellController::Decision CellController::MakeDecision() {
+  Decision decision{.base = view_,
+                    .estate = deps_.estate.Current(),
+                    .next = view_->record,
+                    .outcome = {},
+                    .orders = {}};
+  decision.outcome = Reconcile(decision.next);
+  waiting_for_slots_ = 0;
+  // A node that is behind on the configuration does not know the limits.
+  if (stopping_ || decision.estate->version < decision.next.config_version) {
+    return decision;
+  }
+  auto plan = MakePlan(decision.next, book_.Total());
+  if (plan.waiting_for_slots > 0 &&
+      deps_.clock.Now() >= slots_read_ + kSlotRetry) {
+    // Another cell may have freed slots since the last read.
+    slots_read_ = deps_.clock.Now();
+    if (slots_.Refresh()) {
+      plan = MakePlan(decision.next, book_.Total());
+    }
+  }
+  waiting_for_slots_ = plan.waiting_for_slots;
+  if (!TakeSlots(decision.next, plan)) {
+    decision.complete = false;
+    return decision;
+  }
+  for (const auto& it : plan.loads) {
+    if (!it.order.empty()) {
+      decision.orders.insert(it.order);
+    }
+  }
+  ApplyPlan(decision.next, plan);
+  return decision;
+}
+
+bool CellController::StoreDecision(Decision decision) {
+  auto& next = decision.next;
+  next.config_version = std::max(next.config_version, decision.estate->version);
+  RemoveDoneSenders(next,
+                    [this](auto server, const auto& replica, auto process) {
+                      return SenderIsDone(server, replica, process);
+                    });
+  const auto started = deps_.clock.Now();
+  auto stored =
+      records_.Replace(*decision.base, std::move(next), *decision.estate);
+  if (!stored) {
+    return false;
+  }
+  failures_ = 0;
+  confirmed_ = started;
+  last_refresh_ = started;
+  for (const auto& it : decision.orders) {
+    grants_.erase(it);
+  }
+  for (const auto& it : decision.outcome.loaded) {
+    NoteLoaded(it);
+  }
+  SetView(std::move(stored).assume_value());
+  Report(decision.outcome, view_->record);
+  Announce();
+  return true;
+}
+
+void CellController::NoteLoaded(const ReplicaChange& change) {
+  if (!UsesWeightStore(change.key, change.source)) {
+    return;
+  }
   const auto estate = deps_.estate.Current();
-  const auto pool = estate->pools.find(cell_);
-  return ReconcileCell(
-      next,
-      {.servers = monitor_.facts(),
-       .orders = executor_.answers(),
-       .seen_ms = [this](const auto& it) { return SeenMs(it); },
-       .sender_done =
-           [this](auto server, const auto& replica, auto process) {
-             return SenderIsDone(server, replica, process);
-           },
-       .may_still_run =
-           [this](auto process) { return deps_.peers.MayStillRun(process); },
-       .self = {deps_.peers.self(),
-                static_cast<std::uint64_t>(deps_.clock.WallNow().count())},
-       .engines_check_fence =
-           pool != estate->pools.end() && pool->second.checks_fence,
-       .now_ms = LocalMs(deps_.clock),
-       .order_progress_ms =
-           static_cast<std::uint64_t>(deps_.settings.order_progress.count())});
+  const auto model = estate->models.find(change.key.model);
+  const auto now_ms = Self().now_ms;
+  if (model != estate->models.end() && now_ms > change.decided_ms) {
+    durations_.push_back(
+        {now_ms - change.decided_ms,
+         static_cast<std::uint64_t>(model->second.expected_load.count())});
+  }
+}
+
+bool CellController::TakeSlots(const CellRecord& next, Plan& plan) {
+  const auto uses_store = [](const LoadDecision& it) {
+    return UsesWeightStore(it.key, it.source);
+  };
+  const auto needed =
+      static_cast<std::size_t>(std::ranges::count_if(plan.loads, uses_store));
+  if (needed > grants_.size() &&
+      !ExchangeSlots(next,
+                     static_cast<std::uint32_t>(needed - grants_.size()))) {
+    return false;
+  }
+  auto grant = grants_.begin();
+  std::erase_if(plan.loads, [&](LoadDecision& it) {
+    if (!uses_store(it)) {
+      return false;
+    }
+    if (grant == grants_.end()) {
+      ++waiting_for_slots_;
+      return true;
+    }
+    it.order = *grant++;
+    return false;
+  });
+  return true;
 }
 
-std::uint32_t CellController::RemoteLoadsInProgress(
-    const CellRecord& record) const {
-  std::uint32_t count = 0;
-  for (const auto& [id, server] : record.servers) {
+bool CellController::ExchangeSlots(const CellRecord& next,
+                                   std::uint32_t wanted) {
+  std::set<std::string_view> loading;
+  for (const auto& [id, server] : next.servers) {
     for (const auto& it : server.replicas) {
-      count += it.state == ReplicaState::kLoading && it.key.adapter.empty() &&
-                       it.source == WeightSource::kRemote
-                   ? 1
-                   : 0;
+      if (it.state == ReplicaState::kLoading) {
+        loading.insert(it.order);
+      }
     }
   }
-  return count;
+  const auto now_ms = Self().now_ms;
+  const auto is_needed = [&](const LoadSlot& it) {
+    if (loading.contains(it.order)) {
+      return now_ms < it.taken_ms + kLongestLoadMs;
+    }
+    return grants_.contains(it.order) ||
+           (!finished_.contains(it.order) &&
+            now_ms < it.taken_ms + kUnknownSlotMs);
+  };
+  auto granted = slots_.Exchange({.cell = cell_,
+                                  .is_needed = is_needed,
+                                  .wanted = wanted,
+                                  .durations = durations_},
+                                 deps_.estate.Current()->weight_store);
+  if (!granted) {
+    return false;
+  }
+  durations_.clear();
+  finished_.clear();
+  grants_.insert(granted.assume_value().begin(), granted.assume_value().end());
+  return true;
 }
 
-void CellController::ApplyPlan(CellRecord& next) {
+void CellController::FreeSlots() {
+  const auto now_ms = Self().now_ms;
+  std::set<std::string_view> loading;
+  for (const auto& [id, server] : view_->record.servers) {
+    for (const auto& it : server.replicas) {
+      if (it.state == ReplicaState::kLoading) {
+        loading.insert(it.order);
+      }
+    }
+  }
+  bool free = false;
+  for (const auto& it : slots_.slots().slots) {
+    if (it.cell != cell_ || loading.contains(it.order)) {
+      continue;
+    }
+    if (grants_.contains(it.order)) {
+      // A grant that no decision used soon is given back.
+      if (waiting_for_slots_ == 0 && now_ms > it.taken_ms + kUnknownSlotMs) {
+        grants_.erase(it.order);
+        finished_.insert(it.order);
+        free = true;
+      }
+      continue;
+    }
+    if (finished_.contains(it.order) || now_ms > it.taken_ms + kUnknownSlotMs) {
+      free = true;
+    }
+  }
+  if (free || !durations_.empty()) {
+    (void)ExchangeSlots(view_->record, 0);
+  }
+}
+
+ReconcileOutcome CellController::Reconcile(CellRecord& next) {
+  const auto estate = deps_.estate.Current();
+  const auto pool = estate->pools.find(cell_);
+  return ReconcileCell(
+      next, {.servers = monitor_.facts(),
+             .orders = executor_.answers(),
+             .seen_ms = [this](const auto& it) { return SeenMs(it); },
+             .sender_done =
+                 [this](auto server, const auto& replica, auto process) {
+                   return SenderIsDone(server, replica, process);
+                 },
+             .executor_present =
+                 [this](auto process) { return IsExecutorPresent(process); },
+             .self = Self(),
+             .engines_check_fence =
+                 pool != estate->pools.end() && pool->second.checks_fence,
+             .now_ms = LocalMs(deps_.clock),
+             .order_progress_ms = static_cast<std::uint64_t>(
+                 deps_.settings.order_progress.count())});
+}
+
+Plan CellController::MakePlan(const CellRecord& next,
+                              const std::map<ModelKey, ModelDemand>& demand) {
   const auto estate = deps_.estate.Current();
-  const auto demand = book_.Total();
-  const auto in_progress = RemoteLoadsInProgress(next);
-  const auto limit = estate->weight_store.concurrent_loads;
-  const auto plan = PlanCell(
+  std::uint32_t adapters_loading = 0;
+  for (const auto& [id, server] : next.servers) {
+    for (const auto& it : server.replicas) {
+      if (it.state == ReplicaState::kLoading) {
+        adapters_loading += it.key.adapter.empty() ? 0 : 1;
+      }
+    }
+  }
+  // Each cell has an equal share of the adapter loads, so that these short
+  // loads need no write to the shared slots.
+  const auto cells = static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, estate->pools.size()));
+  const auto share =
+      std::max(1U, estate->weight_store.concurrent_adapter_loads / cells);
+  const auto wall_ms = Self().now_ms;
+  auto slots = slots_.slots();
+  slots.ReleaseOthers(cell_, [this](const auto& it) {
+    return !finished_.contains(it.order);
+  });
+  const auto free_slots = slots.Available(estate->weight_store, wall_ms);
+  return PlanCell(
       {.record = next,
        .estate = *estate,
        .demand = demand,
        .servers = monitor_.facts(),
-       .remote_loads_allowed = limit > in_progress ? limit - in_progress : 0});
-  const Decider decider{deps_.peers.self(), static_cast<std::uint64_t>(
-                                                deps_.clock.WallNow().count())};
+       .histories = histories_,
+       .policy = KeepAlivePolicyOf(deps_.settings.keep_alive_policy),
+       .remote_loads_allowed = static_cast<std::uint32_t>(grants_.size()) +
+                               free_slots +
+                               static_cast<std::uint32_t>(finished_.size()),
+       .adapter_loads_allowed =
+           share > adapters_loading ? share - adapters_loading : 0,
+       .now_ms = LocalMs(deps_.clock),
+       .wall_ms = wall_ms,
+       .demand_is_complete = DemandIsComplete()});
+}
+
+void CellController::ApplyPlan(CellRecord& next, const Plan& plan) {
+  const auto self = Self();
   for (const auto& it : plan.unloads) {
-    (void)DecideUnload(next, it.server, it.key, decider);
+    (void)DecideUnload(next, it.server, it.key, self);
   }
   for (const auto& it : plan.loads) {
-    (void)DecideLoad(next, it, decider);
+    (void)DecideLoad(next, it, self);
   }
 }
 
+Decider CellController::Self() const {
+  return {deps_.peers.self(),
+          static_cast<std::uint64_t>(deps_.clock.WallNow().count())};
+}
+
+bool CellController::DemandIsComplete() const {
+  if (!IsCoordinator() || !coordinator_since_ ||
+      deps_.clock.Now() < *coordinator_since_ + kDemandKnownAfter) {
+    return false;
+  }
+  return std::ranges::all_of(deps_.peers.Members(), [this](const auto& it) {
+    return it.reachable || it.vm.id == deps_.peers.node_id();
+  });
+}
+
+bool CellController::IsExecutorPresent(std::string_view process) const {
+  const auto slash = process.find('/');
+  const auto node = process.substr(0, slash);
+  const auto incarnation =
+      slash == std::string_view::npos ? "" : process.substr(slash + 1);
+  return std::ranges::any_of(deps_.peers.Members(), [&](const auto& it) {
+    return it.vm.id == node && it.reachable &&
+           (it.incarnation.empty() || it.incarnation == incarnation);
+  });
+}
+
 void CellController::Report(const ReconcileOutcome& outcome,
                             const CellRecord& stored) {
   std::uint32_t open = 0;
@@ -470,11 +753,93 @@
 
 bool CellController::HoldOrder(const std::string& server,
                                const ReplicaRecord& replica) const {
-  (void)server;
   if (replica.state != ReplicaState::kUnloading) {
     return false;
   }
-  return LocalMs(deps_.clock) < SeenMs(replica) + kUnloadGraceMs;
+  const auto facts = monitor_.facts().find(server);
+  if (facts == monitor_.facts().end() || !facts->second.report) {
+    return true;
+  }
+  const auto* entry = facts->second.report->Find(replica.key);
+  if (entry == nullptr || entry->state != ReportedEntry::State::kLoaded) {
+    return false;  // No request can run on it.
+  }
+  const auto record = view_->record.servers.find(server);
+  if (replica.key.adapter.empty() && record != view_->record.servers.end() &&
+      std::ranges::any_of(record->second.replicas, [&](const auto& it) {
+        return !it.key.adapter.empty() && it.key.Base() == replica.key;
+      })) {
+    return true;
+  }
+  const auto decided_ms = SeenMs(replica);
+  const auto& load = facts->second.load;
+  if (load && load->running == 0 && load->waiting == 0 &&
+      load->read_started_ms >= decided_ms + kLoadReportLagMs) {
+    return false;
+  }
+  if (LocalMs(deps_.clock) < decided_ms + kUnloadGraceMs ||
+      !DemandIsComplete()) {
+    return true;
+  }
+  return std::ranges::any_of(book_.Total(), [&](const auto& it) {
+    return it.second.running > 0 &&
+           (it.first == replica.key || it.first.Base() == replica.key);
+  });
+}
+
+void CellController::ReportMissing(const std::string& server,
+                                   const ModelKey& key) {
+  missing_[{server, key}] = deps_.clock.Now();
+  monitor_.ForcePoll(server);
+  Wake();
+}
+
+std::vector<std::string> CellController::ServersOf(const ModelKey& key) const {
+  std::vector<std::string> servers;
+  for (const auto& [id, server] : view_->record.servers) {
+    const auto* replica = server.Find(key);
+    const auto facts = monitor_.facts().find(id);
+    if (replica == nullptr || replica->state != ReplicaState::kLoaded ||
+        server.leaving || facts == monitor_.facts().end() ||
+        !facts->second.listed || facts->second.leaving) {
+      continue;
+    }
+    const auto missing = missing_.find({id, key});
+    if (missing == missing_.end() ||
+        deps_.clock.Now() > missing->second + kMissingTime) {
+      servers.push_back(id);
+    }
+  }
+  return servers;
+}
+
+LoadForecast CellController::Forecast(const ModelKey& key) const {
+  LoadForecast forecast;
+  const auto failures = view_->record.failures.find(key);
+  if (failures != view_->record.failures.end() &&
+      Self().now_ms < failures->second.KeyRetryMs()) {
+    forecast.failing = true;
+    forecast.cause = failures->second.cause;
+    return forecast;
+  }
+  const auto estate = deps_.estate.Current();
+  const auto model = estate->models.find(key.model);
+  if (model == estate->models.end()) {
+    return forecast;
+  }
+  Duration ready_in = model->second.expected_load;
+  for (const auto& [id, server] : view_->record.servers) {
+    const auto* replica = server.Find(key);
+    if (replica != nullptr && replica->state == ReplicaState::kLoading) {
+      const auto age = Ms(LocalMs(deps_.clock) -
+                          std::min(LocalMs(deps_.clock), SeenMs(*replica)));
+      ready_in = std::min<Duration>(
+          ready_in, std::max<Duration>(model->second.expected_load - age,
+                                       Duration::zero()));
+    }
+  }
+  forecast.ready_in = ready_in;
+  return forecast;
 }
 
 nlohmann::json CellController::Status() const {
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -15,13 +15,16 @@
 #include <string_view>
 #include <utility>
 
+#include "decision/arrival_history.h"
 #include "decision/demand_book.h"
 #include "decision/planner.h"
 #include "decision/reconcile.h"
 #include "placement/engine_monitor.h"
 #include "placement/order_executor.h"
 #include "placement/placement_dependencies.h"
+#include "placement/placement_view.h"
 #include "placement/record_store.h"
+#include "placement/slot_store.h"
 #include "ports/peer_message.h"
 #include "runtime/event_flag.h"
 
@@ -36,6 +39,7 @@
   CellController(std::string cell,
                  const PlacementDependencies& deps,
                  RecordStore& records,
+                 SlotStore& slots,
                  TaskGroup& tasks,
                  std::function<void()> on_change);
 
@@ -66,6 +70,15 @@
   /// Whether this process still has orders to finish.
   bool HasOwnOrders() const;
 
+  /// The engine said that it does not hold a replica: it is not offered until
+  /// the record or a report confirms it.
+  void ReportMissing(const std::string& server, const ModelKey& key);
+
+  /// Servers with a loaded replica that takes requests.
+  std::vector<std::string> ServersOf(const ModelKey& key) const;
+
+  LoadForecast Forecast(const ModelKey& key) const;
+
   const StoredRecord& view() const { return *view_; }
   const EngineMonitor& monitor() const { return monitor_; }
   nlohmann::json Status() const;
@@ -75,16 +88,32 @@
 
   bool Drives() const { return IsCoordinator() || IsActing(); }
   Duration Pass();
+  /// Notices that this process did not run for long, and distrusts its view.
+  void NoticePause();
+  void NoteUse();
   void ReadVms();
-  void PollEngines();
   std::map<std::string, Duration> PollIntervals() const;
+  std::set<std::string> ServersToReadLoadOf() const;
+  Duration RefreshInterval() const;
   bool Refresh();
   void SetView(StoredRecord stored);
   /// Reconciles and plans from the current view and stores the result. False
   /// if the platform did not take it.
   bool Decide();
+  /// What one decision changes.
+  struct Decision;
+  Decision MakeDecision();
+  bool StoreDecision(Decision decision);
   ReconcileOutcome Reconcile(CellRecord& next);
-  void ApplyPlan(CellRecord& next);
+  Plan MakePlan(const CellRecord& next,
+                const std::map<ModelKey, ModelDemand>& demand);
+  /// Takes slots for the loads of a plan that need them, and drops those that
+  /// got none.
+  bool TakeSlots(const CellRecord& next, Plan& plan);
+  bool ExchangeSlots(const CellRecord& next, std::uint32_t wanted);
+  void ApplyPlan(CellRecord& next, const Plan& plan);
+  void FreeSlots();
+  void NoteLoaded(const ReplicaChange& change);
   void Report(const ReconcileOutcome& outcome, const CellRecord& stored);
   void Announce();
   void SendDone();
@@ -94,12 +123,16 @@
   std::uint64_t SeenMs(const ReplicaRecord& replica) const;
   bool ConfirmOrder(const std::string& server, const ReplicaRecord& replica);
   bool HoldOrder(const std::string& server, const ReplicaRecord& replica) const;
+  /// Whether this node knows the running requests of all nodes.
+  bool DemandIsComplete() const;
+  bool IsExecutorPresent(std::string_view process) const;
   bool HasOpenOrders() const;
-  std::uint32_t RemoteLoadsInProgress(const CellRecord& record) const;
+  Decider Self() const;
 
   std::string cell_;
   PlacementDependencies deps_;
   RecordStore& records_;
+  SlotStore& slots_;
   std::function<void()> on_change_;
   EventFlag wake_;
   bool stopping_ = false;
@@ -110,6 +143,15 @@
   std::optional<TimePoint> acting_until_;
   std::uint32_t failures_ = 0;  ///< Platform calls that failed in a row.
   TimePoint retry_at_{};
+  std::optional<TimePoint> last_pass_;
+  std::optional<TimePoint> coordinator_since_;
+  std::uint32_t waiting_for_slots_ = 0;
+  TimePoint slots_read_{};
+  std::set<std::string> grants_;    ///< Slots taken for orders not decided yet.
+  std::set<std::string> finished_;  ///< Orders whose slots are to be freed.
+  std::vector<LoadDuration> durations_;
+  std::map<std::pair<std::string, ModelKey>, TimePoint> missing_;
+  std::map<ModelKey, ArrivalHistory> histories_;
   DemandBook book_;
   EngineMonitor monitor_;
   OrderExecutor executor_;
--- a/packages/placement/engine_monitor.cc
+++ b/packages/placement/engine_monitor.cc
@@ -1,5 +1,6 @@
 #include "placement/engine_monitor.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "placement/task_group.h"
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds kLongestWait{2};
+
 WeightSource ToWeightSource(CheckpointSource source) {
   switch (source) {
     case CheckpointSource::kMemory:
@@ -111,20 +114,59 @@
 void EngineMonitor::Read(const std::string& server) {
   const auto started_ms = LocalMs(clock_);
   auto state = engines_.ReadState(polls_[server].address);
-  polls_[server].reading = false;
   auto& facts = facts_[server];
   facts.reachable = state.has_value();
   if (state) {
     facts.report = ToReport(std::move(state).assume_value(), started_ms);
   }
+  if (state && load_wanted_.contains(server)) {
+    const auto load_started_ms = LocalMs(clock_);
+    const auto load = engines_.ReadLoad(polls_[server].address);
+    if (load) {
+      facts_[server].load =
+          ServerLoad{load_started_ms, load.assume_value().running,
+                     load.assume_value().waiting};
+    }
+  }
+  polls_[server].reading = false;
   on_report_();
 }
 
-void EngineMonitor::MarkLeaving(const std::string& server) {
-  const auto it = facts_.find(server);
-  if (it != facts_.end()) {
-    it->second.leaving = true;
+void EngineMonitor::SetLoadWanted(std::set<std::string> servers) {
+  load_wanted_ = std::move(servers);
+}
+
+void EngineMonitor::ForcePoll(const std::string& server) {
+  const auto it = polls_.find(server);
+  if (it != polls_.end()) {
+    it->second.last_started.reset();
+  }
+}
+
+void EngineMonitor::Invalidate() {
+  for (auto& [id, poll] : polls_) {
+    poll.last_started.reset();
+  }
+  for (auto& [id, facts] : facts_) {
+    facts.reachable = false;
+    facts.load.reset();
+  }
+}
+
+Duration EngineMonitor::UntilDue(
+    const std::map<std::string, Duration>& intervals) const {
+  Duration least = kLongestWait;
+  const auto now = clock_.Now();
+  for (const auto& [server, interval] : intervals) {
+    const auto it = polls_.find(server);
+    if (it == polls_.end() || it->second.reading) {
+      continue;
+    }
+    least = std::min(least, it->second.last_started
+                                ? *it->second.last_started + interval - now
+                                : Duration::zero());
   }
+  return std::max(least, Duration::zero());
 }
 
 std::optional<Address> EngineMonitor::AddressOf(
--- a/packages/placement/engine_monitor.h
+++ b/packages/placement/engine_monitor.h
@@ -40,8 +40,17 @@
   /// `interval` ago and has ended.
   void PollDue(const std::map<std::string, Duration>& intervals);
 
-  /// Marks a server as leaving until the VM list says otherwise.
-  void MarkLeaving(const std::string& server);
+  /// Servers whose load is read with their state.
+  void SetLoadWanted(std::set<std::string> servers);
+
+  /// Makes the next PollDue() read the server.
+  void ForcePoll(const std::string& server);
+
+  /// Forgets what was read, after this process was paused.
+  void Invalidate();
+
+  /// Time until the next read is due.
+  Duration UntilDue(const std::map<std::string, Duration>& intervals) const;
 
   std::optional<Address> AddressOf(const std::string& server) const;
   std::string DataCentreOf(const std::string& server) const;
@@ -62,6 +71,7 @@
   TaskGroup& tasks_;
   std::function<void()> on_report_;
   std::map<std::string, Poll> polls_;
+  std::set<std::string> load_wanted_;
   ServerFactsMap facts_;
 };
 
--- a/packages/placement/placement_service.cc
+++ b/packages/placement/placement_service.cc
@@ -28,7 +28,9 @@
 }  // namespace
 
 PlacementService::PlacementService(const PlacementDependencies& deps)
-    : deps_(deps), records_(deps.store, deps.log) {
+    : deps_(deps),
+      records_(deps.store, deps.log),
+      slots_(deps.store, deps.clock, deps.log) {
   deps_.peers.OnMessage([this](const auto& from, const auto& message) {
     OnMessage(from, message);
   });
@@ -82,7 +84,7 @@
 CellController& PlacementService::Cell(const std::string& cell) {
   auto& it = cells_[cell];
   if (!it) {
-    it = std::make_unique<CellController>(cell, deps_, records_, tasks_,
+    it = std::make_unique<CellController>(cell, deps_, records_, slots_, tasks_,
                                           [this] { changed_.Signal(); });
     if (started_ && !stopping_) {
       tasks_.Spawn([controller = it.get()] { controller->Run(); });
@@ -216,16 +218,8 @@
     const ModelKey& key) const {
   std::vector<ReplicaLocation> locations;
   for (const auto& [name, cell] : cells_) {
-    for (const auto& [id, server] : cell->view().record.servers) {
-      const auto* replica = server.Find(key);
-      if (replica == nullptr || replica->state != ReplicaState::kLoaded ||
-          server.leaving) {
-        continue;
-      }
-      const auto facts = cell->monitor().facts().find(id);
-      const auto address = cell->monitor().AddressOf(id);
-      if (address && facts != cell->monitor().facts().end() &&
-          facts->second.listed && !facts->second.leaving) {
+    for (const auto& id : cell->ServersOf(key)) {
+      if (const auto address = cell->monitor().AddressOf(id)) {
         locations.push_back({id, *address, cell->monitor().DataCentreOf(id)});
       }
     }
@@ -234,15 +228,23 @@
 }
 
 LoadForecast PlacementService::Forecast(const ModelKey& key) const {
-  (void)key;
-  return {};
+  const auto estate = deps_.estate.Current();
+  const auto model = estate->models.find(key.model);
+  if (model == estate->models.end()) {
+    return {};
+  }
+  const auto cell = cells_.find(model->second.pool);
+  return cell == cells_.end() ? LoadForecast{} : cell->second->Forecast(key);
 }
 
 void PlacementService::ReportMissing(const std::string& server,
                                      const ModelKey& key) {
-  (void)server;
-  (void)key;
-  WakeAll();
+  for (auto& [name, cell] : cells_) {
+    if (cell->view().record.servers.contains(server)) {
+      cell->ReportMissing(server, key);
+    }
+  }
+  changed_.Signal();
 }
 
 nlohmann::json PlacementService::Status() const {
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -16,6 +16,7 @@
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
 #include "placement/record_store.h"
+#include "placement/slot_store.h"
 #include "placement/task_group.h"
 
 namespace tanagerloom {
@@ -76,6 +77,7 @@
 
   PlacementDependencies deps_;
   RecordStore records_;
+  SlotStore slots_;
   EventFlag changed_;
   EventFlag demand_changed_;
   std::map<std::string, std::unique_ptr<CellController>> cells_;
--- /dev/null
+++ b/packages/placement/slot_store.cc
@@ -0,0 +1,88 @@
+#include "placement/slot_store.h"
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "ports/object_store.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr const char* kKey = "weight-store/slots";
+constexpr int kAttempts = 4;
+
+}  // namespace
+
+SlotStore::SlotStore(ObjectStore& store, const Clock& clock, EventLog& log)
+    : store_(store), clock_(clock), log_(log) {}
+
+std::uint64_t SlotStore::WallMs() const {
+  return static_cast<std::uint64_t>(clock_.WallNow().count());
+}
+
+Result<void> SlotStore::Refresh() {
+  auto object = store_.Get(kKey);
+  if (!object) {
+    auto error = std::move(object).assume_error();
+    if (error.kind != ErrorKind::kNotFound) {
+      log_.Record(events::kPlatformUnavailable,
+                  {{"call", "get"}, {"cause", error.message}});
+      return error;
+    }
+    slots_ = {};
+    version_ = 0;
+  } else {
+    BOOST_OUTCOME_TRY(slots, ParseLoadSlots(object.assume_value().value));
+    slots_ = std::move(slots);
+    version_ = object.assume_value().version;
+  }
+  known_ = true;
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<std::vector<std::string>> SlotStore::Exchange(
+    const SlotExchange& exchange,
+    const WeightStoreLimits& limits) {
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    if (!known_) {
+      BOOST_OUTCOME_TRYV(Refresh());
+    }
+    auto next = slots_;
+    const auto base_version = version_;
+    next.ReleaseOthers(exchange.cell, exchange.is_needed);
+    for (const auto& it : exchange.durations) {
+      next.NoteDuration(it.took_ms, it.expected_ms);
+    }
+    std::vector<std::string> granted;
+    while (granted.size() < exchange.wanted) {
+      auto order = NewId("ord-");
+      if (!next.Take(order, exchange.cell, limits, WallMs())) {
+        break;
+      }
+      granted.push_back(std::move(order));
+    }
+    if (next == slots_) {
+      return granted;
+    }
+    auto version = store_.Put(kKey, WriteLoadSlots(next), base_version);
+    if (version) {
+      // Another cell of this node may have written meanwhile.
+      if (version.assume_value() > version_) {
+        slots_ = std::move(next);
+        version_ = version.assume_value();
+      }
+      return granted;
+    }
+    known_ = false;
+    if (version.assume_error().kind != ErrorKind::kConflict) {
+      // Slots that were taken without an answer are freed later, because no
+      // order has their ids.
+      return std::move(version).assume_error();
+    }
+  }
+  return std::vector<std::string>();
+}
+
+}  // namespace tanagerloom
--- a/tests/correctness/placement_fakes.h
+++ b/tests/correctness/placement_fakes.h
@@ -234,7 +234,17 @@
 
   const std::string& self() const override { return self_; }
   const std::string& node_id() const override { return node_; }
-  std::vector<Member> Members() const override { return {}; }
+  std::vector<Member> Members() const override {
+    std::vector<Member> members;
+    for (const auto& it : LiveIds()) {
+      Member member;
+      member.vm.id = it;
+      member.incarnation = "1";
+      member.reachable = !hub_.cut.contains(it) || it == node_;
+      members.push_back(std::move(member));
+    }
+    return members;
+  }
   std::vector<std::string> LiveIds() const override {
     std::vector<std::string> ids;
     for (const auto& it : hub_.nodes) {
