--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -26,7 +26,6 @@
 constexpr int kPollsPerAge = 20;
 constexpr milliseconds kRefreshInterval{5000};
 constexpr milliseconds kFirstPlatformRetry{100};
-constexpr milliseconds kLongestPlatformRetry{3000};
 constexpr milliseconds kDoneInterval{2000};
 // Nodes learn from the record that a replica is to be unloaded; requests they
 // dispatched before that appear in the demand within this time.
@@ -57,12 +56,14 @@
                                const PlacementDependencies& deps,
                                RecordStore& records,
                                SlotStore& slots,
+                               PlatformBackoff& backoff,
                                TaskGroup& tasks,
                                std::function<void()> on_change)
     : cell_(std::move(cell)),
       deps_(deps),
       records_(records),
       slots_(slots),
+      backoff_(backoff),
       on_change_(std::move(on_change)),
       view_(std::make_shared<StoredRecord>()),
       monitor_(deps.engines, deps.clock, tasks, [this] { Wake(); }),
@@ -121,8 +122,8 @@
   } else if (!coordinator_since_) {
     coordinator_since_ = now;
   }
-  if (now < retry_at_) {
-    return retry_at_ - now;
+  if (const auto wait = backoff_.UntilAllowed(); wait > Duration::zero()) {
+    return wait;
   }
   if ((!have_view_ || now > last_refresh_ + RefreshInterval()) && !Refresh()) {
     return kFirstPlatformRetry;
@@ -229,20 +230,23 @@
   const auto started = deps_.clock.Now();
   auto stored = records_.Load(cell_);
   if (!stored) {
-    const auto delay = std::min<milliseconds>(
-        kFirstPlatformRetry * (1U << std::min(failures_++, 5U)),
-        kLongestPlatformRetry);
-    retry_at_ = started + std::chrono::duration_cast<Duration>(
-                              delay * (0.5 + RandomUnit() / 2));
+    backoff_.NoteFailure(deps_.peers.Members().size());
     return false;
   }
-  failures_ = 0;
+  if (!write_failed_) {
+    backoff_.NoteSuccess();
+  }
   last_refresh_ = started;
   confirmed_ = started;
   SetView(std::move(stored).assume_value());
   return true;
 }
 
+void CellController::NoteWriteFailure() {
+  write_failed_ = true;
+  backoff_.NoteFailure(deps_.peers.Members().size());
+}
+
 void CellController::SetView(StoredRecord stored) {
   if (have_view_ && stored.version <= view_->version) {
     return;
@@ -255,7 +259,7 @@
   view_ = std::make_shared<const StoredRecord>(std::move(stored));
   const auto now_ms = LocalMs(deps_.clock);
   for (const auto& [key, seen] : seen_) {
-    if (key.second == ReplicaState::kLoading) {
+    if (key.second == ReplicaState::kLoading && Drives()) {
       finished_.insert(key.first);
     }
   }
@@ -264,6 +268,7 @@
   for (const auto& [id, server] : view_->record.servers) {
     for (const auto& it : server.replicas) {
       orders.insert(it.order);
+      grants_.erase(it.order);
       if (it.state == ReplicaState::kLoading) {
         finished_.erase(it.order);
       }
@@ -304,10 +309,16 @@
       FreeSlots();
       return true;
     }
-    if (StoreDecision(std::move(decision))) {
+    const auto stored = StoreDecision(std::move(decision));
+    if (stored) {
       FreeSlots();
       return true;
     }
+    if (stored.assume_error().kind != ErrorKind::kConflict) {
+      NoteWriteFailure();
+      have_view_ = false;
+      return false;
+    }
     if (!Refresh()) {
       return false;
     }
@@ -332,9 +343,12 @@
       deps_.clock.Now() >= slots_read_ + kSlotRetry) {
     // Another cell may have freed slots since the last read.
     slots_read_ = deps_.clock.Now();
-    if (slots_.Refresh()) {
-      plan = MakePlan(decision.next, book_.Total());
+    if (!slots_.Refresh()) {
+      NoteWriteFailure();
+      decision.complete = false;
+      return decision;
     }
+    plan = MakePlan(decision.next, book_.Total());
   }
   waiting_for_slots_ = plan.waiting_for_slots;
   if (!TakeSlots(decision.next, plan)) {
@@ -350,7 +364,7 @@
   return decision;
 }
 
-bool CellController::StoreDecision(Decision decision) {
+Result<void> CellController::StoreDecision(Decision decision) {
   auto& next = decision.next;
   next.config_version = std::max(next.config_version, decision.estate->version);
   RemoveDoneSenders(next,
@@ -361,9 +375,10 @@
   auto stored =
       records_.Replace(*decision.base, std::move(next), *decision.estate);
   if (!stored) {
-    return false;
+    return std::move(stored).assume_error();
   }
-  failures_ = 0;
+  write_failed_ = false;
+  backoff_.NoteSuccess();
   confirmed_ = started;
   last_refresh_ = started;
   for (const auto& it : decision.orders) {
@@ -375,7 +390,7 @@
   SetView(std::move(stored).assume_value());
   Report(decision.outcome, view_->record);
   Announce();
-  return true;
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void CellController::NoteLoaded(const ReplicaChange& change) {
@@ -443,6 +458,7 @@
                                   .durations = durations_},
                                  deps_.estate.Current()->weight_store);
   if (!granted) {
+    NoteWriteFailure();
     return false;
   }
   durations_.clear();
@@ -524,9 +540,8 @@
       std::max(1U, estate->weight_store.concurrent_adapter_loads / cells);
   const auto wall_ms = Self().now_ms;
   auto slots = slots_.slots();
-  slots.ReleaseOthers(cell_, [this](const auto& it) {
-    return !finished_.contains(it.order);
-  });
+  slots.ReleaseOthers(
+      cell_, [this](const auto& it) { return !finished_.contains(it.order); });
   const auto free_slots = slots.Available(estate->weight_store, wall_ms);
   return PlanCell(
       {.record = next,
@@ -535,9 +550,8 @@
        .servers = monitor_.facts(),
        .histories = histories_,
        .policy = KeepAlivePolicyOf(deps_.settings.keep_alive_policy),
-       .remote_loads_allowed = static_cast<std::uint32_t>(grants_.size()) +
-                               free_slots +
-                               static_cast<std::uint32_t>(finished_.size()),
+       .remote_loads_allowed =
+           static_cast<std::uint32_t>(grants_.size()) + free_slots,
        .adapter_loads_allowed =
            share > adapters_loading ? share - adapters_loading : 0,
        .now_ms = LocalMs(deps_.clock),
@@ -740,7 +754,7 @@
 bool CellController::ConfirmOrder(const std::string& server,
                                   const ReplicaRecord& replica) {
   if (deps_.clock.Now() > confirmed_ + deps_.settings.order_progress &&
-      !Refresh()) {
+      (backoff_.UntilAllowed() > Duration::zero() || !Refresh())) {
     return false;
   }
   const auto it = view_->record.servers.find(server);
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -23,6 +23,7 @@
 #include "placement/order_executor.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
+#include "placement/platform_backoff.h"
 #include "placement/record_store.h"
 #include "placement/slot_store.h"
 #include "ports/peer_message.h"
@@ -40,6 +41,7 @@
                  const PlacementDependencies& deps,
                  RecordStore& records,
                  SlotStore& slots,
+                 PlatformBackoff& backoff,
                  TaskGroup& tasks,
                  std::function<void()> on_change);
 
@@ -96,6 +98,7 @@
   std::set<std::string> ServersToReadLoadOf() const;
   Duration RefreshInterval() const;
   bool Refresh();
+  void NoteWriteFailure();
   void SetView(StoredRecord stored);
   /// Reconciles and plans from the current view and stores the result. False
   /// if the platform did not take it.
@@ -103,7 +106,7 @@
   /// What one decision changes.
   struct Decision;
   Decision MakeDecision();
-  bool StoreDecision(Decision decision);
+  Result<void> StoreDecision(Decision decision);
   ReconcileOutcome Reconcile(CellRecord& next);
   Plan MakePlan(const CellRecord& next,
                 const std::map<ModelKey, ModelDemand>& demand);
@@ -133,6 +136,7 @@
   PlacementDependencies deps_;
   RecordStore& records_;
   SlotStore& slots_;
+  PlatformBackoff& backoff_;
   std::function<void()> on_change_;
   EventFlag wake_;
   bool stopping_ = false;
@@ -141,8 +145,7 @@
   TimePoint confirmed_{};  ///< The view is not older than this.
   TimePoint last_refresh_{};
   std::optional<TimePoint> acting_until_;
-  std::uint32_t failures_ = 0;  ///< Platform calls that failed in a row.
-  TimePoint retry_at_{};
+  bool write_failed_ = false;  ///< The last write; reads may work all the same.
   std::optional<TimePoint> last_pass_;
   std::optional<TimePoint> coordinator_since_;
   std::uint32_t waiting_for_slots_ = 0;
--- a/packages/placement/engine_monitor.cc
+++ b/packages/placement/engine_monitor.cc
@@ -115,11 +115,12 @@
   const auto started_ms = LocalMs(clock_);
   auto state = engines_.ReadState(polls_[server].address);
   auto& facts = facts_[server];
-  facts.reachable = state.has_value();
-  if (state) {
+  const bool reachable = state.has_value();
+  facts.reachable = reachable;
+  if (reachable) {
     facts.report = ToReport(std::move(state).assume_value(), started_ms);
   }
-  if (state && load_wanted_.contains(server)) {
+  if (reachable && load_wanted_.contains(server)) {
     const auto load_started_ms = LocalMs(clock_);
     const auto load = engines_.ReadLoad(polls_[server].address);
     if (load) {
--- a/packages/placement/placement_service.cc
+++ b/packages/placement/placement_service.cc
@@ -30,7 +30,8 @@
 PlacementService::PlacementService(const PlacementDependencies& deps)
     : deps_(deps),
       records_(deps.store, deps.log),
-      slots_(deps.store, deps.clock, deps.log) {
+      slots_(deps.store, deps.clock, deps.log),
+      backoff_(deps.clock) {
   deps_.peers.OnMessage([this](const auto& from, const auto& message) {
     OnMessage(from, message);
   });
@@ -84,7 +85,8 @@
 CellController& PlacementService::Cell(const std::string& cell) {
   auto& it = cells_[cell];
   if (!it) {
-    it = std::make_unique<CellController>(cell, deps_, records_, slots_, tasks_,
+    it = std::make_unique<CellController>(cell, deps_, records_, slots_,
+                                          backoff_, tasks_,
                                           [this] { changed_.Signal(); });
     if (started_ && !stopping_) {
       tasks_.Spawn([controller = it.get()] { controller->Run(); });
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -15,6 +15,7 @@
 #include "placement/cell_controller.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
+#include "placement/platform_backoff.h"
 #include "placement/record_store.h"
 #include "placement/slot_store.h"
 #include "placement/task_group.h"
@@ -78,6 +79,7 @@
   PlacementDependencies deps_;
   RecordStore records_;
   SlotStore slots_;
+  PlatformBackoff backoff_;
   EventFlag changed_;
   EventFlag demand_changed_;
   std::map<std::string, std::unique_ptr<CellController>> cells_;
--- /dev/null
+++ b/tests/correctness/decision_properties_test.cc
@@ -0,0 +1,232 @@
+// Properties of the record's operations and of planning, over random records:
+// guards against an operation or a plan that would overcommit memory or exceed
+// a replica limit.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "decision/load_slots.h"
+#include "decision/planner.h"
+
+namespace tanagerloom {
+namespace {
+
+constexpr int kServers = 3;
+constexpr int kModels = 5;
+
+ModelKey RandomKey() {
+  const auto model = "m" + std::to_string(*rc::gen::inRange(0, kModels));
+  return {model, "1", *rc::gen::element(std::string(), std::string("a"))};
+}
+
+std::string RandomServer() {
+  return "s" + std::to_string(*rc::gen::inRange(0, kServers));
+}
+
+Estate RandomEstate() {
+  Estate estate;
+  for (int i = 0; i < kModels; ++i) {
+    auto& model = estate.models["m" + std::to_string(i)];
+    model.version = "1";
+    model.pool = "pool";
+    model.memory_mb = *rc::gen::inRange<std::uint64_t>(1, 60);
+    model.replica_limit = *rc::gen::inRange<std::uint32_t>(0, 4);
+    auto& adapter = model.adapters["a"];
+    adapter.memory_mb = *rc::gen::inRange<std::uint64_t>(1, 10);
+    adapter.replica_limit = *rc::gen::inRange<std::uint32_t>(0, 4);
+  }
+  return estate;
+}
+
+// Applies one random operation; its refusal must leave the record unchanged.
+void ApplyRandom(CellRecord& record, const Estate& estate) {
+  const auto before = record;
+  const auto server = RandomServer();
+  const auto key = RandomKey();
+  const Decider self{"n/1", *rc::gen::inRange<std::uint64_t>(0, 1000)};
+  const auto* replica = record.servers[server].Find(key);
+  const auto order = replica == nullptr ? "none" : replica->order;
+  bool refused = false;
+  switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+    case 1:
+    case 2: {
+      const auto allowance = AllowanceOf(estate, key);
+      refused = !DecideLoad(record,
+                            {.server = server,
+                             .key = key,
+                             .memory_mb = allowance.memory_mb,
+                             .replica_limit = allowance.replica_limit,
+                             .source = WeightSource::kRemote,
+                             .reason = DecisionReason::kDemand,
+                             .order = ""},
+                            self);
+      break;
+    }
+    case 3:
+      refused = !DecideUnload(record, server, key, self);
+      break;
+    case 4:
+      refused = !MarkLoaded(record, server, key, order);
+      break;
+    case 5:
+      refused = !AdoptOrder(record, server, key, order, "other/1");
+      break;
+    case 6:
+      refused = !RemoveReplica(record, server, key);
+      break;
+    default:
+      UpdateServer(record, server,
+                   {*rc::gen::inRange<std::uint64_t>(0, 120), "b",
+                    *rc::gen::arbitrary<bool>(), 0});
+      break;
+  }
+  if (refused) {
+    RC_ASSERT(record == before);
+  }
+  for (const auto& [id, it] : before.servers) {
+    RC_ASSERT(record.servers[id].fence >= it.fence);
+  }
+  CheckRecord(before, record, estate);
+}
+
+CellRecord RandomRecord(const Estate& estate) {
+  CellRecord record;
+  record.cell = "pool";
+  for (int i = 0; i < kServers; ++i) {
+    record.servers["s" + std::to_string(i)].memory_mb = 100;
+  }
+  const auto steps = *rc::gen::inRange(0, 40);
+  for (int i = 0; i < steps; ++i) {
+    ApplyRandom(record, estate);
+  }
+  return record;
+}
+
+TEST(DecisionProperties, OperationsKeepTheInvariants) {
+  EXPECT_TRUE(rc::check([] {
+    const auto estate = RandomEstate();
+    auto record = RandomRecord(estate);
+    StampWrite(record, "w-1");
+    const auto parsed = ParseRecord(WriteRecord(record));
+    RC_ASSERT(parsed.has_value());
+    RC_ASSERT(parsed.assume_value() == record);
+  }));
+}
+
+struct RandomCase {
+  Estate estate = RandomEstate();
+  CellRecord record = RandomRecord(estate);
+  std::map<ModelKey, ModelDemand> demand;
+  ServerFactsMap servers;
+  std::map<ModelKey, ArrivalHistory> histories;
+
+  RandomCase() {
+    for (int i = 0; i < kServers; ++i) {
+      auto& facts = servers["s" + std::to_string(i)];
+      facts.listed = *rc::gen::inRange(0, 10) > 0;
+      facts.reachable = *rc::gen::inRange(0, 10) > 0;
+      facts.report = EngineReport();
+      facts.report->cached["m0"] = WeightSource::kDisk;
+    }
+    const auto count = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < count; ++i) {
+      auto& it = demand[RandomKey()];
+      it.waiting = *rc::gen::inRange<std::uint32_t>(0, 20);
+      it.running = *rc::gen::inRange<std::uint32_t>(it.waiting == 0 ? 1 : 0, 9);
+    }
+    for (int i = 0; i < kModels; ++i) {
+      histories[{"m" + std::to_string(i), "1", ""}].NoteUse(
+          *rc::gen::inRange<std::uint64_t>(1, 2000000));
+    }
+  }
+
+  PlanInput Input(std::uint32_t remote_loads) const {
+    return {.record = record,
+            .estate = estate,
+            .demand = demand,
+            .servers = servers,
+            .histories = histories,
+            .policy =
+                KeepAlivePolicyOf(*rc::gen::element("cost", "fixed", "never")),
+            .remote_loads_allowed = remote_loads,
+            .adapter_loads_allowed = 2,
+            .now_ms = 2000000,
+            .wall_ms = 1000000};
+  }
+};
+
+TEST(DecisionProperties, PlansAreAcceptedAndKeepTheirLimits) {
+  EXPECT_TRUE(rc::check([] {
+    const RandomCase it;
+    const auto remote_loads = *rc::gen::inRange<std::uint32_t>(0, 4);
+    const auto plan = PlanCell(it.Input(remote_loads));
+    auto next = it.record;
+    for (const auto& unload : plan.unloads) {
+      const auto& server = it.record.servers.at(unload.server);
+      RC_ASSERT(server.Find(unload.key)->state == ReplicaState::kLoaded);
+      if (!server.leaving) {
+        RC_ASSERT(!it.demand.contains(unload.key));
+      }
+      RC_ASSERT(DecideUnload(next, unload.server, unload.key, {}).has_value());
+    }
+    std::uint32_t from_store = 0;
+    for (const auto& load : plan.loads) {
+      from_store += UsesWeightStore(load.key, load.source) ? 1 : 0;
+      RC_ASSERT(it.servers.at(load.server).listed);
+      RC_ASSERT(it.servers.at(load.server).reachable);
+      RC_ASSERT(DecideLoad(next, load, {}).has_value());
+    }
+    RC_ASSERT(from_store <= remote_loads);
+    CheckRecord(it.record, next, it.estate);
+  }));
+}
+
+// Guards against evictions that free too little or that stop requests.
+TEST(DecisionProperties, EvictionFreesWhatIsNeeded) {
+  EXPECT_TRUE(rc::check([] {
+    const RandomCase it;
+    const KeepAlivePolicy policy = CostKeepAlive{};
+    const EvictionInput input{it.estate, it.demand, it.servers, it.histories,
+                              policy,    2000000,   true};
+    const auto need_mb = *rc::gen::inRange<std::uint64_t>(1, 100);
+    const auto eviction = ChooseEviction(input, it.record, "s0", need_mb, {});
+    if (!eviction) {
+      return;
+    }
+    std::uint64_t freed_mb = 0;
+    for (const auto& unload : eviction->unloads) {
+      const auto* replica = it.record.servers.at("s0").Find(unload.key);
+      freed_mb += replica->memory_mb;
+      RC_ASSERT(!it.demand.contains(unload.key));
+    }
+    RC_ASSERT(freed_mb >= need_mb);
+  }));
+}
+
+// Guards against more loads than the store's limits allow in any interleaving
+// of starts and completions.
+TEST(DecisionProperties, SlotsKeepBothLimits) {
+  EXPECT_TRUE(rc::check([] {
+    const WeightStoreLimits limits;
+    LoadSlots slots;
+    std::vector<std::uint64_t> starts;
+    std::uint64_t now_ms = 1000;
+    for (int i = 0; i < 60; ++i) {
+      now_ms += *rc::gen::inRange<std::uint64_t>(0, 200);
+      if (*rc::gen::inRange(0, 3) == 0 && !slots.slots.empty()) {
+        const auto done = slots.slots.front().order;
+        slots.ReleaseOthers(
+            "c", [&](const LoadSlot& it) { return it.order != done; });
+      } else if (slots.Take("o" + std::to_string(i), "c", limits, now_ms)) {
+        starts.push_back(now_ms);
+      }
+      RC_ASSERT(slots.slots.size() <= 4U);
+      RC_ASSERT(starts.size() <= 4U ||
+                starts.back() - starts[starts.size() - 5] >= 1000U);
+      RC_ASSERT(ParseLoadSlots(WriteLoadSlots(slots)).assume_value() == slots);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace tanagerloom
--- a/tests/correctness/placement_fakes.h
+++ b/tests/correctness/placement_fakes.h
@@ -100,6 +100,9 @@
   bool silent = false;       ///< Takes orders and loses the answer.
   bool unreachable = false;  ///< Refuses connections.
   bool fail_loads = false;
+  bool capture = false;  ///< Orders stay in the network until they are taken.
+  std::vector<EngineOrder> captured;
+  std::uint32_t running = 0;  ///< In the load report.
   std::string boot = "boot-1";
   std::uint64_t sequence = 1;
   std::uint64_t highest_fence = 0;
@@ -138,6 +141,10 @@
     if (engine.unreachable) {
       return MakeError(ErrorKind::kUnavailable, "refused");
     }
+    if (engine.capture) {
+      engine.captured.push_back(order);
+      return MakeError(ErrorKind::kTimeout, "no answer");
+    }
     auto answer = Take(engine, order);
     if (engine.silent) {
       return MakeError(ErrorKind::kTimeout, "no answer");
@@ -167,7 +174,9 @@
     }
     return state;
   }
-  Result<EngineLoad> ReadLoad(const Address&) override { return EngineLoad{}; }
+  Result<EngineLoad> ReadLoad(const Address& address) override {
+    return EngineLoad{engines[address.port].running, 0, 8};
+  }
 
   /// What an engine does with an order, now or long after it was sent.
   OrderAnswer Take(FakeEngine& engine, const EngineOrder& order) {
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -95,5 +95,252 @@
   EXPECT_EQ(Loaded(node, model), 1U);
 }
 
+// Guards against an entry being removed while a paused sender can still deliver
+// its load order to an engine that ignores fences.
+TEST_F(PlacementTest, EntryStaysWhileASenderMayDeliverItsOrder) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 50000, 1);
+  RunFor(2s);
+  const auto sender = Coordinator();
+  const auto node = OtherNode();
+  auto& engine = engines_.engines.begin()->second;
+  engine.capture = true;
+  Demand(node, model, 1);
+  RunFor(100ms);
+  ASSERT_FALSE(engine.captured.empty());
+  const auto late = engine.captured.front();
+  engine.capture = false;
+  paused_.insert(sender);
+  hub_.cut.insert(sender);
+  RunFor(5s);  // The other node adopts the order and the engine loads.
+  ASSERT_EQ(Loaded(node, model), 1U);
+  engine.Restart();
+  Demand(node, model, 0);
+  const auto other = AddModel("other", 50000, 1);
+  Demand(node, other, 1);
+  RunFor(5s);
+  EXPECT_EQ(engine.UsedMb(), 0U);
+  engines_.Take(engine, late);
+  RunFor(1s);
+  hub_.gone.insert(sender);
+  RunFor(5s);
+  EXPECT_EQ(Loaded(node, other), 1U);
+}
+
+// Guards against an engine that checks fences blocking its memory for a sender
+// that is paused.
+TEST_F(PlacementTest, HigherFenceAllowsRemovalDespiteAPausedSender) {
+  AddEngines(1, true);
+  AddNodes(2);
+  const auto model = AddModel("m", 50000, 1);
+  RunFor(2s);
+  const auto sender = Coordinator();
+  const auto node = OtherNode();
+  auto& engine = engines_.engines.begin()->second;
+  engine.capture = true;
+  Demand(node, model, 1);
+  RunFor(100ms);
+  const auto late = engine.captured.front();
+  engine.capture = false;
+  paused_.insert(sender);
+  hub_.cut.insert(sender);
+  RunFor(5s);
+  engine.held.clear();
+  Demand(node, model, 0);
+  const auto other = AddModel("other", 50000, 1);
+  Demand(node, other, 1);
+  RunFor(5s);
+  EXPECT_EQ(Loaded(node, other), 1U);
+  EXPECT_TRUE(
+      std::holds_alternative<OrderRefused>(engines_.Take(engine, late)) ||
+      engine.known.contains(late.order));
+  EXPECT_LE(engine.UsedMb(), engine.memory_mb);
+}
+
+// Guards against a woken executor sending an order that was adopted and
+// finished while it was paused.
+TEST_F(PlacementTest, WokenExecutorReadsTheRecordBeforeItSends) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 50000, 1);
+  RunFor(2s);
+  const auto sleeper = Coordinator();
+  const auto node = OtherNode();
+  auto& engine = engines_.engines.begin()->second;
+  engine.unreachable = true;  // The order is decided, but was not delivered.
+  Demand(node, model, 1);
+  RunFor(100ms);
+  paused_.insert(sleeper);
+  hub_.cut.insert(sleeper);
+  engine.unreachable = false;
+  RunFor(5s);
+  ASSERT_EQ(Loaded(node, model), 1U);
+  paused_.clear();
+  hub_.cut.clear();
+  hub_.messages.clear();
+  RunFor(1s);
+  EXPECT_EQ(engine.loads, 1);
+  EXPECT_EQ(Loaded(sleeper, model), 1U);
+}
+
+// Guards against the replicas of a restarted engine being offered for ever.
+TEST_F(PlacementTest, RestartedEngineIsLoadedAgain) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 9000, 1);
+  RunFor(100ms);
+  Demand("n0", model, 1);
+  RunFor(500ms);
+  ASSERT_EQ(Loaded("n0", model), 1U);
+  engines_.engines.begin()->second.Restart();
+  RunFor(4s);
+  EXPECT_EQ(TotalLoads(), 2);
+  EXPECT_EQ(Loaded("n0", model), 1U);
+}
+
+// Guards against requests that wait for a model which can't be loaded, and
+// against loads that are repeated without a pause.
+TEST_F(PlacementTest, BadModelIsForecastAsFailingOnEveryNode) {
+  AddEngines(4, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 9000, 1);
+  for (auto& [port, engine] : engines_.engines) {
+    engine.fail_loads = true;
+  }
+  RunFor(2s);
+  Demand("n0", model, 1);
+  RunFor(1500ms);
+  for (const auto& it : hub_.nodes) {
+    const auto forecast = nodes_[it]->service.Forecast(model);
+    EXPECT_TRUE(forecast.failing) << it;
+    EXPECT_EQ(forecast.cause, "bad checkpoint") << it;
+  }
+  EXPECT_LE(TotalLoads(), 4);
+  for (auto& [port, engine] : engines_.engines) {
+    engine.fail_loads = false;
+  }
+  RunFor(70s);
+  EXPECT_EQ(Loaded("n0", model), 1U);
+  EXPECT_FALSE(nodes_["n0"]->service.Forecast(model).failing);
+}
+
+// Guards against new work on a leaving server and against a model that is stuck
+// there.
+TEST_F(PlacementTest, ModelMovesAwayFromALeavingServer) {
+  AddEngines(2, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 9000, 1);
+  RunFor(2s);
+  Demand("n0", model, 1);
+  RunFor(500ms);
+  const auto server = nodes_["n0"]->service.Replicas(model).front().server;
+  for (auto& vm : hub_.vms) {
+    vm.leaving = vm.id == server;
+  }
+  RunFor(50ms);
+  EXPECT_EQ(Loaded("n0", model), 0U);
+  RunFor(3s);
+  ASSERT_EQ(Loaded("n0", model), 1U);
+  EXPECT_NE(nodes_["n0"]->service.Replicas(model).front().server, server);
+}
+
+// Guards against evicting a model whose requests are in progress, and against
+// never making room.
+TEST_F(PlacementTest, OnlyUnusedModelsAreEvicted) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto busy = AddModel("busy", 40000, 1);
+  const auto idle = AddModel("idle", 40000, 1);
+  const auto wanted = AddModel("wanted", 40000, 1);
+  RunFor(2s);
+  Demand("n0", busy, 1);
+  Demand("n1", idle, 1);
+  RunFor(500ms);
+  ASSERT_EQ(TotalLoads(), 2);
+  nodes_["n0"]->service.SetDemand("pool", busy, {0, 1, 0, {}});
+  nodes_["n1"]->service.SetDemand("pool", idle, {0, 1, 0, {}});
+  Demand("n0", wanted, 1);
+  RunFor(1s);
+  EXPECT_EQ(Loaded("n0", wanted), 0U);
+  Demand("n1", idle, 0);
+  RunFor(1s);
+  EXPECT_EQ(Loaded("n0", wanted), 1U);
+  EXPECT_EQ(Loaded("n0", busy), 1U);
+}
+
+// Guards against an adapter without its base, and against a base that is
+// evicted under its adapters.
+TEST_F(PlacementTest, AdapterIsLoadedAfterItsBase) {
+  AddEngines(2, false);
+  AddNodes(1);
+  auto key = AddModel("m", 40000, 1);
+  auto& adapter = estate_.estate->models["m"].adapters["a"];
+  adapter.name = "a";
+  adapter.memory_mb = 100;
+  adapter.replica_limit = 2;
+  key.adapter = "a";
+  RunFor(2s);
+  Demand("n0", key, 1);
+  RunFor(600ms);
+  EXPECT_EQ(Loaded("n0", key), 1U);
+  EXPECT_EQ(Loaded("n0", key.Base()), 1U);
+  Demand("n0", key, 0);
+  const auto other = AddModel("other", 80000, 2);
+  Demand("n0", other, 9);
+  RunFor(2s);
+  EXPECT_EQ(Loaded("n0", other), 2U);
+  EXPECT_EQ(engines_.Replicas(key), 0);
+}
+
+// Guards against more loads at once from the weight store than it can serve,
+// and against loads that wait for ever.
+TEST_F(PlacementTest, RemoteLoadsKeepTheLimitsOfTheWeightStore) {
+  AddEngines(4, false);
+  AddNodes(2);
+  engines_.load_time = 2s;
+  RunFor(2s);
+  std::vector<ModelKey> models;
+  for (int i = 0; i < 10; ++i) {
+    models.push_back(AddModel("m" + std::to_string(i), 9000, 1));
+    Demand("n0", models.back(), 1);
+  }
+  std::size_t most = 0;
+  for (int i = 0; i < 100; ++i) {
+    RunFor(100ms);
+    std::size_t loading = 0;
+    for (const auto& [port, engine] : engines_.engines) {
+      loading += static_cast<std::size_t>(std::ranges::count_if(
+          engine.held,
+          [&](const auto& it) { return it.second.ready > clock_.Now(); }));
+    }
+    most = std::max(most, loading);
+  }
+  EXPECT_EQ(most, 4U);
+  EXPECT_EQ(TotalLoads(), 10);
+}
+
+// Guards against decisions without a stored write while the platform is down,
+// and against loaded models that vanish with it.
+TEST_F(PlacementTest, OutageStopsDecisionsButNotLoadedModels) {
+  AddEngines(2, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 9000, 1);
+  const auto other = AddModel("other", 9000, 1);
+  RunFor(2s);
+  Demand("n0", model, 1);
+  RunFor(500ms);
+  store_.down = true;
+  const auto calls = store_.reads + store_.writes;
+  Demand("n0", other, 1);
+  RunFor(20s);
+  EXPECT_EQ(Loaded("n0", model), 1U);
+  EXPECT_EQ(TotalLoads(), 1);
+  EXPECT_LT(store_.reads + store_.writes - calls, 40);
+  store_.down = false;
+  RunFor(5s);
+  EXPECT_EQ(Loaded("n0", other), 1U);
+}
+
 }  // namespace
 }  // namespace tanagerloom::testing_placement
