--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -25,9 +25,11 @@
 
 namespace {
 
-const Refusal kShuttingDown{503, "shutting_down",
-                            "this node is shutting down; another one serves",
-                            Verdict::kNotRun, std::chrono::seconds(1)};
+Refusal ShuttingDown() {
+  return {503, "shutting_down",
+          "this node is shutting down; another one serves", Verdict::kNotRun,
+          std::chrono::seconds(1)};
+}
 
 // Interval at which a drain looks for the end of the last request.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(10);
@@ -40,7 +42,10 @@
   for (const auto& [name, model] : estate.models) {
     add(name, model.operator_name);
     for (const auto& [adapter, spec] : model.adapters) {
-      add(name + ":" + adapter, spec.operator_name);
+      std::string id = name;
+      id += ':';
+      id += adapter;
+      add(id, spec.operator_name);
     }
   }
   return nlohmann::json{{"object", "list"}, {"data", std::move(data)}}.dump();
@@ -94,7 +99,7 @@
 void CallerApi::Handle(const HttpRequest& request, HttpResponder& responder) {
   auto id = NewId("req-");
   if (impl_->drains > 0) {
-    impl_->RefuseUnread(id, kShuttingDown, responder);
+    impl_->RefuseUnread(id, ShuttingDown(), responder);
     return;
   }
   auto read = ReadCallerRequest(request, id, impl_->deps.estate.Current(),
@@ -167,7 +172,7 @@
   const auto end =
       impl_->deps.clock.Now() + impl_->deps.settings.shutdown_bound;
   if (call > 1) {
-    impl_->scheduler.RefuseWaiting(kShuttingDown);
+    impl_->scheduler.RefuseWaiting(ShuttingDown());
   }
   while (impl_->in_progress > 0 && impl_->deps.clock.Now() < end) {
     impl_->deps.clock.SleepFor(kDrainCheck);
--- a/packages/routing/model_attempt.cc
+++ b/packages/routing/model_attempt.cc
@@ -304,10 +304,10 @@
   if (response.status == 200 || IsCallersFault(response.status)) {
     return AttemptResponse{std::move(response)};
   }
-  return Refused(std::move(response));
+  return Refused(response);
 }
 
-AttemptOutcome ModelAttempt::Refused(HttpResponse response) const {
+AttemptOutcome ModelAttempt::Refused(const HttpResponse& response) const {
   const auto reply =
       ReadRefusal(response.status, exchange_->headers(), response.body);
   AttemptFailed failed;
--- a/packages/routing/model_attempt.h
+++ b/packages/routing/model_attempt.h
@@ -88,7 +88,7 @@
   std::optional<AttemptOutcome> Deliver();
   std::optional<ReadFailure> ReadOnce();
   AttemptOutcome Complete();
-  AttemptOutcome Refused(HttpResponse response) const;
+  AttemptOutcome Refused(const HttpResponse& response) const;
   AttemptOutcome Lost(std::string cause, bool crash_sign) const;
   std::optional<AttemptOutcome> Interrupted();
   bool AnswersThisRequest() const;
