--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -39,6 +39,14 @@
                                         "attempt_failed"};
 inline constexpr EventId kStreamResumed{408, Severity::kWarning,
                                         "stream_resumed"};
+inline constexpr EventId kClaimWriteFailed{409, Severity::kWarning,
+                                           "claim_write_failed"};
+inline constexpr EventId kClaimRangeSplit{410, Severity::kInfo,
+                                          "claim_range_split"};
+inline constexpr EventId kRequestCrashedEndpoint{411, Severity::kWarning,
+                                                 "request_crashed_endpoint"};
+inline constexpr EventId kRequestQuarantined{412, Severity::kWarning,
+                                             "request_quarantined"};
 inline constexpr EventId kConfigurationInForce{500, Severity::kInfo,
                                                "configuration_in_force"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -16,6 +16,8 @@
 #include "routing/caller_answer.h"
 #include "routing/caller_request.h"
 #include "routing/cancel_source.h"
+#include "routing/claim_store.h"
+#include "routing/claimed_calls.h"
 #include "routing/endpoint_table.h"
 #include "routing/model_dispatcher.h"
 #include "routing/request_scheduler.h"
@@ -34,6 +36,10 @@
 // Interval at which a drain looks for the end of the last request.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(10);
 
+// Outcomes that are not stored yet hold up the end of the process this long;
+// without them a resend is told that the call may have run.
+constexpr Duration kClaimDrainTime = std::chrono::seconds(10);
+
 std::string ModelListBody(const Estate& estate) {
   auto data = nlohmann::json::array();
   const auto add = [&](const std::string& id, const std::string& owner) {
@@ -59,7 +65,9 @@
         endpoints(deps),
         scheduler(deps, endpoints),
         models(deps, scheduler, endpoints, budget),
-        services(deps, scheduler, endpoints, budget) {}
+        services(deps, scheduler, endpoints, budget),
+        claims(deps),
+        claimed_calls(deps, claims, services) {}
 
   void Serve(CallerRequest request, HttpResponder& responder);
   void ServeService(const CallerRequest& request,
@@ -76,6 +84,8 @@
   RetryBudget budget;
   ModelDispatcher models;
   ServiceDispatcher services;
+  ClaimStore claims;
+  ClaimedCalls claimed_calls;
   std::size_t in_progress = 0;
   std::uint64_t accepted = 0;
   int drains = 0;
@@ -94,6 +104,7 @@
     }
   });
   impl_->scheduler.Start();
+  impl_->claims.Start();
 }
 
 void CallerApi::Handle(const HttpRequest& request, HttpResponder& responder) {
@@ -157,7 +168,10 @@
                                    const ServiceCall& call,
                                    CallerAnswer& answer,
                                    CancelSource& cancel) {
-  auto outcome = services.Run(request, call, answer.record(), cancel);
+  const bool claimed = !call.repeatable && !call.idempotency_key.empty();
+  auto outcome = claimed
+                     ? claimed_calls.Run(request, call, answer.record(), cancel)
+                     : services.Run(request, call, answer.record(), cancel);
   if (auto* response = std::get_if<HttpResponse>(&outcome)) {
     answer.Send(std::move(*response));
   } else if (auto* refusal = std::get_if<Refusal>(&outcome)) {
@@ -174,7 +188,10 @@
   if (call > 1) {
     impl_->scheduler.RefuseWaiting(ShuttingDown());
   }
-  while (impl_->in_progress > 0 && impl_->deps.clock.Now() < end) {
+  const auto claims_end = impl_->deps.clock.Now() + kClaimDrainTime;
+  while (impl_->deps.clock.Now() < end &&
+         (impl_->in_progress > 0 || (impl_->claims.pending() > 0 &&
+                                     impl_->deps.clock.Now() < claims_end))) {
     impl_->deps.clock.SleepFor(kDrainCheck);
   }
   return impl_->in_progress;
@@ -189,6 +206,7 @@
           {"accepted", impl_->accepted},
           {"in_progress", impl_->in_progress},
           {"retries_left", impl_->budget.saved()},
+          {"claims_pending", impl_->claims.pending()},
           {"scheduler", impl_->scheduler.Status()},
           {"endpoints", impl_->endpoints.Status()}};
 }
--- a/packages/routing/caller_request.cc
+++ b/packages/routing/caller_request.cc
@@ -319,10 +319,13 @@
       IsRepeatable(it->second, request.method,
                    std::string_view(target).substr(0, target.find('?')));
   if (const auto key = request.headers.Find("Idempotency-Key")) {
-    if (key->empty() || key->size() > kMaxIdempotencyKeyBytes) {
+    const bool printable = std::all_of(
+        key->begin(), key->end(), [](char c) { return c > ' ' && c < 127; });
+    if (key->empty() || key->size() > kMaxIdempotencyKeyBytes || !printable) {
       return Invalid(400, "invalid_idempotency_key",
                      "Idempotency-Key must have 1 to " +
-                         std::to_string(kMaxIdempotencyKeyBytes) + " bytes");
+                         std::to_string(kMaxIdempotencyKeyBytes) +
+                         " printable ASCII characters");
     }
     call.idempotency_key = *key;
   }
--- a/tests/routing_fakes.h
+++ b/tests/routing_fakes.h
@@ -83,7 +83,7 @@
   }
   std::vector<std::string> LiveIds() const override { return {id_}; }
   bool MayStillRun(std::string_view node) const override {
-    return node == self_ || running.contains(std::string(node));
+    return !gone.contains(std::string(node));
   }
   void Broadcast(const PeerMessage& message) override {
     sent.push_back(message);
@@ -105,7 +105,7 @@
   }
 
   std::vector<Vm> vms;
-  std::set<std::string> running;
+  std::set<std::string> gone;
   std::vector<PeerMessage> sent;
   std::vector<std::string> leaving_reports;
   bool deaf = false;
