Split the peer network into links, liveness and messages

One class did everything in 900 lines. LinkSet now owns the connections, Liveness the digests and reachability, PeerContext what they share.

--- a/packages/membership/link_choice.cc
+++ b/packages/membership/link_choice.cc
@@ -18,7 +18,10 @@
   ranked.reserve(others.size());
   for (const auto& it : others) {
     const auto& [low, high] = std::minmax(self, it);
-    ranked.emplace_back(StableHash(low + '\n' + high), &it);
+    std::string pair = low;
+    pair += '\n';
+    pair += high;
+    ranked.emplace_back(StableHash(pair), &it);
   }
   const std::size_t n = std::max<std::size_t>(1, (links * 3 + 3) / 4);
   const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(n);
--- a/packages/membership/member_table.cc
+++ b/packages/membership/member_table.cc
@@ -99,11 +99,17 @@
   // Twice the peer timeout leaves the current incarnation time to replace a
   // silent connection.
   const bool current_silent =
-      !known.last_heard || now - *known.last_heard > 2 * timing_.peer_timeout;
+      !known.reachable &&
+      (!known.last_heard || now - *known.last_heard > 2 * timing_.peer_timeout);
   const bool replaces = direct && (current_silent || known.gone);
   const bool newer =
       incarnation > known.incarnation && !known.retired.contains(incarnation);
   if (!known.incarnation.empty() && !newer && !replaces) {
+    // A replaced process that still sends may also still send orders.
+    const auto retired = known.retired.find(incarnation);
+    if (retired != known.retired.end()) {
+      retired->second = now;
+    }
     return IncarnationCheck::kStale;
   }
   if (!known.incarnation.empty()) {
@@ -123,6 +129,16 @@
   return IncarnationCheck::kNew;
 }
 
+void MemberTable::ForgivePause(Duration gap) {
+  for (auto& [node, known] : known_) {
+    for (auto* it : {&known.last_heard, &known.last_direct}) {
+      if (it->has_value()) {
+        **it += gap;
+      }
+    }
+  }
+}
+
 Duration MemberTable::AbsentFor(std::string_view node) const {
   if (!first_list_) {
     return Duration::zero();
@@ -147,7 +163,8 @@
   if (known != nullptr && known->incarnation == incarnation) {
     // The last sign of life counts even where the list has dropped the node.
     const bool heard_lately =
-        known->last_heard && now - *known->last_heard < timing_.sender_gone;
+        known->reachable ||
+        (known->last_heard && now - *known->last_heard < timing_.sender_gone);
     return FindNode(node) != nullptr || heard_lately ||
            AbsentFor(node) < timing_.sender_gone;
   }
--- a/packages/membership/member_table.h
+++ b/packages/membership/member_table.h
@@ -21,7 +21,8 @@
   TimePoint incarnation_since{};
   /// Replaced incarnations, with the time of the replacement.
   std::map<std::string, TimePoint> retired;
-  std::optional<TimePoint> last_heard;   ///< By any route.
+  /// By any route; kept up to date only while the node is not reachable.
+  std::optional<TimePoint> last_heard;
   std::optional<TimePoint> last_direct;  ///< By a frame of its own.
   bool reachable = false;
   bool leaving = false;  ///< Announced by the current incarnation.
@@ -74,6 +75,10 @@
   const KnownNode* FindKnown(std::string_view node) const;
   std::map<std::string, KnownNode, std::less<>>& known() { return known_; }
 
+  /// Moves all signs of life forward by a time in which this process was
+  /// paused.
+  void ForgivePause(Duration gap);
+
   /// See PeerNetwork::MayStillRun.
   bool MayStillRun(std::string_view node_incarnation, TimePoint now) const;
 
--- a/packages/membership/peer_connection.cc
+++ b/packages/membership/peer_connection.cc
@@ -4,7 +4,8 @@
 #include <boost/fiber/fiber.hpp>
 #include <mutex>
 
-#include "base/hybrid_clock.h"
+#include "base/event_log.h"
+#include "membership/peer_context.h"
 #include "runtime/await.h"
 
 namespace tanagerloom {
@@ -51,21 +52,11 @@
   return "unknown";
 }
 
-PeerConnection::PeerConnection(asio::io_context& io,
-                               const Clock& clock,
-                               HybridClock& hybrid_clock,
-                               const PeerAuthenticator& authenticator,
-                               const PeerIdentity& self,
-                               PeerCounters& counters,
-                               PeerConnectionOwner& owner)
-    : clock_(clock),
-      hybrid_clock_(hybrid_clock),
-      authenticator_(authenticator),
-      self_(self),
-      counters_(counters),
+PeerConnection::PeerConnection(PeerContext& context, PeerConnectionOwner& owner)
+    : context_(context),
       owner_(owner),
-      socket_(io),
-      created_(clock.Now()),
+      socket_(context.io),
+      created_(context.clock.Now()),
       last_received_(created_),
       last_sent_(created_),
       last_used_(created_) {
@@ -125,9 +116,9 @@
     const std::string& own_challenge,
     const std::string& peer_challenge) const {
   if (opened_here_) {
-    return {self_.full, PeerFull(), own_challenge, peer_challenge};
+    return {context_.identity.full, PeerFull(), own_challenge, peer_challenge};
   }
-  return {PeerFull(), self_.full, peer_challenge, own_challenge};
+  return {PeerFull(), context_.identity.full, peer_challenge, own_challenge};
 }
 
 Result<void> PeerConnection::HandshakeOpened(const std::string& node) {
@@ -144,10 +135,11 @@
                     Expect<Challenge>(std::move(reply), "challenge"));
   const auto transcript = Transcript(own, challenge.challenge);
   BOOST_OUTCOME_TRYV(WriteHandshake(
-      Proof{authenticator_.Prove(PeerEnd::kOpener, transcript)}));
+      Proof{context_.authenticator.Prove(PeerEnd::kOpener, transcript)}));
   BOOST_OUTCOME_TRY(last, ReadHandshake());
   BOOST_OUTCOME_TRY(proof, Expect<Proof>(std::move(last), "proof"));
-  if (!authenticator_.Verify(PeerEnd::kAccepter, transcript, proof.mac)) {
+  if (!context_.authenticator.Verify(PeerEnd::kAccepter, transcript,
+                                     proof.mac)) {
     return MakeError(ErrorKind::kInvalid, "the accepter's proof is wrong");
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -164,20 +156,20 @@
   const auto transcript = Transcript(own, hello.challenge);
   BOOST_OUTCOME_TRY(second, ReadHandshake());
   BOOST_OUTCOME_TRY(proof, Expect<Proof>(std::move(second), "proof"));
-  if (!authenticator_.Verify(PeerEnd::kOpener, transcript, proof.mac)) {
+  if (!context_.authenticator.Verify(PeerEnd::kOpener, transcript, proof.mac)) {
     return MakeError(ErrorKind::kInvalid, "the opener's proof is wrong");
   }
   // The accepter proves itself last: an opener without a key learns nothing
   // computed from one.
   return WriteHandshake(
-      Proof{authenticator_.Prove(PeerEnd::kAccepter, transcript)});
+      Proof{context_.authenticator.Prove(PeerEnd::kAccepter, transcript)});
 }
 
 Result<void> PeerConnection::WriteHandshake(EnvelopeBody body) {
   Envelope envelope;
-  envelope.time = hybrid_clock_.Now();
-  envelope.sender = self_.node;
-  envelope.incarnation = self_.incarnation;
+  envelope.time = context_.events.clock().Now();
+  envelope.sender = context_.identity.node;
+  envelope.incarnation = context_.identity.incarnation;
   envelope.body = std::move(body);
   if (!WriteAll(MakeFrame(EncodeEnvelope(envelope)))) {
     return MakeError(ErrorKind::kUnavailable,
@@ -197,7 +189,7 @@
   while (true) {
     BOOST_OUTCOME_TRY(complete, reader_.Next(payload));
     if (complete) {
-      ++counters_.messages_received;
+      ++context_.counters.messages_received;
       return payload;
     }
     const auto result = AwaitIo([&](auto done) {
@@ -211,10 +203,10 @@
       }
       return MakeError(ErrorKind::kUnavailable, result.ec.message());
     }
-    counters_.bytes_received += result.n;
+    context_.counters.bytes_received += result.n;
     // Bytes count as progress, so that a large frame on a slow path is not
     // taken for silence. The handshake has its own limit.
-    last_received_ = clock_.Now();
+    last_received_ = context_.clock.Now();
     unanswered_since_.reset();
     reader_.Append({chunk, result.n});
   }
@@ -232,7 +224,7 @@
     return;
   }
   authenticated_ = !closed_;
-  authenticated_at_ = clock_.Now();
+  authenticated_at_ = context_.clock.Now();
   reader_.set_limit(kMaxFrameBytes);
   if (authenticated_) {
     if (owner_.OnAuthenticated(*this)) {
@@ -295,7 +287,7 @@
 bool PeerConnection::WriteAll(const std::string& frame) {
   std::size_t sent = 0;
   while (sent < frame.size() && !closed_) {
-    write_blocked_since_ = clock_.Now();
+    write_blocked_since_ = context_.clock.Now();
     const auto result = AwaitIo([&](auto done) {
       socket_.async_write_some(
           asio::buffer(frame.data() + sent, frame.size() - sent), done);
@@ -305,10 +297,10 @@
       return false;
     }
     sent += result.n;
-    counters_.bytes_sent += result.n;
+    context_.counters.bytes_sent += result.n;
   }
-  ++counters_.messages_sent;
-  last_sent_ = clock_.Now();
+  ++context_.counters.messages_sent;
+  last_sent_ = context_.clock.Now();
   owes_reply_ = false;
   return sent == frame.size();
 }
@@ -318,16 +310,16 @@
     return;
   }
   if (message.control) {
-    counters_.control_bytes_sent += message.frame->size();
+    context_.counters.control_bytes_sent += message.frame->size();
   } else {
-    last_used_ = clock_.Now();
+    last_used_ = context_.clock.Now();
     if (!unanswered_since_) {
       unanswered_since_ = last_used_;
     }
   }
   const auto replaced = queue_.replaced();
-  counters_.messages_dropped += queue_.Push(std::move(message));
-  counters_.messages_replaced += queue_.replaced() - replaced;
+  context_.counters.messages_dropped += queue_.Push(std::move(message));
+  context_.counters.messages_replaced += queue_.replaced() - replaced;
   wake_writer_.notify_all();
 }
 
@@ -336,7 +328,7 @@
     return;
   }
   queue_.TakeAll(queue);
-  last_used_ = clock_.Now();
+  last_used_ = context_.clock.Now();
   if (!unanswered_since_) {
     unanswered_since_ = last_used_;
   }
--- a/packages/membership/peer_connection.h
+++ b/packages/membership/peer_connection.h
@@ -23,31 +23,8 @@
 
 namespace tanagerloom {
 
-class HybridClock;
 class PeerConnection;
-
-/// Bytes and messages through all connections of a node, and refusals.
-struct PeerCounters {
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t bytes_received = 0;
-  std::uint64_t messages_sent = 0;
-  std::uint64_t messages_received = 0;
-  std::uint64_t control_bytes_sent = 0;
-  std::uint64_t frames_refused = 0;
-  std::uint64_t handshakes_refused = 0;
-  std::uint64_t messages_dropped = 0;
-  std::uint64_t messages_replaced = 0;
-  std::uint64_t stale_ignored = 0;
-  std::uint64_t repeats_ignored = 0;
-  std::uint64_t silent_connections = 0;
-};
-
-/// What connections of one node share.
-struct PeerIdentity {
-  std::string node;
-  std::string incarnation;
-  std::string full;  ///< "NODE/INCARNATION".
-};
+struct PeerContext;
 
 /// Why a connection ended.
 enum class CloseCause {
@@ -84,13 +61,7 @@
 /// return when the connection has ended; a second fiber writes.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
-  PeerConnection(boost::asio::io_context& io,
-                 const Clock& clock,
-                 HybridClock& hybrid_clock,
-                 const PeerAuthenticator& authenticator,
-                 const PeerIdentity& self,
-                 PeerCounters& counters,
-                 PeerConnectionOwner& owner);
+  PeerConnection(PeerContext& context, PeerConnectionOwner& owner);
   PeerConnection(const PeerConnection&) = delete;
   PeerConnection& operator=(const PeerConnection&) = delete;
 
@@ -135,7 +106,7 @@
   std::optional<TimePoint> write_blocked_since() const {
     return write_blocked_since_;
   }
-  bool drained() const { return queue_.empty() && !write_blocked_since_; }
+  bool Drained() const { return queue_.empty() && !write_blocked_since_; }
   const OutboundQueue& queue() const { return queue_; }
 
   /// Moves the times of the last signs of life forward by `gap`, during which
@@ -158,11 +129,7 @@
   std::string PeerFull() const { return peer_ + "/" + peer_incarnation_; }
   void SetSocketOptions();
 
-  const Clock& clock_;
-  HybridClock& hybrid_clock_;
-  const PeerAuthenticator& authenticator_;
-  const PeerIdentity& self_;
-  PeerCounters& counters_;
+  PeerContext& context_;
   PeerConnectionOwner& owner_;
   boost::asio::ip::tcp::socket socket_;
   FrameReader reader_;
