Test the peer network in a fleet and under faults

A relay inside the test process cuts connections or lets them go silent in one direction. Send no longer claims success while the last attempt to connect failed.

--- a/packages/membership/link_set.cc
+++ b/packages/membership/link_set.cc
@@ -496,16 +496,19 @@
     Push(*connection, std::move(message));
     return true;
   }
-  // The node lives, but no direct path to it works at the moment.
-  if ((peer.failed_at && now - *peer.failed_at < context_.peer_timeout) ||
-      context_.members.FindNode(node) == nullptr) {
+  if (context_.members.FindNode(node) == nullptr) {
     return false;
   }
-  context_.counters.messages_dropped += peer.waiting.Push(std::move(message));
-  if (peer.opening == nullptr) {
+  // If the last attempt failed, the node lives but no direct path to it works;
+  // the caller learns that at once, and a new attempt is made for later calls.
+  const bool failed = peer.failed_at.has_value();
+  if (!failed) {
+    context_.counters.messages_dropped += peer.waiting.Push(std::move(message));
+  }
+  if (peer.opening == nullptr && now >= peer.next_attempt) {
     Open(node, peer, chosen_.contains(node));
   }
-  return true;
+  return !failed;
 }
 
 nlohmann::json LinkSet::Status(TimePoint now) const {
--- a/packages/membership/link_set.h
+++ b/packages/membership/link_set.h
@@ -74,7 +74,7 @@
                   const std::function<bool(const std::string&)>& skip);
 
   /// Sends to one node, opening a connection if there is none. Returns false
-  /// if the last attempt to connect failed lately.
+  /// if the last attempt to connect failed.
   bool SendTo(const std::string& node, OutboundMessage message);
 
   /// A node was heard under a new incarnation: closes the connections of the
--- a/tests/correctness/peer_service_test.cc
+++ b/tests/correctness/peer_service_test.cc
@@ -43,11 +43,11 @@
   PeerSite site;
   site.StartMany(3);
   ASSERT_TRUE(PeerSite::Wait([&] { return site.AllSee(3); }));
-  EXPECT_TRUE(site.nodes.at("n00")->service.Send("n02", Demand{"cell", 1, {}}));
-  EXPECT_FALSE(site.nodes.at("n00")->service.Send("n09", DemandAck{"cell", 1}));
-  ASSERT_TRUE(PeerSite::Wait(
-      [&] { return site.nodes.at("n02")->received.size() == 1; }));
-  EXPECT_TRUE(site.nodes.at("n01")->received.empty());
+  EXPECT_TRUE(site.Node("n00").service.Send("n02", Demand{"cell", 1, {}}));
+  EXPECT_FALSE(site.Node("n00").service.Send("n09", DemandAck{"cell", 1}));
+  ASSERT_TRUE(
+      PeerSite::Wait([&] { return site.Node("n02").received.size() == 1; }));
+  EXPECT_TRUE(site.Node("n01").received.empty());
 }
 
 // Guards against a stopped node that stays live until a timeout.
@@ -55,10 +55,10 @@
   PeerSite site;
   site.StartMany(3);
   ASSERT_TRUE(PeerSite::Wait([&] { return site.AllSee(3); }));
-  site.nodes.at("n01")->service.Stop();
+  site.Node("n01").service.Stop();
   site.nodes.erase("n01");
   ASSERT_TRUE(PeerSite::Wait([&] { return site.AllSee(2); }));
-  EXPECT_EQ(site.nodes.at("n00")->Count(events::kMemberLeaving), 1);
+  EXPECT_EQ(site.Node("n00").Count(events::kMemberLeaving), 1);
 }
 
 // Guards against a node that learns the state of others without a key.
@@ -75,5 +75,86 @@
   EXPECT_EQ(node.service.Status().dump().find("test key"), std::string::npos);
 }
 
+// A fleet in which no node has a link to every other one.
+class PeerFleet : public testing::Test {
+ protected:
+  static constexpr int kNodes = 24;
+
+  void SetUp() override {
+    site_.settings.peer_links = 4;
+    site_.settings.peer_timeout = 1000ms;
+    site_.StartMany(kNodes);
+    ASSERT_TRUE(PeerSite::Wait([&] { return site_.AllSee(kNodes); }));
+  }
+
+  static std::size_t Links(const SiteNode& node, bool mesh) {
+    std::size_t n = 0;
+    const auto status = node.service.Status();
+    for (const auto& it : status.at("links")) {
+      n += it.at("mesh") == mesh ? 1 : 0;
+    }
+    return n;
+  }
+
+  PeerSite site_;
+};
+
+// Guards against links that grow with the fleet, and against a flood that
+// misses a node or reaches it twice.
+TEST_F(PeerFleet, FloodReachesAllOverFewLinks) {
+  EXPECT_TRUE(PeerSite::Wait([&] {
+    std::size_t sum = 0;
+    for (const auto& [id, node] : site_.nodes) {
+      sum += Links(*node, true);
+    }
+    return sum <= std::size_t{kNodes} * 6;
+  }));
+  site_.Node("n05").service.Broadcast(CrashNotice{42, 2, 1000});
+  EXPECT_TRUE(PeerSite::Wait([&] {
+    return std::ranges::all_of(site_.nodes, [](const auto& it) {
+      return it.first == "n05" || !it.second->received.empty();
+    });
+  }));
+  boost::this_fiber::sleep_for(100ms);
+  for (const auto& [id, node] : site_.nodes) {
+    EXPECT_EQ(node->received.size(), id == "n05" ? 0U : 1U) << id;
+  }
+}
+
+// Guards against nodes without a link between them that cannot talk.
+TEST_F(PeerFleet, SendOpensConnectionsOnDemand) {
+  auto& sender = site_.Node("n00");
+  for (const auto& [id, node] : site_.nodes) {
+    EXPECT_EQ(sender.service.Send(id, OrderDone{"c", "s", "o"}), id != "n00");
+  }
+  EXPECT_TRUE(PeerSite::Wait([&] {
+    return std::ranges::all_of(site_.nodes, [](const auto& it) {
+      return it.first == "n00" || it.second->received.size() == 1;
+    });
+  }));
+  EXPECT_GT(Links(sender, false), 0U);
+  boost::this_fiber::sleep_for(2 * site_.settings.peer_timeout);
+  EXPECT_TRUE(site_.AllSee(kNodes));
+  EXPECT_EQ(sender.Count(events::kPeerSilent), 0);
+}
+
+// Guards against a leaving node, or endpoint, that part of the fleet misses.
+TEST_F(PeerFleet, LeavingIsKnownEverywhere) {
+  Vm endpoint;
+  endpoint.id = "gw-01";
+  endpoint.role = VmRole::kEngine;
+  site_.vms[endpoint.id] = endpoint;
+  site_.Node("n03").service.AnnounceLeaving();
+  site_.Node("n04").service.ReportLeaving(endpoint.id);
+  EXPECT_TRUE(PeerSite::Wait([&] { return site_.AllSee(kNodes - 1); }));
+  EXPECT_TRUE(PeerSite::Wait([&] {
+    return std::ranges::all_of(site_.nodes, [](const auto& it) {
+      return std::ranges::any_of(it.second->service.Vms(), [](const Vm& vm) {
+        return vm.id == "gw-01" && vm.leaving;
+      });
+    });
+  }));
+}
+
 }  // namespace
 }  // namespace tanagerloom
--- a/tests/support/peer_site.h
+++ b/tests/support/peer_site.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/event_log.h"
@@ -17,31 +18,45 @@
 #include "ports/vm_list.h"
 #include "runtime/runtime.h"
 #include "runtime/steady_clock.h"
+#include "tests/support/fault_relay.h"
 
 namespace tanagerloom {
 
-/// A VM list that a test edits.
+/// The VM list of one node: the site's list, whose peer ports are replaced by
+/// the relays from this node.
 class FakeVmList final : public VmList {
  public:
+  using PortOf = std::function<std::uint16_t(const Vm&)>;
+
+  FakeVmList(const std::map<std::string, Vm>& vms, PortOf port_of)
+      : vms_(vms), port_of_(std::move(port_of)) {}
+
   Result<std::vector<Vm>> Read() override {
     if (failing) {
       return MakeError(ErrorKind::kUnavailable, "the list is down");
     }
     std::vector<Vm> out;
-    for (const auto& [id, vm] : vms) {
+    for (const auto& [id, vm] : vms_) {
       out.push_back(vm);
+      out.back().peer_port = port_of_(vm);
     }
     return out;
   }
 
-  std::map<std::string, Vm> vms;
   bool failing = false;
+
+ private:
+  const std::map<std::string, Vm>& vms_;
+  PortOf port_of_;
 };
 
 /// One service with what it needs.
 struct SiteNode {
-  SiteNode(VmList& list, const Settings& settings)
-      : events(settings.node_id, 10000, MakeNullLogger()),
+  SiteNode(const std::map<std::string, Vm>& vms,
+           FakeVmList::PortOf port_of,
+           const Settings& settings)
+      : list(vms, std::move(port_of)),
+        events(settings.node_id, 10000, MakeNullLogger()),
         service(Runtime::Get().io(), list, clock, events, settings) {
     service.OnMessage([this](const std::string& from, const PeerMessage& it) {
       received.emplace_back(from, it);
@@ -57,6 +72,7 @@
     return n;
   }
 
+  FakeVmList list;
   SteadyClock clock;
   EventLog events;
   PeerService service;
@@ -74,23 +90,44 @@
     settings.peer_timeout = std::chrono::milliseconds(400);
   }
 
-  /// Starts a node and lists it, at `advertised_port` if that is not 0.
-  SiteNode& Start(const std::string& id, std::uint16_t advertised_port = 0) {
+  /// Starts a node and lists it.
+  SiteNode& Start(const std::string& id) {
     Settings own = settings;
     own.node_id = id;
-    auto node = std::make_unique<SiteNode>(list, own);
-    const auto address = node->service.Start().value();
-    ports[id] = address.port;
-    List(id, advertised_port != 0 ? advertised_port : address.port);
+    const auto port_of = [this, id](const Vm& vm) {
+      return relayed ? Relay(id, vm.id).port() : vm.peer_port;
+    };
+    auto node = std::make_unique<SiteNode>(vms, port_of, own);
+    List(id, node->service.Start().value().port);
     return *(nodes[id] = std::move(node));
   }
 
+  /// The relay for connections that `from` opens to `to`.
+  FaultRelay& Relay(const std::string& from, const std::string& to) {
+    auto& relay = relays[{from, to, vms.at(to).peer_port}];
+    if (relay == nullptr) {
+      relay = new FaultRelay(vms.at(to).peer_port);
+    }
+    return *relay;
+  }
+
+  /// Cuts or restores all connections between `id` and the others.
+  void Isolate(const std::string& id, bool cut) {
+    for (const auto& [key, relay] : relays) {
+      if (std::get<0>(key) == id || std::get<1>(key) == id) {
+        relay->SetCut(cut);
+      }
+    }
+  }
+
+  SiteNode& Node(const std::string& id) { return *nodes.at(id); }
+
   void List(const std::string& id, std::uint16_t peer_port) {
     Vm vm;
     vm.id = id;
     vm.address = {"127.0.0.1", 1};
     vm.peer_port = peer_port;
-    list.vms[id] = vm;
+    vms[id] = vm;
   }
 
   void StartMany(int n) {
@@ -120,8 +157,12 @@
   }
 
   Settings settings;
-  FakeVmList list;
-  std::map<std::string, std::uint16_t> ports;
+  bool relayed = false;  ///< Connections go through relays.
+  std::map<std::string, Vm> vms;
+  /// By opener, other end and its port.
+  std::map<std::tuple<std::string, std::string, std::uint16_t>, FaultRelay*>
+      relays;
+  /// Last, because services use the rest until they have stopped.
   std::map<std::string, std::unique_ptr<SiteNode>> nodes;
 };
 
