--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -1,6 +1,7 @@
 #include "config/settings.h"
 
 #include <algorithm>
+#include <array>
 
 #include "config/json_text.h"
 #include "config/object_reader.h"
@@ -70,6 +71,16 @@
   reader.Unsigned("crash_limit", out.crash_limit, 1, 100);
   reader.Unsigned("max_waiting", out.max_waiting, 1, 1000000);
   reader.Unsigned("max_in_progress", out.max_in_progress, 1, 10000);
+  reader.String("keep_alive_policy", out.keep_alive_policy,
+                Presence::kOptional);
+  constexpr std::array<std::string_view, 3> kPolicies = {"cost", "fixed",
+                                                         "never"};
+  if (std::find(kPolicies.begin(), kPolicies.end(), out.keep_alive_policy) ==
+      kPolicies.end()) {
+    reader.Problem("keep_alive_policy", "value " +
+                                            Shown(out.keep_alive_policy) +
+                                            "; allowed: cost, fixed, never");
+  }
 }
 
 }  // namespace
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -22,11 +22,13 @@
   tanagerctl status --node=ADDRESS [--json]
   tanagerctl drain --node=ADDRESS [--token=TOKEN] [--json]
   tanagerctl timeline (--node=ADDRESS)... [--request=ID] [--model=NAME] [--server=NAME] [--at=NODE] [--format=FORMAT] [--json]
+  tanagerctl load WORKLOAD (--node=ADDRESS)... [--seed=SEED] [--json]
   tanagerctl hash [--salt=SALT] [--json]
   tanagerctl (-h | --help)
 
 Options:
-  --node=ADDRESS    IP:PORT of a node's admin listener.
+  --node=ADDRESS    IP:PORT of a node's admin listener; for load, of its caller
+                    listener.
   --token=TOKEN     Operator token; by default from the environment variable
                     TANAGERLOOM_TOKEN, which other users can't see.
   --expect=VERSION  Refuse if the file's version in force is another one; 0 if
@@ -39,6 +41,7 @@
   --server=NAME     Only events of this server.
   --at=NODE         Only events of this node.
   --format=FORMAT   text, json or trace (trace-event JSON) [default: text].
+  --seed=SEED       Seed of the arrivals; by default the workload's own.
   --salt=SALT       Salt of the digest of a token; without it, a plain digest
                     as for caller keys. The secret is read from standard input.
   --json            Write JSON.
@@ -52,6 +55,7 @@
     {"apply", RunApply}, {"validate", RunValidate}, {"show", RunShow},
     {"diff", RunDiff},   {"history", RunHistory},   {"status", RunStatus},
     {"drain", RunDrain}, {"hash", RunHash},         {"timeline", RunTimeline},
+    {"load", RunLoad},
 };
 
 ExitStatus Dispatch(const CtlContext& ctl) {
--- a/packages/ctl/ctl_context.h
+++ b/packages/ctl/ctl_context.h
@@ -54,6 +54,7 @@
 ExitStatus RunStatus(const CtlContext& ctl);
 ExitStatus RunDrain(const CtlContext& ctl);
 ExitStatus RunTimeline(const CtlContext& ctl);
+ExitStatus RunLoad(const CtlContext& ctl);
 ExitStatus RunHash(const CtlContext& ctl);
 
 }  // namespace tanagerloom
--- /dev/null
+++ b/packages/ctl/load_command.cc
@@ -0,0 +1,68 @@
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "ctl/ctl_context.h"
+#include "load/load_generator.h"
+#include "load/workload.h"
+#include "runtime/steady_clock.h"
+
+namespace tanagerloom {
+
+namespace {
+
+CtlResult<WorkloadSpec> ReadWorkload(const CtlContext& ctl) {
+  const auto path = ctl.Option("WORKLOAD");
+  BOOST_OUTCOME_TRY(text, ReadTextFile(path));
+  auto spec = ParseWorkload(text);
+  if (!spec) {
+    return CtlFailure{ExitStatus::kUsage,
+                      path + ": " + spec.assume_error().message};
+  }
+  const auto seed = ctl.Option("--seed");
+  auto& number = spec.assume_value().seed;
+  if (!seed.empty() &&
+      std::from_chars(seed.data(), seed.data() + seed.size(), number).ptr !=
+          seed.data() + seed.size()) {
+    return CtlFailure{ExitStatus::kUsage,
+                      "--seed \"" + seed + "\"; allowed: a whole number"};
+  }
+  return std::move(spec).assume_value();
+}
+
+CtlResult<std::vector<Address>> ReadNodes(const CtlContext& ctl) {
+  std::vector<Address> nodes;
+  for (const auto& it : ctl.Options("--node")) {
+    BOOST_OUTCOME_TRY(address, ParseNodeAddress(it));
+    nodes.push_back(address);
+  }
+  return nodes;
+}
+
+}  // namespace
+
+ExitStatus RunLoad(const CtlContext& ctl) {
+  const auto spec = ReadWorkload(ctl);
+  if (!spec) {
+    return ctl.Fail(spec.assume_error());
+  }
+  auto nodes = ReadNodes(ctl);
+  if (!nodes) {
+    return ctl.Fail(nodes.assume_error());
+  }
+  SteadyClock clock;
+  LoadGenerator generator(ctl.http, clock, std::move(nodes).assume_value());
+  const auto report =
+      generator.Run(spec.assume_value(), [&](const LoadProgress& progress) {
+        ctl.err << "sent " << progress.sent << " of " << progress.planned
+                << ", finished " << progress.finished << "\n";
+      });
+  if (ctl.Flag("--json")) {
+    ctl.Print(report.ToJson());
+  } else {
+    ctl.out << report.ToTable();
+  }
+  // A request without a true end is a broken guarantee, not a busy system.
+  return report.all.failed == 0 ? ExitStatus::kDone : ExitStatus::kRefused;
+}
+
+}  // namespace tanagerloom
