--- a/tests/correctness/placement_fakes.h
+++ b/tests/correctness/placement_fakes.h
@@ -350,9 +350,9 @@
     return {name, "1", ""};
   }
 
-  /// Advances time in steps of 10 ms and lets every running node act.
-  void RunFor(Duration duration) {
-    for (Duration done{}; done < duration; done += 10ms) {
+  /// Advances time in steps and lets every running node act in each.
+  void RunFor(Duration duration, Duration step = 10ms) {
+    for (Duration done{}; done < duration; done += step) {
       for (auto& [id, node] : nodes_) {
         if (!hub_.gone.contains(id) && !paused_.contains(id)) {
           node->service.Step();
@@ -361,7 +361,7 @@
         hub_.Deliver();
       }
       CheckEngines();
-      clock_.Advance(10ms);
+      clock_.Advance(step);
     }
   }
   static void Yield() {
