Test the operator API and tanagerctl

Loops over items() of a temporary read freed memory: show failed on a null value and the trace was empty. Only problems of the command line now exit with 2; an answer of another form exits with 3. JSON errors of callbacks are answered with 500 instead of ending the process.

--- a/packages/control/admin_server.cc
+++ b/packages/control/admin_server.cc
@@ -185,7 +185,12 @@
                    "no such resource: " + request.method + " " +
                        std::string(request.Path()));
   }
-  return (this->*handler)(request);
+  try {
+    return (this->*handler)(request);
+  } catch (const json::exception& e) {
+    // A callback's JSON lacks the documented form; the node goes on serving.
+    return Failure(500, "internal", e.what());
+  }
 }
 
 HttpResponse AdminServer::Healthz(const HttpRequest&) {
--- a/packages/ctl/config_commands.cc
+++ b/packages/ctl/config_commands.cc
@@ -90,7 +90,8 @@
 
 void PrintConfiguration(std::ostream& out, const json& value) {
   out << "configuration version " << value.value("version", 0) << "\n";
-  for (const auto& it : value.value("files", json::object()).items()) {
+  const auto files = value.value("files", json::object());
+  for (const auto& it : files.items()) {
     const auto& file = it.value();
     const auto author = file.value("author", "");
     out << "  " << it.key() << ": version " << file.value("version", 0)
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -69,10 +69,9 @@
            const std::vector<std::string>& args,
            std::ostream& out,
            std::ostream& err) {
+  std::map<std::string, docopt::value> parsed;
   try {
-    const auto parsed = docopt::docopt_parse(kUsage, args, true, false);
-    HttpClient http(io);
-    return static_cast<int>(Dispatch({parsed, http, out, err}));
+    parsed = docopt::docopt_parse(kUsage, args, true, false);
   } catch (const docopt::DocoptExitHelp&) {
     out << kUsage;
     return static_cast<int>(ExitStatus::kDone);
@@ -80,6 +79,15 @@
     err << "tanagerctl: " << e.what() << "\n" << kUsage;
     return static_cast<int>(ExitStatus::kUsage);
   }
+  HttpClient http(io);
+  const CtlContext ctl{parsed, http, out, err};
+  try {
+    return static_cast<int>(Dispatch(ctl));
+  } catch (const nlohmann::json::exception&) {
+    return static_cast<int>(ctl.Fail(
+        {ExitStatus::kUnreachable,
+         "a node's answer does not have the form of the operator API"}));
+  }
 }
 
 }  // namespace tanagerloom
--- a/packages/ctl/timeline.cc
+++ b/packages/ctl/timeline.cc
@@ -153,7 +153,8 @@
   for (const auto& it : events) {
     out << FormatMicros(Number(it, "time_us")) << " " << Text(it, "process")
         << " " << Text(it, "event");
-    for (const auto& field : Fields(it).items()) {
+    const auto fields = Fields(it);
+    for (const auto& field : fields.items()) {
       out << " " << field.key() << "="
           << (field.value().is_string()
                   ? field.value().get<std::string>()
--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -34,6 +34,9 @@
   /// The version that the node's heartbeats carry.
   std::function<std::uint64_t()> version = [] { return std::uint64_t{0}; };
 
+  /// Where the node's operator API listens.
+  Address admin;
+
   const std::string& self() const override { return self_; }
   const std::string& node_id() const override { return id_; }
 
@@ -44,6 +47,8 @@
       Member member;
       member.vm.id = it.first;
       member.vm.data_centre = it.second->data_centre_;
+      member.vm.address.ip = it.second->admin.ip;
+      member.vm.admin_port = it.second->admin.port;
       member.reachable = heard;
       member.config_version = heard ? it.second->version() : 0;
       out.push_back(std::move(member));
