--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -57,6 +57,10 @@
   }
 }
 
+bool HttpClient::Probe(const Address& address, TimePoint deadline) {
+  return static_cast<bool>(HttpConnection(io_, address).Connect(deadline));
+}
+
 HttpExchange::HttpExchange(std::unique_ptr<HttpConnection> connection,
                            std::weak_ptr<HttpClient::Idle> idle)
     : connection_(std::move(connection)), idle_(std::move(idle)) {}
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -62,6 +62,10 @@
       const HttpRequest& request,
       const HttpCallOptions& options);
 
+  /// Opens a connection and closes it again, without a request: whether
+  /// something listens at the address.
+  bool Probe(const Address& address, TimePoint deadline);
+
  private:
   friend class HttpExchange;
   using Idle = std::map<Address, std::vector<std::unique_ptr<HttpConnection>>>;
--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -18,6 +18,7 @@
 #include "routing/cancel_source.h"
 #include "routing/claim_store.h"
 #include "routing/claimed_calls.h"
+#include "routing/crash_quarantine.h"
 #include "routing/endpoint_table.h"
 #include "routing/model_dispatcher.h"
 #include "routing/request_scheduler.h"
@@ -64,8 +65,9 @@
       : deps(dependencies),
         endpoints(deps),
         scheduler(deps, endpoints),
-        models(deps, scheduler, endpoints, budget),
-        services(deps, scheduler, endpoints, budget),
+        quarantine(deps),
+        models(deps, scheduler, endpoints, budget, quarantine),
+        services(deps, scheduler, endpoints, budget, quarantine),
         claims(deps),
         claimed_calls(deps, claims, services) {}
 
@@ -82,6 +84,7 @@
   EndpointTable endpoints;
   RequestScheduler scheduler;
   RetryBudget budget;
+  CrashQuarantine quarantine;
   ModelDispatcher models;
   ServiceDispatcher services;
   ClaimStore claims;
@@ -99,12 +102,14 @@
 void CallerApi::Start() {
   impl_->deps.peers.OnMessage([impl = impl_.get()](const std::string& from,
                                                    const PeerMessage& message) {
+    impl->quarantine.OnPeerMessage(message);
     if (impl->endpoints.OnPeerMessage(from, message)) {
       impl->scheduler.PumpAll();
     }
   });
   impl_->scheduler.Start();
   impl_->claims.Start();
+  impl_->quarantine.Start();
 }
 
 void CallerApi::Handle(const HttpRequest& request, HttpResponder& responder) {
@@ -119,6 +124,11 @@
     impl_->RefuseUnread(id, std::move(*refusal), responder);
     return;
   }
+  const auto& accepted = std::get<CallerRequest>(read);
+  if (auto refusal = impl_->quarantine.Check(accepted.crash_fingerprint)) {
+    impl_->RefuseUnread(id, std::move(*refusal), responder);
+    return;
+  }
   ++impl_->in_progress;
   ++impl_->accepted;
   impl_->Serve(std::move(std::get<CallerRequest>(read)), responder);
@@ -207,6 +217,7 @@
           {"in_progress", impl_->in_progress},
           {"retries_left", impl_->budget.saved()},
           {"claims_pending", impl_->claims.pending()},
+          {"crashes", impl_->quarantine.Status()},
           {"scheduler", impl_->scheduler.Status()},
           {"endpoints", impl_->endpoints.Status()}};
 }
--- a/packages/routing/caller_request.cc
+++ b/packages/routing/caller_request.cc
@@ -197,14 +197,22 @@
   return hashes;
 }
 
-// The hash that recognises the same request from any caller. Fields that change
-// with each attempt or don't change what is computed are left out.
-std::uint64_t ModelFingerprint(std::string_view path, json body) {
-  for (const char* field : {"user", "metadata", "stream", "stream_options",
-                            "seed", "request_id", "timestamp"}) {
+// The hash that recognises a request that crashes endpoints, from any caller.
+// Fields that change with each resend are left out.
+std::uint64_t CrashFingerprint(std::string_view method,
+                               std::string_view target,
+                               json body) {
+  for (const char* field :
+       {"user", "metadata", "stream", "stream_options", "seed", "priority",
+        "request_id", "id", "timestamp", "nonce"}) {
     body.erase(field);
   }
-  return StableHash("POST " + std::string(path) + "\n" + body.dump());
+  std::string text(method);
+  text += ' ';
+  text += target;
+  text += '\n';
+  return StableHash(text +
+                    body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 // Whether the nesting of JSON text stays within kMaxJsonDepth.
@@ -273,7 +281,8 @@
   call.key = resolved->key;
   call.cell = resolved->model->pool;
   call.prefix = PrefixHashes(call.model_name, body);
-  out.fingerprint = ModelFingerprint(request.Path(), body);
+  out.crash_fingerprint =
+      CrashFingerprint(request.method, request.Path(), body);
   call.engine_request =
       EndpointRequest(request, std::string(request.Path()), out);
   call.engine_request.headers.Set("Content-Type", "application/json");
@@ -298,6 +307,20 @@
   return false;
 }
 
+std::uint64_t ServiceCrashFingerprint(const HttpRequest& request,
+                                      std::uint64_t fingerprint) {
+  const bool json_body = request.headers.Find("Content-Type")
+                             .value_or("")
+                             .starts_with("application/json");
+  if (!json_body || !IsShallow(request.body)) {
+    return fingerprint;
+  }
+  auto body = json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object()
+             ? CrashFingerprint(request.method, request.target, std::move(body))
+             : fingerprint;
+}
+
 std::optional<Refusal> ReadServiceCall(const HttpRequest& request,
                                        CallerRequest& out) {
   const auto rest =
@@ -331,6 +354,7 @@
   }
   out.fingerprint =
       StableHash(request.method + " " + request.target + "\n" + request.body);
+  out.crash_fingerprint = ServiceCrashFingerprint(request, out.fingerprint);
   call.endpoint_request = EndpointRequest(request, std::move(target), out);
   call.endpoint_request.body = request.body;
   if (!call.idempotency_key.empty()) {
--- a/packages/routing/caller_request.h
+++ b/packages/routing/caller_request.h
@@ -51,7 +51,9 @@
   bool deferred = false;
   TimePoint arrived;
   TimePoint deadline;
-  std::uint64_t fingerprint = 0;  ///< Of method, path and body.
+  std::uint64_t fingerprint = 0;  ///< Of method, target and body.
+  /// As above without the fields that change between resends.
+  std::uint64_t crash_fingerprint = 0;
   std::shared_ptr<const Estate> estate;
   std::variant<ModelList, ModelCall, ServiceCall> call;
 };
--- /dev/null
+++ b/packages/routing/crash_quarantine.cc
@@ -0,0 +1,303 @@
+#include "routing/crash_quarantine.h"
+
+#include <algorithm>
+#include <boost/fiber/fiber.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "config/settings.h"
+#include "ports/object_store.h"
+#include "ports/peer_network.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "crashes/";
+
+// Fingerprints in one range. A caller that sends ever new crashing requests
+// must not grow the object beyond its limit; the oldest counts go first.
+constexpr std::size_t kMaxInRange = 2000;
+
+// Fingerprints in the memory of a node.
+constexpr std::size_t kMaxCounts = 20000;
+
+// A retry waits for its stored count at most this long.
+constexpr Duration kStoreTime = std::chrono::seconds(2);
+constexpr Duration kStorePause = std::chrono::milliseconds(30);
+
+// Interval of reading the stored counts, which repairs lost notices. It grows
+// with the members, so that all reads together stay below 20 a second.
+constexpr Duration kRefreshPerMember = std::chrono::milliseconds(50);
+constexpr Duration kLeastRefresh = std::chrono::seconds(2);
+
+std::string FingerprintText(std::uint64_t fingerprint) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string out(16, '0');
+  for (auto it = out.rbegin(); it != out.rend(); ++it, fingerprint >>= 4) {
+    *it = kDigits[fingerprint & 15];
+  }
+  return out;
+}
+
+std::optional<std::uint64_t> ParseFingerprint(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value, 16);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value)
+                                                       : std::nullopt;
+}
+
+json ParseRange(std::string_view text) {
+  auto doc = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  return doc.is_object() ? doc : json::object();
+}
+
+// Removes expired counts, and the ones that expire first beyond kMaxInRange.
+void Prune(json& range, std::int64_t now_ms) {
+  for (auto it = range.begin(); it != range.end();) {
+    const bool expired =
+        !it->is_object() || it->value("until_ms", std::int64_t{0}) < now_ms;
+    it = expired ? range.erase(it) : std::next(it);
+  }
+  while (range.size() > kMaxInRange) {
+    range.erase(std::min_element(range.begin(), range.end(),
+                                 [](const json& a, const json& b) {
+                                   return a.value("until_ms", std::int64_t{0}) <
+                                          b.value("until_ms", std::int64_t{0});
+                                 }));
+  }
+}
+
+// Counts a crash once: its id is kept, so that a write whose answer was lost
+// can be repeated.
+std::uint32_t CountCrash(json& range,
+                         const std::string& name,
+                         bool alone,
+                         std::uint32_t limit,
+                         std::int64_t until_ms,
+                         const std::string& event) {
+  constexpr std::size_t kMaxEvents = 8;
+  auto& entry = range[name];
+  if (!entry.is_object()) {
+    entry = {{"crashes", 0}, {"events", json::array()}};
+  }
+  auto& events = entry["events"];
+  const auto crashes = entry.value("crashes", std::uint32_t{0});
+  if (std::find(events.begin(), events.end(), event) != events.end()) {
+    return crashes;
+  }
+  events.push_back(event);
+  if (events.size() > kMaxEvents) {
+    events.erase(events.begin());
+  }
+  const auto next = NextCrashCount(crashes, alone, limit);
+  entry["crashes"] = next;
+  entry["until_ms"] = until_ms;
+  return next;
+}
+
+}  // namespace
+
+std::uint32_t NextCrashCount(std::uint32_t count,
+                             bool alone,
+                             std::uint32_t limit) {
+  if (alone || limit <= 1 || count >= limit) {
+    return count + 1;
+  }
+  return std::min(count + 1, limit - 1);
+}
+
+CrashQuarantine::CrashQuarantine(const RoutingDependencies& deps)
+    : deps_(deps) {}
+
+void CrashQuarantine::Start() {
+  boost::fibers::fiber([this] { RefreshLoop(); }).detach();
+}
+
+std::uint32_t CrashQuarantine::CountOf(std::uint64_t fingerprint) const {
+  const auto it = counts_.find(fingerprint);
+  return it == counts_.end() || it->second.expires <= deps_.clock.Now()
+             ? 0
+             : it->second.crashes;
+}
+
+std::optional<Refusal> CrashQuarantine::Check(std::uint64_t fingerprint) const {
+  const auto crashes = CountOf(fingerprint);
+  if (crashes < deps_.settings.crash_limit) {
+    return std::nullopt;
+  }
+  return Refusal{422, "quarantined",
+                 "this request crashed " + std::to_string(crashes) +
+                     " endpoints and is refused for a time",
+                 Verdict::kNotRun,
+                 counts_.at(fingerprint).expires - deps_.clock.Now()};
+}
+
+void CrashQuarantine::Set(std::uint64_t fingerprint,
+                          std::uint32_t crashes,
+                          Duration valid) {
+  const auto now = deps_.clock.Now();
+  if (counts_.size() >= kMaxCounts) {
+    std::erase_if(counts_,
+                  [&](const auto& it) { return it.second.expires <= now; });
+  }
+  if (counts_.size() >= kMaxCounts) {
+    return;
+  }
+  auto& count = counts_[fingerprint];
+  if (count.expires <= now) {
+    count.crashes = 0;
+  }
+  count.crashes = std::max(count.crashes, crashes);
+  count.expires = std::max(count.expires, now + valid);
+}
+
+void CrashQuarantine::Tell(std::uint64_t fingerprint) {
+  deps_.peers.Broadcast(CrashNotice{
+      fingerprint, CountOf(fingerprint),
+      static_cast<std::uint64_t>(deps_.settings.quarantine.count())});
+}
+
+void CrashQuarantine::OnCrash(std::uint64_t fingerprint,
+                              bool alone,
+                              const std::string& request,
+                              const std::string& endpoint) {
+  const auto limit = deps_.settings.crash_limit;
+  Set(fingerprint, NextCrashCount(CountOf(fingerprint), alone, limit),
+      deps_.settings.quarantine);
+  Tell(fingerprint);
+  const auto local = CountOf(fingerprint);
+  const auto stored = Store(fingerprint, alone, NewId("crash-"));
+  if (stored > local) {
+    Set(fingerprint, stored, deps_.settings.quarantine);
+    Tell(fingerprint);
+  }
+  const auto crashes = CountOf(fingerprint);
+  deps_.log.Record(events::kRequestCrashedEndpoint,
+                   {{"request", request},
+                    {"endpoint", endpoint},
+                    {"fingerprint", FingerprintText(fingerprint)},
+                    {"crashes", crashes}});
+  if (crashes >= limit) {
+    deps_.log.Record(events::kRequestQuarantined,
+                     {{"fingerprint", FingerprintText(fingerprint)},
+                      {"crashes", crashes},
+                      {"ms", deps_.settings.quarantine.count()}});
+  }
+}
+
+void CrashQuarantine::OnSurvived(std::uint64_t fingerprint) {
+  if (counts_.erase(fingerprint) == 0) {
+    return;
+  }
+  Tell(fingerprint);
+  boost::fibers::fiber([this, fingerprint] {
+    Store(fingerprint, /*alone=*/false, /*event=*/"");
+  }).detach();
+}
+
+std::uint32_t CrashQuarantine::Store(std::uint64_t fingerprint,
+                                     bool alone,
+                                     const std::string& event) {
+  const auto name = FingerprintText(fingerprint);
+  const auto key = std::string(kPrefix) + name.substr(0, 1);
+  const auto end = deps_.clock.Now() + kStoreTime;
+  while (deps_.clock.Now() < end) {
+    const auto object = deps_.objects.Get(key);
+    const bool found = static_cast<bool>(object);
+    if (found || object.assume_error().kind == ErrorKind::kNotFound) {
+      const auto now_ms = deps_.clock.WallNow().count();
+      json range =
+          found ? ParseRange(object.assume_value().value) : json::object();
+      const json before = range;
+      std::uint32_t crashes = 0;
+      if (event.empty()) {
+        range.erase(name);
+      } else {
+        crashes = CountCrash(range, name, alone, deps_.settings.crash_limit,
+                             now_ms + deps_.settings.quarantine.count(), event);
+      }
+      Prune(range, now_ms);
+      if (range == before ||
+          deps_.objects.Put(key, range.dump(),
+                            found ? object.assume_value().version : 0)) {
+        return crashes;
+      }
+    }
+    deps_.clock.SleepFor(kStorePause);
+  }
+  return 0;
+}
+
+void CrashQuarantine::OnPeerMessage(const PeerMessage& message) {
+  const auto* notice = std::get_if<CrashNotice>(&message);
+  if (notice == nullptr) {
+    return;
+  }
+  if (notice->crashes == 0) {
+    counts_.erase(notice->fingerprint);
+    return;
+  }
+  Set(notice->fingerprint, notice->crashes,
+      std::min<Duration>(std::chrono::milliseconds(notice->valid_ms),
+                         deps_.settings.quarantine));
+}
+
+void CrashQuarantine::RefreshLoop() {
+  while (true) {
+    Refresh();
+    const auto members =
+        static_cast<std::int64_t>(deps_.peers.Members().size());
+    deps_.clock.SleepFor(std::max(kLeastRefresh, kRefreshPerMember * members));
+  }
+}
+
+void CrashQuarantine::Refresh() {
+  const auto keys = deps_.objects.List(kPrefix);
+  if (!keys) {
+    return;
+  }
+  for (const auto& it : keys.assume_value()) {
+    auto& version = versions_[it.key];
+    if (version >= it.version) {
+      continue;
+    }
+    if (const auto object = deps_.objects.Get(it.key)) {
+      version = object.assume_value().version;
+      ReadRange(object.assume_value().value);
+    }
+  }
+}
+
+void CrashQuarantine::ReadRange(const std::string& text) {
+  const auto now_ms = deps_.clock.WallNow().count();
+  const json range = ParseRange(text);
+  for (const auto& [name, entry] : range.items()) {
+    const auto fingerprint = ParseFingerprint(name);
+    if (!fingerprint || !entry.is_object()) {
+      continue;
+    }
+    const auto left = entry.value("until_ms", std::int64_t{0}) - now_ms;
+    if (left > 0) {
+      Set(*fingerprint, entry.value("crashes", std::uint32_t{0}),
+          std::chrono::milliseconds(left));
+    }
+  }
+}
+
+json CrashQuarantine::Status() const {
+  std::size_t quarantined = 0;
+  for (const auto& [fingerprint, count] : counts_) {
+    quarantined += CountOf(fingerprint) >= deps_.settings.crash_limit ? 1 : 0;
+  }
+  return {{"suspects", counts_.size()}, {"quarantined", quarantined}};
+}
+
+}  // namespace tanagerloom
--- a/packages/routing/endpoint_table.cc
+++ b/packages/routing/endpoint_table.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -30,6 +29,10 @@
 // take an endpoint out of service for hours.
 constexpr Duration kLongestHold = seconds(60);
 
+// A reservation keeps peers away in steps of this time, so that a node that
+// dies does not block the endpoint for long.
+constexpr Duration kReservationStep = seconds(2);
+
 // Interval of use messages for each member: 100 ms at 8 nodes. Their number
 // grows with the square of the members, so the interval grows with them.
 constexpr Duration kShareIntervalPerMember = std::chrono::microseconds(12500);
@@ -37,9 +40,10 @@
 // Bounds one use message to about 3 KB.
 constexpr std::size_t kMaxShared = 64;
 
+// Rounded up, since zero means the end of a condition.
 std::uint64_t Milliseconds(Duration duration) {
   return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(1, duration_cast<milliseconds>(duration).count()));
+      std::chrono::ceil<milliseconds>(duration).count());
 }
 
 }  // namespace
@@ -142,9 +146,32 @@
   }
 }
 
-void EndpointTable::AnnounceExclusive(const std::string& endpoint,
-                                      Duration valid) {
-  Notify(endpoint, EndpointCondition::kOverloaded, valid);
+void EndpointTable::Reserve(const std::string& endpoint,
+                            const std::string& request) {
+  auto& state = Get(endpoint);
+  state.reserved_by = request;
+  state.reserved_at = deps_.clock.Now();
+  Notify(endpoint, EndpointCondition::kOverloaded, kReservationStep);
+}
+
+bool EndpointTable::EndReservations(const std::string& request) {
+  bool ended = false;
+  for (auto& [endpoint, state] : states_) {
+    if (state.reserved_by == request) {
+      state.reserved_by.clear();
+      Notify(endpoint, EndpointCondition::kOverloaded, Duration::zero());
+      ended = true;
+    }
+  }
+  return ended;
+}
+
+void EndpointTable::RenewReservations() {
+  for (const auto& [endpoint, state] : states_) {
+    if (!state.reserved_by.empty()) {
+      Notify(endpoint, EndpointCondition::kOverloaded, kReservationStep);
+    }
+  }
 }
 
 void EndpointTable::Notify(const std::string& endpoint,
@@ -180,9 +207,14 @@
                                      now + std::max(valid, kLeavingNoticeLife));
       return false;
     case EndpointCondition::kOverloaded:
+      // Zero ends a reservation. Backpressure of the endpoint itself is met
+      // again by the next request.
       state.exclusive_until =
-          std::max(state.exclusive_until, now + std::min(valid, kLongestHold));
-      return false;
+          valid == Duration::zero()
+              ? now
+              : std::max(state.exclusive_until,
+                         now + std::min(valid, kLongestHold));
+      return valid == Duration::zero();
     case EndpointCondition::kFailing:
       state.breaker.Open(
           now, std::min<Duration>(valid, EndpointBreaker::kLongestPause));
--- a/packages/routing/endpoint_table.h
+++ b/packages/routing/endpoint_table.h
@@ -33,9 +33,10 @@
   std::uint32_t reported = 0;
   TimePoint reported_at;
   EndpointBreaker breaker;
-  TimePoint hold_until;       ///< Backpressure of the endpoint.
-  TimePoint leaving_until;    ///< From notices; the VM list is read apart.
-  std::string reserved_by;    ///< Request that has to run alone.
+  TimePoint hold_until;     ///< Backpressure of the endpoint.
+  TimePoint leaving_until;  ///< From notices; the VM list is read apart.
+  std::string reserved_by;  ///< Request that has to run alone.
+  TimePoint reserved_at;
   TimePoint exclusive_until;  ///< A peer runs a request alone there.
   std::unordered_set<std::uint64_t> prefixes;
   std::uint64_t cache_sequence = 0;
@@ -67,8 +68,12 @@
   /// The endpoint asked to be left alone for `pause`.
   void OnBackpressure(const std::string& endpoint, Duration pause);
   void OnLeaving(const std::string& endpoint);
-  /// Keeps peers away from an endpoint that runs a suspect request.
-  void AnnounceExclusive(const std::string& endpoint, Duration valid);
+  /// Keeps an endpoint free of other work for a request that has to run alone.
+  void Reserve(const std::string& endpoint, const std::string& request);
+  /// Ends the reservations of a request; returns whether there were any.
+  bool EndReservations(const std::string& request);
+  /// Tells peers again about reservations that last.
+  void RenewReservations();
 
   /// Takes a notice or use message of a peer. True if it may free requests.
   bool OnPeerMessage(const std::string& from, const PeerMessage& message);
--- a/packages/routing/model_dispatcher.cc
+++ b/packages/routing/model_dispatcher.cc
@@ -7,6 +7,8 @@
 #include "base/events.h"
 #include "base/id.h"
 #include "placement/placement_view.h"
+#include "ports/engine_control.h"
+#include "routing/crash_quarantine.h"
 #include "routing/request_scheduler.h"
 
 namespace tanagerloom {
@@ -30,18 +32,23 @@
 struct ModelDispatcher::Progress {
   int attempts = 0;
   std::string endpoint;  ///< Of the last attempt.
-  std::string cause;     ///< Of its failure.
+  Address address;
+  bool alone = false;  ///< The last attempt had its endpoint for itself.
+  std::string boot;    ///< Of the engine before an attempt alone.
+  std::string cause;   ///< Of its failure.
   std::set<std::string> avoid;
 };
 
 ModelDispatcher::ModelDispatcher(const RoutingDependencies& deps,
                                  RequestScheduler& scheduler,
                                  EndpointTable& endpoints,
-                                 RetryBudget& budget)
+                                 RetryBudget& budget,
+                                 CrashQuarantine& quarantine)
     : deps_(deps),
       scheduler_(scheduler),
       endpoints_(endpoints),
-      budget_(budget) {}
+      budget_(budget),
+      quarantine_(quarantine) {}
 
 void ModelDispatcher::Serve(const CallerRequest& request,
                             ModelCall call,
@@ -61,6 +68,7 @@
     ticket.deadline = request.deadline;
     ticket.prefix = &call.prefix;
     ticket.avoid = progress.avoid;
+    ticket.alone = quarantine_.CountOf(request.crash_fingerprint) > 0;
     cancel.SetAction([&] { scheduler_.Cancel(ticket); });
     if (!cancel.cancelled()) {
       scheduler_.Wait(ticket);
@@ -77,8 +85,16 @@
       answer.Refuse(std::move(*ticket.refusal));
       return;
     }
+    // The count may have risen at another node while this request waited.
+    if (auto refusal = quarantine_.Check(request.crash_fingerprint)) {
+      answer.Refuse(std::move(*refusal));
+      return;
+    }
     ++progress.attempts;
     progress.endpoint = ticket.lease->endpoint();
+    progress.address = ticket.lease->address();
+    progress.alone = ticket.lease->alone();
+    progress.boot = progress.alone ? BootOf(progress.address) : "";
     const std::string attempt_id =
         progress.attempts == 1
             ? request.id
@@ -112,6 +128,10 @@
   }
   if (auto* broken = std::get_if<AttemptBroken>(&outcome)) {
     endpoints_.OnFailure(progress.endpoint);
+    record.OnVerdict(Verdict::kMayHaveRun);
+    if (broken->crash_sign) {
+      CountCrash(request, progress);
+    }
     answer.BreakStream(
         {502, "response_cut", broken->cause, Verdict::kMayHaveRun, {}});
     return false;
@@ -132,6 +152,9 @@
   }
   endpoints_.OnSuccess(progress.endpoint);
   record.OnVerdict(Verdict::kRan);
+  if (progress.alone) {
+    quarantine_.OnSurvived(request.crash_fingerprint);
+  }
   if (auto* response = std::get_if<AttemptResponse>(&outcome)) {
     answer.Send(std::move(response->response));
   }
@@ -160,6 +183,13 @@
   }
   progress.avoid.insert(progress.endpoint);
   progress.cause = failed.cause;
+  if (failed.crash_sign) {
+    CountCrash(request, progress);
+    if (auto refusal = quarantine_.Check(request.crash_fingerprint)) {
+      answer.Refuse(std::move(*refusal));
+      return false;
+    }
+  }
   if (progress.attempts >= kMaxAttempts) {
     answer.Refuse({502,
                    "endpoints_failed",
@@ -180,4 +210,19 @@
   return true;
 }
 
+std::string ModelDispatcher::BootOf(const Address& engine) {
+  auto state = deps_.engines.ReadState(engine);
+  return state ? std::move(state.assume_value().boot) : std::string();
+}
+
+void ModelDispatcher::CountCrash(const CallerRequest& request,
+                                 const Progress& progress) {
+  // An engine with the same boot id has not crashed; the network failed.
+  if (!progress.boot.empty() && BootOf(progress.address) == progress.boot) {
+    return;
+  }
+  quarantine_.OnCrash(request.crash_fingerprint, progress.alone, request.id,
+                      progress.endpoint);
+}
+
 }  // namespace tanagerloom
--- a/packages/routing/model_dispatcher.h
+++ b/packages/routing/model_dispatcher.h
@@ -14,6 +14,7 @@
 
 namespace tanagerloom {
 
+class CrashQuarantine;
 class EndpointTable;
 class RequestScheduler;
 
@@ -23,7 +24,8 @@
   ModelDispatcher(const RoutingDependencies& deps,
                   RequestScheduler& scheduler,
                   EndpointTable& endpoints,
-                  RetryBudget& budget);
+                  RetryBudget& budget,
+                  CrashQuarantine& quarantine);
 
   /// Answers the request. Suspends until its answer is sent.
   void Serve(const CallerRequest& request,
@@ -46,10 +48,17 @@
                      CallerAnswer& answer,
                      Progress& progress);
 
+  /// Counts a crash if there is evidence of one; known to all nodes before the
+  /// request is dispatched again.
+  void CountCrash(const CallerRequest& request, const Progress& progress);
+  /// The boot id of an engine; empty if it does not answer.
+  std::string BootOf(const Address& engine);
+
   const RoutingDependencies& deps_;
   RequestScheduler& scheduler_;
   EndpointTable& endpoints_;
   RetryBudget& budget_;
+  CrashQuarantine& quarantine_;
 };
 
 }  // namespace tanagerloom
--- a/packages/routing/request_scheduler.cc
+++ b/packages/routing/request_scheduler.cc
@@ -25,9 +25,15 @@
 // A queue without requests is kept this long for its mean service time.
 constexpr Duration kQueueLife = std::chrono::minutes(10);
 
-// A suspect keeps peers away from its endpoint in steps of this time, so that a
-// node that dies does not block the endpoint for long.
-constexpr Duration kExclusiveStep = std::chrono::seconds(2);
+constexpr int kTicksBetweenRenewals = 50;
+
+// Time between a reservation and its use, in which peers learn of it and their
+// counts of requests at the endpoint come in.
+constexpr Duration kReservationNotice = std::chrono::milliseconds(200);
+
+// Suspects of one queue reserve at most one in this many endpoints at a time,
+// so that the others go on serving.
+constexpr std::size_t kEndpointsPerReservation = 4;
 
 }  // namespace
 
@@ -42,12 +48,14 @@
                              std::string queue,
                              std::string endpoint,
                              Address address,
-                             std::string request)
+                             std::string request,
+                             bool alone)
     : scheduler_(scheduler),
       queue_(std::move(queue)),
       endpoint_(std::move(endpoint)),
       address_(std::move(address)),
-      request_(std::move(request)) {}
+      request_(std::move(request)),
+      alone_(alone) {}
 
 EndpointLease::~EndpointLease() {
   scheduler_.Release(*this);
@@ -221,8 +229,10 @@
     const WaitTicket& ticket,
     std::vector<Endpoint>& endpoints) {
   std::optional<std::size_t> best;
+  std::size_t reserved = 0;
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
     const auto& state = endpoints_.Get(endpoints[i].name);
+    reserved += state.reserved_by.empty() ? 0 : 1;
     if (state.reserved_by == ticket.request) {
       best = i;
       break;
@@ -240,11 +250,15 @@
   }
   auto& state = endpoints_.Get(endpoints[*best].name);
   if (state.reserved_by.empty()) {
-    state.reserved_by = ticket.request;
-    endpoints_.AnnounceExclusive(endpoints[*best].name, kExclusiveStep);
+    if (reserved >=
+        std::max<std::size_t>(1, endpoints.size() / kEndpointsPerReservation)) {
+      return std::nullopt;
+    }
+    endpoints_.Reserve(endpoints[*best].name, ticket.request);
   }
   const auto& candidate = endpoints[*best].candidate;
-  const bool idle = state.own == 0 && candidate.peers == 0;
+  const bool idle = state.own == 0 && candidate.peers == 0 &&
+                    deps_.clock.Now() - state.reserved_at >= kReservationNotice;
   return idle && candidate.usable ? best : std::nullopt;
 }
 
@@ -260,8 +274,9 @@
   ++endpoint.candidate.own;
   endpoint.candidate.usable = endpoint.candidate.usable &&
                               endpoints_.Usable(endpoints_.Get(endpoint.name));
-  ticket.lease = std::make_unique<EndpointLease>(
-      *this, name, endpoint.name, endpoint.address, ticket.request);
+  ticket.lease = std::make_unique<EndpointLease>(*this, name, endpoint.name,
+                                                 endpoint.address,
+                                                 ticket.request, ticket.alone);
   MarkDemand(queue, /*urgent=*/false);
   ticket.changed.Signal();
 }
@@ -269,10 +284,7 @@
 void RequestScheduler::Release(const EndpointLease& lease) {
   endpoints_.OnDone(lease.endpoint());
   auto& state = endpoints_.Get(lease.endpoint());
-  const bool was_reserved = state.reserved_by == lease.request();
-  if (was_reserved) {
-    state.reserved_by.clear();
-  }
+  const bool was_reserved = endpoints_.EndReservations(lease.request());
   const auto it = queues_.find(lease.queue());
   auto& queue = it->second;
   --queue.running;
@@ -289,14 +301,7 @@
 }
 
 void RequestScheduler::DropReservations(const std::string& request) {
-  bool dropped = false;
-  for (auto& [name, state] : endpoints_.states()) {
-    if (state.reserved_by == request) {
-      state.reserved_by.clear();
-      dropped = true;
-    }
-  }
-  if (dropped) {
+  if (endpoints_.EndReservations(request)) {
     PumpAll();
   }
 }
@@ -428,6 +433,9 @@
       }
     }
     endpoints_.ShareUse();
+    if (n % kTicksBetweenRenewals == 0) {
+      endpoints_.RenewReservations();
+    }
     if (n % kTicksBetweenReviews == 0) {
       ReviewAll();
     }
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -48,7 +48,8 @@
                 std::string queue,
                 std::string endpoint,
                 Address address,
-                std::string request);
+                std::string request,
+                bool alone);
   ~EndpointLease();
   EndpointLease(const EndpointLease&) = delete;
   EndpointLease& operator=(const EndpointLease&) = delete;
@@ -57,6 +58,8 @@
   const Address& address() const { return address_; }
   const std::string& queue() const { return queue_; }
   const std::string& request() const { return request_; }
+  /// Whether nothing else is sent to the endpoint meanwhile.
+  bool alone() const { return alone_; }
 
  private:
   RequestScheduler& scheduler_;
@@ -64,6 +67,7 @@
   std::string endpoint_;
   Address address_;
   std::string request_;
+  bool alone_;
 };
 
 /// What a waiting request needs; lives on the stack of the request's fiber.
--- a/packages/routing/service_dispatcher.cc
+++ b/packages/routing/service_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "base/events.h"
 #include "config/estate.h"
 #include "config/settings.h"
+#include "routing/crash_quarantine.h"
 #include "routing/endpoint_reply.h"
 #include "routing/request_scheduler.h"
 
@@ -29,6 +30,8 @@
 struct ServiceDispatcher::Progress {
   int attempts = 0;
   std::string endpoint;
+  Address address;
+  bool alone = false;  ///< The last attempt had its endpoint for itself.
   std::set<std::string> avoid;
   bool held_back = false;  ///< The endpoint's refusal was handled already.
 };
@@ -36,11 +39,13 @@
 ServiceDispatcher::ServiceDispatcher(const RoutingDependencies& deps,
                                      RequestScheduler& scheduler,
                                      EndpointTable& endpoints,
-                                     RetryBudget& budget)
+                                     RetryBudget& budget,
+                                     CrashQuarantine& quarantine)
     : deps_(deps),
       scheduler_(scheduler),
       endpoints_(endpoints),
-      budget_(budget) {}
+      budget_(budget),
+      quarantine_(quarantine) {}
 
 ServiceOutcome ServiceDispatcher::Run(const CallerRequest& request,
                                       const ServiceCall& call,
@@ -58,6 +63,7 @@
     ticket.operator_name = request.operator_name;
     ticket.deadline = request.deadline;
     ticket.avoid = progress.avoid;
+    ticket.alone = quarantine_.CountOf(request.crash_fingerprint) > 0;
     cancel.SetAction([&] { scheduler_.Cancel(ticket); });
     if (!cancel.cancelled()) {
       scheduler_.Wait(ticket);
@@ -69,8 +75,13 @@
     if (ticket.lease == nullptr) {
       return std::move(*ticket.refusal);
     }
+    if (auto refusal = quarantine_.Check(request.crash_fingerprint)) {
+      return std::move(*refusal);
+    }
     ++progress.attempts;
     progress.endpoint = ticket.lease->endpoint();
+    progress.address = ticket.lease->address();
+    progress.alone = ticket.lease->alone();
     progress.held_back = false;
     record.OnDispatch();
     deps_.log.Record(events::kRequestDispatched,
@@ -90,6 +101,9 @@
       scheduler_.CountServiceTime(ticket.target, deps_.clock.Now() - started);
       endpoints_.OnSuccess(progress.endpoint);
       record.OnVerdict(Verdict::kRan);
+      if (progress.alone) {
+        quarantine_.OnSurvived(request.crash_fingerprint);
+      }
       return std::move(result.assume_value());
     }
     if (cancel.cancelled() && record.repeatable()) {
@@ -191,6 +205,14 @@
     endpoints_.OnFailure(progress.endpoint);
   }
   progress.avoid.insert(progress.endpoint);
+  if (Crashed(failure, progress)) {
+    quarantine_.OnCrash(request.crash_fingerprint, progress.alone, request.id,
+                        progress.endpoint);
+    if (auto refusal = quarantine_.Check(request.crash_fingerprint)) {
+      refusal->verdict = record.verdict();
+      return std::move(*refusal);
+    }
+  }
   if (deps_.clock.Now() >= request.deadline) {
     return Refusal{504,
                    "deadline_exceeded",
@@ -224,4 +246,12 @@
   return std::nullopt;
 }
 
+bool ServiceDispatcher::Crashed(const HttpFailure& failure,
+                                const Progress& progress) {
+  constexpr Duration kProbeTime = std::chrono::seconds(1);
+  return !progress.held_back && failure.verdict == Verdict::kMayHaveRun &&
+         failure.error.kind == ErrorKind::kUnknown &&
+         !deps_.client.Probe(progress.address, deps_.clock.Now() + kProbeTime);
+}
+
 }  // namespace tanagerloom
--- a/packages/routing/service_dispatcher.h
+++ b/packages/routing/service_dispatcher.h
@@ -15,6 +15,7 @@
 
 namespace tanagerloom {
 
+class CrashQuarantine;
 class EndpointLease;
 class EndpointTable;
 class RequestScheduler;
@@ -30,7 +31,8 @@
   ServiceDispatcher(const RoutingDependencies& deps,
                     RequestScheduler& scheduler,
                     EndpointTable& endpoints,
-                    RetryBudget& budget);
+                    RetryBudget& budget,
+                    CrashQuarantine& quarantine);
 
   /// Runs the call at an endpoint, without answering the caller.
   ServiceOutcome Run(const CallerRequest& request,
@@ -56,10 +58,14 @@
                                        const ServiceCall& call,
                                        Progress& progress);
 
+  /// Whether the endpoint stopped listening while it ran the call.
+  bool Crashed(const HttpFailure& failure, const Progress& progress);
+
   const RoutingDependencies& deps_;
   RequestScheduler& scheduler_;
   EndpointTable& endpoints_;
   RetryBudget& budget_;
+  CrashQuarantine& quarantine_;
 };
 
 }  // namespace tanagerloom
--- a/tests/routing_fakes.h
+++ b/tests/routing_fakes.h
@@ -155,8 +155,14 @@
   Result<void> Delete(std::string_view, std::uint64_t) override {
     return MakeError(ErrorKind::kInternal, "not used");
   }
-  Result<std::vector<ObjectKey>> List(std::string_view) override {
-    return std::vector<ObjectKey>();
+  Result<std::vector<ObjectKey>> List(std::string_view prefix) override {
+    std::vector<ObjectKey> keys;
+    for (const auto& [key, object] : objects) {
+      if (key.starts_with(prefix)) {
+        keys.push_back({key, object.version});
+      }
+    }
+    return keys;
   }
   Result<std::optional<StoredObject>> Watch(std::string_view,
                                             std::uint64_t,
@@ -178,8 +184,13 @@
   Result<OrderAnswer> Send(const Address&, const EngineOrder&) override {
     return MakeError(ErrorKind::kUnavailable, "not used");
   }
-  Result<EngineState> ReadState(const Address&) override {
-    return MakeError(ErrorKind::kUnavailable, "not used");
+  Result<EngineState> ReadState(const Address& engine) override {
+    if (!boots.contains(engine)) {
+      return MakeError(ErrorKind::kUnavailable, "no report");
+    }
+    EngineState state;
+    state.boot = boots[engine];
+    return state;
   }
   Result<EngineLoad> ReadLoad(const Address& engine) override {
     const auto it = loads.find(engine);
@@ -190,6 +201,7 @@
   }
 
   std::map<Address, EngineLoad> loads;
+  std::map<Address, std::string> boots;
 };
 
 class FakeEstate final : public EstateSource {
