--- a/packages/platform/http_engine_control.cc
+++ b/packages/platform/http_engine_control.cc
@@ -54,8 +54,8 @@
   state.memory_mb = json.at("memory_mb").get<std::uint64_t>();
   state.used_mb = json.value("used_mb", std::uint64_t{0});
   state.leaving = json.value("leaving", false);
-  for (const auto& [model, source] :
-       json.value("cached", nlohmann::json::object()).items()) {
+  const auto cached = json.value("cached", nlohmann::json::object());
+  for (const auto& [model, source] : cached.items()) {
     state.cached[model] = ParseSource(source.get<std::string>());
   }
   for (const auto& it : json.at("entries")) {
@@ -142,4 +142,23 @@
                     json.value("capacity", 0U)};
 }
 
+Result<std::vector<CacheEvent>> HttpEngineControl::ReadCacheEvents(
+    const Address& engine,
+    std::uint64_t after) {
+  BOOST_OUTCOME_TRY(json, ReadJson(engine, "/control/cache-events?after=" +
+                                               std::to_string(after)));
+  std::vector<CacheEvent> events;
+  try {
+    for (const auto& it : json.at("events")) {
+      events.push_back({it.at("sequence").get<std::uint64_t>(),
+                        it.at("kind") == "stored",
+                        it.at("block").get<std::uint64_t>()});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kUnavailable,
+                     "engine " + engine.ToString() + ": " + error.what());
+  }
+  return events;
+}
+
 }  // namespace tanagerloom
--- a/packages/platform/http_engine_control.h
+++ b/packages/platform/http_engine_control.h
@@ -23,6 +23,8 @@
                            const EngineOrder& order) override;
   Result<EngineState> ReadState(const Address& engine) override;
   Result<EngineLoad> ReadLoad(const Address& engine) override;
+  Result<std::vector<CacheEvent>> ReadCacheEvents(const Address& engine,
+                                                  std::uint64_t after) override;
 
  private:
   Result<nlohmann::json> ReadJson(const Address& engine, std::string target);
--- a/packages/ports/engine_control.h
+++ b/packages/ports/engine_control.h
@@ -77,6 +77,14 @@
   std::uint32_t capacity = 0;
 };
 
+/// A change of an engine's prefix cache. `block` is the StableHash of the model
+/// name in the request, a line feed and the prompt up to the block's end.
+struct CacheEvent {
+  std::uint64_t sequence = 0;
+  bool stored = false;  ///< Otherwise evicted.
+  std::uint64_t block = 0;
+};
+
 /// Control of model engines. An order that fails with kUnknown or kTimeout may
 /// still be delivered.
 class EngineControl {
@@ -87,6 +95,13 @@
                                    const EngineOrder& order) = 0;
   virtual Result<EngineState> ReadState(const Address& engine) = 0;
   virtual Result<EngineLoad> ReadLoad(const Address& engine) = 0;
+
+  /// Cache events with a sequence above `after`; they come late and with gaps.
+  virtual Result<std::vector<CacheEvent>> ReadCacheEvents(
+      const Address& /*engine*/,
+      std::uint64_t /*after*/) {
+    return MakeError(ErrorKind::kUnavailable, "no cache events");
+  }
 };
 
 }  // namespace tanagerloom
--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -20,6 +20,7 @@
 #include "routing/claimed_calls.h"
 #include "routing/crash_quarantine.h"
 #include "routing/endpoint_table.h"
+#include "routing/engine_monitor.h"
 #include "routing/model_dispatcher.h"
 #include "routing/request_scheduler.h"
 #include "routing/service_dispatcher.h"
@@ -64,6 +65,7 @@
   explicit Impl(const RoutingDependencies& dependencies)
       : deps(dependencies),
         endpoints(deps),
+        monitor(deps, endpoints),
         scheduler(deps, endpoints),
         quarantine(deps),
         models(deps, scheduler, endpoints, budget, quarantine),
@@ -82,6 +84,7 @@
 
   RoutingDependencies deps;
   EndpointTable endpoints;
+  EngineMonitor monitor;
   RequestScheduler scheduler;
   RetryBudget budget;
   CrashQuarantine quarantine;
@@ -108,6 +111,7 @@
     }
   });
   impl_->scheduler.Start();
+  impl_->monitor.Start();
   impl_->claims.Start();
   impl_->quarantine.Start();
 }
@@ -198,11 +202,15 @@
   if (call > 1) {
     impl_->scheduler.RefuseWaiting(ShuttingDown());
   }
+  const auto refuse_at = end - impl_->deps.settings.shutdown_bound / 10;
   const auto claims_end = impl_->deps.clock.Now() + kClaimDrainTime;
   while (impl_->deps.clock.Now() < end &&
          (impl_->in_progress > 0 || (impl_->claims.pending() > 0 &&
                                      impl_->deps.clock.Now() < claims_end))) {
     impl_->deps.clock.SleepFor(kDrainCheck);
+    if (impl_->deps.clock.Now() >= refuse_at) {
+      impl_->scheduler.RefuseWaiting(ShuttingDown());
+    }
   }
   return impl_->in_progress;
 }
--- a/packages/routing/caller_api.h
+++ b/packages/routing/caller_api.h
@@ -27,10 +27,11 @@
   /// Answers one request; the handler of the caller listener's HttpServer.
   void Handle(const HttpRequest& request, HttpResponder& responder);
 
-  /// Refuses new requests, serves or refuses the waiting ones, and returns when
-  /// no request is in progress, at most after the shutdown bound. A second call
-  /// refuses the waiting ones at once. Running requests finish in both cases.
-  /// Returns the number of requests still in progress.
+  /// Refuses new requests, serves the waiting ones, and returns when no request
+  /// is in progress, at most after the shutdown bound; what still waits shortly
+  /// before it is refused. A second call refuses the waiting ones at once.
+  /// Running requests finish in both cases. Returns the number of requests
+  /// still in progress.
   std::size_t Drain();
 
   /// Requests accepted and not yet answered.
--- a/packages/routing/endpoint_table.cc
+++ b/packages/routing/endpoint_table.cc
@@ -262,16 +262,6 @@
   }
 }
 
-std::vector<std::string> EndpointTable::InUse() const {
-  std::vector<std::string> out;
-  for (const auto& [endpoint, state] : states_) {
-    if (state.own > 0) {
-      out.push_back(endpoint);
-    }
-  }
-  return out;
-}
-
 void EndpointTable::Prune() {
   const auto oldest = deps_.clock.Now() - kUnusedLife;
   std::erase_if(states_, [&](const auto& it) {
--- a/packages/routing/endpoint_table.h
+++ b/packages/routing/endpoint_table.h
@@ -28,6 +28,7 @@
   };
 
   Address address;
+  bool is_engine = false;
   std::uint32_t own = 0;  ///< This node's requests in progress.
   std::map<std::string, PeerUse> peers;
   std::uint32_t reported = 0;
@@ -40,6 +41,7 @@
   TimePoint exclusive_until;  ///< A peer runs a request alone there.
   std::unordered_set<std::uint64_t> prefixes;
   std::uint64_t cache_sequence = 0;
+  bool reading = false;  ///< Its reports are being read.
   TimePoint used_at;
 };
 
@@ -84,9 +86,6 @@
   /// Sends this node's use of endpoints to the peers if it changed.
   void ShareUse();
 
-  /// Endpoints in use, for reading load reports and cache events.
-  std::vector<std::string> InUse() const;
-
   /// Forgets endpoints that were not used for long.
   void Prune();
 
--- a/packages/routing/request_scheduler.cc
+++ b/packages/routing/request_scheduler.cc
@@ -140,7 +140,8 @@
   Pump(name, queue);
   if (ticket.lease == nullptr) {
     MarkDemand(queue, /*urgent=*/queue.tickets.size() == 1);
-    ticket.refusal = Review(queue, ticket, ahead);
+    ticket.refusal =
+        refuse_waiting_ ? refuse_waiting_ : Review(queue, ticket, ahead);
   }
   while (ticket.lease == nullptr && !ticket.refusal && !ticket.cancelled) {
     const auto seen = ticket.changed.count();
@@ -267,7 +268,9 @@
                               WaitTicket& ticket,
                               Endpoint& endpoint) {
   endpoints_.OnSend(endpoint.name);
-  endpoints_.Get(endpoint.name).address = endpoint.address;
+  auto& state = endpoints_.Get(endpoint.name);
+  state.address = endpoint.address;
+  state.is_engine = std::holds_alternative<ModelTarget>(queue.target);
   ++queue.in_progress[endpoint.name];
   ++queue.running;
   // Only this choice changed, so the other candidates stay as they are.
@@ -371,6 +374,7 @@
 }
 
 void RequestScheduler::RefuseWaiting(const Refusal& refusal) {
+  refuse_waiting_ = refusal;
   for (auto& [name, queue] : queues_) {
     for (auto& [id, ticket] : queue.tickets) {
       if (!ticket->refusal) {
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -106,7 +106,8 @@
   /// Records how long a request held its slot, for the estimates.
   void CountServiceTime(const QueueTarget& target, Duration time);
 
-  /// Refuses all waiting requests, with the verdict that nothing ran.
+  /// Refuses all waiting requests, and from now on every request that no
+  /// endpoint can take at once.
   void RefuseWaiting(const Refusal& refusal);
 
   /// Assigns what can be assigned in all queues.
@@ -167,6 +168,7 @@
   std::map<std::string, Queue> queues_;
   std::uint64_t next_id_ = 0;
   std::size_t waiting_ = 0;
+  std::optional<Refusal> refuse_waiting_;
   bool pumping_ = false;
 };
 
--- a/tests/routing_fakes.h
+++ b/tests/routing_fakes.h
@@ -200,6 +200,14 @@
     return it->second;
   }
 
+  Result<std::vector<CacheEvent>> ReadCacheEvents(const Address& engine,
+                                                  std::uint64_t) override {
+    ++event_reads[engine];
+    return events[engine];
+  }
+
+  std::map<Address, std::vector<CacheEvent>> events;
+  std::map<Address, int> event_reads;
   std::map<Address, EngineLoad> loads;
   std::map<Address, std::string> boots;
 };
