--- a/packages/platform/http_engine_control.cc
+++ b/packages/platform/http_engine_control.cc
@@ -143,4 +143,23 @@
                     json.value("capacity", 0U)};
 }
 
+Result<std::vector<CacheEvent>> HttpEngineControl::ReadCacheEvents(
+    const Address& engine,
+    std::uint64_t after) {
+  BOOST_OUTCOME_TRY(json, ReadJson(engine, "/control/cache-events?after=" +
+                                               std::to_string(after)));
+  std::vector<CacheEvent> events;
+  try {
+    for (const auto& it : json.at("events")) {
+      events.push_back({it.at("sequence").get<std::uint64_t>(),
+                        it.at("kind") == "stored",
+                        it.at("block").get<std::uint64_t>()});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kUnavailable,
+                     "engine " + engine.ToString() + ": " + error.what());
+  }
+  return events;
+}
+
 }  // namespace tanagerloom
