--- a/packages/membership/peer_context.h
+++ b/packages/membership/peer_context.h
@@ -9,6 +9,7 @@
 #include "membership/envelope.h"
 #include "membership/member_table.h"
 #include "membership/peer_authenticator.h"
+#include "membership/peer_counters.h"
 #include "runtime/clock.h"
 
 namespace boost::asio {
@@ -19,22 +20,6 @@
 
 class EventLog;
 
-/// Bytes and messages through all connections of a node, and refusals.
-struct PeerCounters {
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t bytes_received = 0;
-  std::uint64_t messages_sent = 0;
-  std::uint64_t messages_received = 0;
-  std::uint64_t control_bytes_sent = 0;
-  std::uint64_t frames_refused = 0;
-  std::uint64_t handshakes_refused = 0;
-  std::uint64_t messages_dropped = 0;
-  std::uint64_t messages_replaced = 0;
-  std::uint64_t stale_ignored = 0;
-  std::uint64_t repeats_ignored = 0;
-  std::uint64_t silent_connections = 0;
-};
-
 /// This node as its peers know it.
 struct PeerIdentity {
   std::string node;
--- /dev/null
+++ b/tests/error/peer_refusal_test.cc
@@ -0,0 +1,319 @@
+// What a node does with peers that send wrong bytes: guards against crashes,
+// against input that is taken for a message, and against strangers that pass
+// the handshake.
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+
+#include <boost/asio/read.hpp>
+
+#include "base/events.h"
+#include "membership/envelope.h"
+#include "membership/peer_authenticator.h"
+#include "membership/peer_counters.h"
+#include "tests/support/peer_site.h"
+#include "wire/frame.h"
+
+namespace tanagerloom {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char kKey[] = "first test key of the site";
+
+// A client that speaks the peer protocol byte by byte.
+class RawPeer {
+ public:
+  explicit RawPeer(std::uint16_t port) : socket_(Runtime::Get().io()) {
+    AwaitIo([&](auto done) {
+      socket_.async_connect({boost::asio::ip::make_address("127.0.0.1"), port},
+                            done);
+    });
+  }
+
+  void Send(const std::string& bytes) {
+    AwaitIo([&](auto done) {
+      boost::asio::async_write(socket_, boost::asio::buffer(bytes), done);
+    });
+  }
+
+  /// The next envelope; empty at the end of the stream.
+  std::optional<Envelope> Read() {
+    std::string payload;
+    while (!reader_.Next(payload).value()) {
+      char buf[4096];
+      const auto result = AwaitIo([&](auto done) {
+        socket_.async_read_some(boost::asio::buffer(buf), done);
+      });
+      if (result.ec) {
+        return std::nullopt;
+      }
+      reader_.Append({buf, result.n});
+    }
+    return DecodeEnvelope(payload).value();
+  }
+
+  bool Closed() {
+    while (Read()) {
+    }
+    return true;
+  }
+
+  static std::string Frame(EnvelopeBody body) {
+    Envelope envelope;
+    envelope.sender = "raw";
+    envelope.incarnation = "1";
+    envelope.body = std::move(body);
+    return MakeFrame(EncodeEnvelope(envelope));
+  }
+
+  /// Hello and proof under `key`; both are kept for a replay.
+  std::optional<Envelope> Authenticate(const std::string& key) {
+    const std::string own = PeerAuthenticator::NewChallenge();
+    hello = Frame(Hello{own, true});
+    Send(hello);
+    const auto reply = Read();
+    if (!reply) {
+      return std::nullopt;
+    }
+    transcript = {"raw/1", reply->sender + "/" + reply->incarnation, own,
+                  std::get<Challenge>(reply->body).challenge};
+    proof = Frame(
+        Proof{PeerAuthenticator({key}).Prove(PeerEnd::kOpener, transcript)});
+    Send(proof);
+    return Read();
+  }
+
+  std::string hello;
+  std::string proof;
+  HandshakeTranscript transcript;
+
+ private:
+  boost::asio::ip::tcp::socket socket_;
+  FrameReader reader_;
+};
+
+class PeerRefusal : public testing::Test {
+ protected:
+  PeerRefusal() { site_.settings.peer_keys = {kKey, "second key"}; }
+
+  void SetUp() override {
+    node_ = &site_.Start("n00");
+    port_ = site_.vms.at("n00").peer_port;
+  }
+
+  /// Refused handshakes after a client sent `bytes` and saw the end.
+  std::uint64_t RefusedAfter(const std::string& bytes) {
+    RawPeer peer(port_);
+    peer.Send(bytes);
+    EXPECT_TRUE(peer.Closed());
+    return node_->service.counters().handshakes_refused;
+  }
+
+  PeerSite site_;
+  SiteNode* node_ = nullptr;
+  std::uint16_t port_ = 0;
+};
+
+// Guards against input that gets past the frame reader or the verifier.
+TEST_F(PeerRefusal, MalformedHandshakesAreRefusedAndCounted) {
+  EXPECT_EQ(RefusedAfter(std::string(4, '\xff')), 1U);
+  EXPECT_EQ(RefusedAfter(std::string(4, '\0')), 2U);
+  EXPECT_EQ(RefusedAfter(MakeFrame(std::string(64, 'x'))), 3U);
+  // Allowed after the handshake, too long before it.
+  EXPECT_EQ(RefusedAfter(MakeFrame(std::string(8192, 'x')).substr(0, 4)), 4U);
+  EXPECT_EQ(RefusedAfter(RawPeer::Frame(Proof{"early"})), 5U);
+  EXPECT_EQ(RefusedAfter(RawPeer::Frame(Hello{"short", true}) +
+                         RawPeer::Frame(Proof{std::string(32, 'm')})),
+            6U);
+  EXPECT_GE(node_->Count(events::kPeerRefused), 1);
+  {
+    RawPeer truncated(port_);
+    truncated.Send(RawPeer::Frame(Hello{}).substr(0, 10));
+  }
+  EXPECT_TRUE(PeerSite::Wait(
+      [&] { return node_->service.counters().handshakes_refused == 7; }));
+}
+
+// Guards against a client that holds a handshake slot for ever.
+TEST_F(PeerRefusal, SilentHandshakeEnds) {
+  RawPeer peer(port_);
+  EXPECT_TRUE(peer.Closed());
+  EXPECT_TRUE(node_->service.Status().at("links").empty());
+}
+
+// Guards against a key change that locks nodes out, and against wrong keys.
+TEST_F(PeerRefusal, EveryConfiguredKeyPassesAndNoOther) {
+  for (const std::string key : {kKey, "second key"}) {
+    RawPeer peer(port_);
+    const auto reply = peer.Authenticate(key);
+    ASSERT_TRUE(reply.has_value());
+    // The node proves itself too, with its first key.
+    EXPECT_TRUE(PeerAuthenticator({kKey}).Verify(
+        PeerEnd::kAccepter, peer.transcript, std::get<Proof>(reply->body).mac));
+  }
+  RawPeer stranger(port_);
+  EXPECT_FALSE(stranger.Authenticate("third key").has_value());
+}
+
+// Guards against a recorded handshake that opens a second connection, and
+// against a node's own proof sent back to it.
+TEST_F(PeerRefusal, ReplayedAndReflectedProofsAreRefused) {
+  RawPeer recorded(port_);
+  ASSERT_TRUE(recorded.Authenticate(kKey).has_value());
+  EXPECT_EQ(RefusedAfter(recorded.hello + recorded.proof), 1U);
+  const PeerAuthenticator keys({kKey});
+  const auto mac = keys.Prove(PeerEnd::kAccepter, recorded.transcript);
+  EXPECT_FALSE(keys.Verify(PeerEnd::kOpener, recorded.transcript, mac));
+}
+
+// Guards against a broken peer whose later frames are read at a wrong offset.
+TEST_F(PeerRefusal, MalformedFrameEndsAnAuthenticatedConnection) {
+  const std::string bad[] = {MakeFrame("not an envelope"),
+                             std::string("\x01\x00\x10\x00", 4),
+                             RawPeer::Frame(Hello{"late", true})};
+  std::uint64_t refused = 0;
+  for (const auto& it : bad) {
+    RawPeer peer(port_);
+    ASSERT_TRUE(peer.Authenticate(kKey).has_value());
+    peer.Send(it);
+    EXPECT_TRUE(peer.Closed());
+    EXPECT_EQ(node_->service.counters().frames_refused, ++refused);
+  }
+  EXPECT_GE(node_->Count(events::kFrameRefused), 1);
+}
+
+// Guards against unbounded memory toward a peer that reads nothing.
+TEST_F(PeerRefusal, PeerThatReadsNothingCostsBoundedMemory) {
+  site_.settings.peer_timeout = 60s;
+  auto& node = site_.Start("n01");
+  RawPeer peer(site_.vms.at("n01").peer_port);
+  ASSERT_TRUE(peer.Authenticate(kKey).has_value());
+  const std::string record(900 * 1024, 'r');
+  std::uint64_t most = 0;
+  for (int i = 0; i < 60; ++i) {
+    node.service.Broadcast(RecordUpdate{"c" + std::to_string(i), 1, record});
+    const auto status = node.service.Status();
+    for (const auto& it : status.at("links")) {
+      most = std::max(most, it.at("queued_bytes").get<std::uint64_t>());
+    }
+    boost::this_fiber::yield();
+  }
+  EXPECT_GT(most, 0U);
+  EXPECT_LE(most, OutboundQueue::kMaxBytes);
+  EXPECT_GT(node.service.counters().messages_dropped, 0U);
+  EXPECT_EQ(node.Count(events::kMessagesDropped), 1);
+}
+
+std::string RandomText() {
+  return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+}
+
+PeerMessage RandomMessage() {
+  const auto number = *rc::gen::arbitrary<std::uint32_t>();
+  const std::string text = RandomText();
+  switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+      return Demand{
+          text, number, {{text, "1", RandomText(), number, 2, 3, 4, 5}}};
+    case 1:
+      return DemandAck{text, number};
+    case 2:
+      return RecordUpdate{text, number, RandomText()};
+    case 3:
+      return ConfigUpdate{number, 7, text};
+    case 4:
+      return EndpointNotice{text, static_cast<EndpointCondition>(number % 5),
+                            number};
+    case 5:
+      return EndpointUse{{text, "b"}, {number, 2}};
+    case 6:
+      return CrashNotice{number, 2, 3};
+    default:
+      return OrderDone{text, RandomText(), "order"};
+  }
+}
+
+Envelope RandomEnvelope() {
+  Envelope envelope;
+  envelope.time = {*rc::gen::arbitrary<std::uint32_t>(), 3};
+  envelope.sender = RandomText();
+  envelope.incarnation = RandomText();
+  envelope.flood_number = *rc::gen::arbitrary<std::uint32_t>();
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      envelope.body = Digest{
+          {{RandomText(), "i", 5, true, false, true, {RandomText()}, {}}}};
+      break;
+    case 1:
+      envelope.body = Hello{RandomText(), true};
+      break;
+    default:
+      envelope.body = RandomMessage();
+  }
+  return envelope;
+}
+
+// Guards against a field that is lost or swapped in the encoding.
+TEST(PeerEncoding, EnvelopeSurvivesARoundTrip) {
+  EXPECT_TRUE(rc::check([] {
+    const auto payload = EncodeEnvelope(RandomEnvelope());
+    const auto decoded = DecodeEnvelope(payload);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(EncodeEnvelope(decoded.value()) == payload);
+  }));
+}
+
+// Guards against reads outside a mutated or truncated envelope.
+TEST(PeerEncoding, MutatedEnvelopeIsDecodedOrRefused) {
+  EXPECT_TRUE(rc::check([] {
+    auto payload = EncodeEnvelope(RandomEnvelope());
+    for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, payload.size());
+      payload[at] = *rc::gen::arbitrary<char>();
+    }
+    payload.resize(*rc::gen::inRange<std::size_t>(0, payload.size() + 1));
+    const auto decoded = DecodeEnvelope(payload);
+    if (decoded) {
+      RC_ASSERT(!EncodeEnvelope(decoded.value()).empty());
+    } else {
+      RC_ASSERT(decoded.error().kind == ErrorKind::kInvalid);
+    }
+  }));
+}
+
+// Guards against frames that depend on how the stream was cut, and against a
+// reader that goes on after a bad length.
+TEST(PeerEncoding, FramesSurviveAnyCut) {
+  EXPECT_TRUE(rc::check([] {
+    const auto frames = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::nonEmpty(rc::gen::string<std::string>()));
+    std::string stream;
+    for (const auto& it : frames) {
+      stream += MakeFrame(it);
+    }
+    const bool bad = *rc::gen::arbitrary<bool>();
+    stream += bad ? std::string(4, '\xff') : std::string();
+    FrameReader reader;
+    std::vector<std::string> out;
+    bool failed = false;
+    std::string payload;
+    for (std::size_t at = 0; at < stream.size();) {
+      const auto n =
+          std::min(*rc::gen::inRange<std::size_t>(1, 20), stream.size() - at);
+      reader.Append({stream.data() + at, n});
+      at += n;
+      auto next = reader.Next(payload);
+      while (next && next.value()) {
+        out.push_back(payload);
+        next = reader.Next(payload);
+      }
+      failed = failed || !next;
+    }
+    RC_ASSERT(out == frames);
+    RC_ASSERT(failed == bad);
+  }));
+}
+
+}  // namespace
+}  // namespace tanagerloom
