--- a/packages/membership/peer_counters.h
+++ b/packages/membership/peer_counters.h
@@ -1,4 +1,5 @@
-// Defines PeerCounters, from which metrics and tests read the traffic of a node.
+// Defines PeerCounters, from which metrics and tests read the traffic of a
+// node.
 #ifndef MEMBERSHIP_PEER_COUNTERS_H_
 #define MEMBERSHIP_PEER_COUNTERS_H_
 
