Fix the fiber scheduler polling while all fibers sleep

suspend_until armed its timer again at each call, which cancelled the wait in progress; the cancelled wait's handler ended run_one at once, so that after an I/O event the thread polled until the next deadline.

--- a/packages/runtime/fiber_scheduler.cc
+++ b/packages/runtime/fiber_scheduler.cc
@@ -20,6 +20,7 @@
 struct FiberScheduler::Timer {
   explicit Timer(boost::asio::io_context& io) : timer(io) {}
   boost::asio::steady_timer timer;
+  bool pending = false;  ///< A wait for the timer's expiry is in progress.
 };
 
 FiberScheduler::FiberScheduler(boost::asio::io_context& io)
@@ -52,9 +53,17 @@
 void FiberScheduler::suspend_until(
     const std::chrono::steady_clock::time_point& time) noexcept {
   picks_since_poll_ = 0;
-  if (time != std::chrono::steady_clock::time_point::max()) {
+  // Arming the timer again cancels the wait in progress, whose handler then
+  // ends run_one at once: for an unchanged time that would never block.
+  const bool armed = timer_->pending && timer_->timer.expiry() == time;
+  if (time != std::chrono::steady_clock::time_point::max() && !armed) {
     timer_->timer.expires_at(time);
-    timer_->timer.async_wait([](boost::system::error_code) {});
+    timer_->pending = true;
+    timer_->timer.async_wait([this](boost::system::error_code ec) {
+      if (!ec) {
+        timer_->pending = false;
+      }
+    });
   }
   io_.run_one();
   io_.poll();
