--- /dev/null
+++ b/testing/harness/site.cc
@@ -0,0 +1,380 @@
+#include "testing/harness/site.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "config/digest.h"
+#include "testing/harness/ledgers.h"
+#include "testing/harness/wait.h"
+#include "testing/support/engine_text.h"
+
+namespace tanagerloom::testing_support {
+
+namespace {
+
+using nlohmann::json;
+
+// Time a caller waits beyond its deadline before the request counts as lost.
+constexpr auto kGrace = std::chrono::seconds(30);
+constexpr auto kStartLimit = std::chrono::seconds(60);
+constexpr double kLoadsPerS = 40;
+
+json Grant(const std::string& token) {
+  return {{"token_salt", "salt"},
+          {"token_sha256", Sha256Hex("salt" + token)},
+          {"classes", {"interactive", "deferred"}},
+          {"pools", {kCheckingPool, kIgnoringPool, kServicePool}}};
+}
+
+// The text by which ledgers name a call, and the completion it asks for.
+struct Expectation {
+  std::string key;
+  std::string text;  ///< Empty for a service call.
+};
+
+Expectation ExpectationOf(const Call& call) {
+  const auto body = json::parse(call.request.body, nullptr, false);
+  if (body.is_object() && body.contains("prompt")) {
+    const auto prompt = body["prompt"].get<std::string>();
+    return {prompt, EngineText(body["model"].get<std::string>(), prompt,
+                               body.value("max_tokens", 16))};
+  }
+  return {call.request.body, ""};
+}
+
+std::string Short(const std::string& text) {
+  return text.size() <= 300 ? text : text.substr(0, 300) + "...";
+}
+
+}  // namespace
+
+Site::Site(SiteOptions options)
+    : options_(std::move(options)), cluster_(ClusterOf(options_)) {}
+
+ClusterOptions Site::ClusterOf(const SiteOptions& options) {
+  ClusterOptions out;
+  out.with_proxy = true;
+  out.platform_flags = options.platform_flags;
+  out.weight_store_flags = {"--ms-per-gb", "20", "--loads-per-s",
+                            std::to_string(static_cast<int>(kLoadsPerS))};
+  // Scaled down, so that a test sees every timeout pass.
+  out.node_settings = {{"bootstrap_token_sha256", Sha256Hex(kBootstrapToken)},
+                       {"order_progress_ms", 1000},
+                       {"sender_gone_ms", 3000},
+                       {"engine_timeout_ms", 1000},
+                       {"progress_timeout_ms", 2000}};
+  out.node_settings.merge_patch(options.node_settings);
+  return out;
+}
+
+std::string Site::Start() {
+  for (const auto& pool : {kCheckingPool, kIgnoringPool}) {
+    for (int i = 0; i < options_.engines_per_pool; ++i) {
+      std::vector<std::string> flags{
+          "--memory-mb", std::to_string(options_.engine_memory_mb),
+          "--checks-fence", pool == kCheckingPool ? "true" : "false"};
+      flags.insert(flags.end(), options_.engine_flags.begin(),
+                   options_.engine_flags.end());
+      if (!cluster_.AddEngine(Engine(pool, i), pool, flags)) {
+        return "an engine did not start";
+      }
+    }
+  }
+  for (int i = 0; i < options_.services; ++i) {
+    service_ids_.push_back("desk-" + std::to_string(i));
+    if (!cluster_.AddService(service_ids_.back(), kServicePool,
+                             options_.service_flags)) {
+      return "a service did not start";
+    }
+  }
+  for (int i = 0; i < options_.nodes; ++i) {
+    if (!cluster_.AddNode(Node(i), "dc-" + std::to_string(i % 3))) {
+      return Node(i) + " did not start: " + cluster_.process(Node(i)).Output();
+    }
+  }
+  std::string output;
+  if (cluster_.Apply(EstateFile(), Node(0), kBootstrapToken, &output) != 0 ||
+      cluster_.Apply(OperatorFile(), Node(0), kOperatorToken, &output) != 0) {
+    return output;
+  }
+  for (int i = 0; i < options_.nodes; ++i) {
+    if (!WaitUntil([&] { return ServesConfiguration(Node(i)); }, kStartLimit)) {
+      return Node(i) + " does not serve under the configuration";
+    }
+  }
+  return "";
+}
+
+bool Site::ServesConfiguration(const std::string& node) {
+  if (cluster_.caller()
+          .SendJson(cluster_.admin(node), "GET", "/readyz", nullptr)
+          .status != 200) {
+    return false;
+  }
+  const auto answer = cluster_.caller().Send(
+      {cluster_.address(node),
+       {"GET", "/v1/models", {{"Authorization", "Bearer " + kCallerKey}}, ""}});
+  const auto list = answer.Json();
+  return list.is_object() && list.contains("data") &&
+         list["data"].size() == Models().size();
+}
+
+bool Site::StartNode(int n) {
+  return cluster_.Restart(Node(n)) &&
+         WaitUntil([&] { return ServesConfiguration(Node(n)); }, kStartLimit);
+}
+
+std::vector<std::string> Site::Models() const {
+  std::vector<std::string> models;
+  for (const auto& pool : {kCheckingPool, kIgnoringPool}) {
+    for (int i = 0; i < options_.models_per_pool; ++i) {
+      models.push_back(Model(pool, i));
+    }
+  }
+  return models;
+}
+
+json Site::EstateFile() const {
+  return {
+      {"operator", "estate"},
+      {"pools",
+       {{kCheckingPool, {{"checks_fence", true}}},
+        {kIgnoringPool, {{"checks_fence", false}}},
+        {kServicePool, json::object()}}},
+      {"classes",
+       {{"interactive", {{"rank", 0}, {"default_deadline_ms", 30000}}},
+        {"deferred",
+         {{"rank", 10}, {"default_deadline_ms", 60000}, {"may_wait", true}}}}},
+      {"weight_store", {{"concurrent_loads", 4}, {"loads_per_s", kLoadsPerS}}},
+      {"operators",
+       {{"estate", Grant(kEstateToken)}, {"ramdeen", Grant(kOperatorToken)}}}};
+}
+
+json Site::OperatorFile() const {
+  auto models = json::object();
+  for (const auto& pool : {kCheckingPool, kIgnoringPool}) {
+    for (int i = 0; i < options_.models_per_pool; ++i) {
+      models[Model(pool, i)] = {{"version", "1"},
+                                {"pool", pool},
+                                {"memory_mb", options_.model_memory_mb},
+                                {"replica_limit", options_.replica_limit},
+                                {"expected_load_ms", 200},
+                                {"sources", {"remote", "disk"}}};
+    }
+  }
+  const json rules = {
+      {{"method", "GET"}, {"path_prefix", "/"}, {"repeatable", true}},
+      {{"method", "POST"}, {"path_prefix", "/"}, {"repeatable", false}}};
+  return {{"operator", "ramdeen"},
+          {"models", models},
+          {"services",
+           {{"closures",
+             {{"pool", kServicePool},
+              {"max_in_progress", 100},
+              {"rules", rules}}}}},
+          {"callers",
+           {{"crew-desk",
+             {{"key_sha256", Sha256Hex(kCallerKey)},
+              {"classes", {"interactive", "deferred"}}}}}}};
+}
+
+Call Site::Complete(const std::string& node,
+                    const std::string& model,
+                    const std::string& prompt,
+                    std::chrono::milliseconds deadline,
+                    bool stream,
+                    int tokens) const {
+  return {cluster_.address(node),
+          {"POST",
+           "/v1/completions",
+           {{"Authorization", "Bearer " + kCallerKey},
+            {"Content-Type", "application/json"},
+            {"X-Deadline-Ms", std::to_string(deadline.count())}},
+           json{{"model", model},
+                {"prompt", prompt},
+                {"max_tokens", tokens},
+                {"stream", stream}}
+               .dump()},
+          deadline + kGrace};
+}
+
+Call Site::Book(const std::string& node,
+                const std::string& idempotency_key,
+                const std::string& body,
+                std::chrono::milliseconds deadline) const {
+  return {cluster_.address(node),
+          {"POST",
+           "/services/closures/book",
+           {{"Authorization", "Bearer " + kCallerKey},
+            {"Idempotency-Key", idempotency_key},
+            {"X-Deadline-Ms", std::to_string(deadline.count())}},
+           body},
+          deadline + kGrace};
+}
+
+std::vector<Call> Site::Spread(const std::string& name,
+                               int count,
+                               std::chrono::milliseconds deadline) const {
+  const auto models = Models();
+  const int size = static_cast<int>(models.size());
+  std::vector<Call> calls;
+  for (int i = 0; i < count; ++i) {
+    calls.push_back(Complete(Node(i / size % options_.nodes), models[i % size],
+                             name + "-" + std::to_string(i), deadline));
+  }
+  return calls;
+}
+
+std::map<std::string, int> Site::RunsByPrompt() const {
+  std::map<std::string, int> runs;
+  for (const auto& ledger : cluster_.EngineLedgers()) {
+    for (const auto& it : EventsOfKind(ledger, "request")) {
+      ++runs[it.value("prompt", "")];
+    }
+  }
+  return runs;
+}
+
+std::map<std::string, int> Site::RunsByKey() const {
+  std::map<std::string, int> runs;
+  for (const auto& id : service_ids_) {
+    for (const auto& it : EventsOfKind(cluster_.Ledger(id), "run")) {
+      ++runs[it.value("idempotency_key", "")];
+    }
+  }
+  return runs;
+}
+
+std::string Site::CheckRefusal(const std::string& key,
+                               const Answer& answer,
+                               const std::set<std::string>& ran) const {
+  const auto verdict = answer.RefusalVerdict();
+  if (answer.RefusalCode().empty()) {
+    return "neither answer nor refusal";
+  }
+  if (verdict != "not_run" && verdict != "may_have_run") {
+    return "a refusal without a verdict";
+  }
+  if (verdict == "not_run" && ran.contains(key)) {
+    return "refused as not run, but a ledger names it";
+  }
+  return "";
+}
+
+Tally Site::Check(const std::vector<Call>& calls,
+                  const std::vector<Answer>& answers,
+                  const std::set<std::string>& ended) const {
+  std::set<std::string> ran;
+  for (const auto& [prompt, n] : RunsByPrompt()) {
+    ran.insert(prompt);
+  }
+  for (const auto& id : service_ids_) {
+    for (const auto& it : EventsOfKind(cluster_.Ledger(id), "run")) {
+      ran.insert(it.value("body", ""));
+    }
+  }
+  std::set<Address> gone;
+  for (const auto& it : ended) {
+    gone.insert(cluster_.address(it));
+  }
+  Tally tally;
+  std::ostringstream problems;
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    const auto& answer = answers[i];
+    const auto expected = ExpectationOf(calls[i]);
+    std::string problem;
+    if (answer.status == 0) {
+      ++tally.broken;
+      problem = gone.contains(calls[i].to) ? "" : "broken connection";
+    } else if (answer.status == 200) {
+      ++tally.answers;
+      const auto got = expected.text.empty()
+                           ? answer.Json().value("body", std::string())
+                           : answer.Text();
+      const auto& own = expected.text.empty() ? expected.key : expected.text;
+      problem = got == own ? "" : "not its own whole answer";
+    } else {
+      problem = CheckRefusal(expected.key, answer, ran);
+      ++(answer.RefusalVerdict() == "not_run" ? tally.not_run
+                                              : tally.may_have_run);
+    }
+    if (!problem.empty()) {
+      problems << expected.key << ": " << problem << "; status "
+               << answer.status << " " << answer.failure << " "
+               << Short(answer.body) << "\n";
+    }
+  }
+  tally.problems = problems.str();
+  return tally;
+}
+
+std::string Site::Violations(const std::set<std::string>& ended) {
+  std::ostringstream out;
+  const auto ledgers = cluster_.EngineLedgers();
+  for (const auto& [model, peak] : PeakReplicas(ledgers)) {
+    if (peak > options_.replica_limit) {
+      out << model << ": " << peak << " replicas at the same time, limit "
+          << options_.replica_limit << "\n";
+    }
+  }
+  const auto ids = cluster_.engine_ids();
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    if (PeakMemoryMb(ledgers[i]) > options_.engine_memory_mb) {
+      out << ids[i] << ": " << PeakMemoryMb(ledgers[i])
+          << " MB reserved, capacity " << options_.engine_memory_mb << "\n";
+    }
+    for (const auto& it :
+         EventsOfKind(ledgers[i], "base_removed_under_adapter")) {
+      out << ids[i] << ": " << it.dump() << "\n";
+    }
+  }
+  for (const auto& [key, runs] : RunsByKey()) {
+    if (runs > 1) {
+      out << key << ": ran " << runs << " times\n";
+    }
+  }
+  for (const auto& id : cluster_.node_ids()) {
+    auto& process = cluster_.process(id);
+    if (ended.contains(id) || process.Running()) {
+      continue;
+    }
+    out << id << " ended with "
+        << process.WaitForExit(std::chrono::milliseconds(0)).value_or(-1)
+        << "\n";
+    std::istringstream log(process.Output());
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("invariant") != std::string::npos) {
+        out << Short(line) << "\n";
+      }
+    }
+  }
+  return out.str();
+}
+
+std::string Site::Executor(const std::string& pool, const std::string& model) {
+  const auto record = cluster_.Object("cells/" + pool);
+  if (!record.is_object()) {
+    return "";
+  }
+  for (const auto& server : record["servers"]) {
+    for (const auto& it : server["replicas"]) {
+      if (it.value("model", "") == model && it.value("state", "") != "loaded") {
+        const auto executor = it.value("executor", "");
+        return executor.substr(0, executor.find('/'));
+      }
+    }
+  }
+  return "";
+}
+
+int Site::Loads(const std::string& model) const {
+  int loads = 0;
+  for (const auto& ledger : cluster_.EngineLedgers()) {
+    for (const auto& it : EventsOfKind(ledger, "load_started")) {
+      loads += it.value("model", "") == model ? 1 : 0;
+    }
+  }
+  return loads;
+}
+
+}  // namespace tanagerloom::testing_support
