--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -48,6 +48,9 @@
   /// SHA-256 of the token that may apply the first estate file while no
   /// configuration exists; empty forbids it.
   std::string bootstrap_token_sha256;
+  /// "cost", "fixed" or "never": how long idle models stay loaded. The last two
+  /// are baselines for comparison.
+  std::string keep_alive_policy = "cost";
 };
 
 /// Settings, or every problem of the text.
--- a/tests/correctness/placement_fakes.h
+++ b/tests/correctness/placement_fakes.h
@@ -100,6 +100,9 @@
   bool silent = false;       ///< Takes orders and loses the answer.
   bool unreachable = false;  ///< Refuses connections.
   bool fail_loads = false;
+  bool capture = false;  ///< Orders stay in the network until they are taken.
+  std::vector<EngineOrder> captured;
+  std::uint32_t running = 0;  ///< In the load report.
   std::string boot = "boot-1";
   std::uint64_t sequence = 1;
   std::uint64_t highest_fence = 0;
@@ -138,6 +141,10 @@
     if (engine.unreachable) {
       return MakeError(ErrorKind::kUnavailable, "refused");
     }
+    if (engine.capture) {
+      engine.captured.push_back(order);
+      return MakeError(ErrorKind::kTimeout, "no answer");
+    }
     auto answer = Take(engine, order);
     if (engine.silent) {
       return MakeError(ErrorKind::kTimeout, "no answer");
@@ -167,7 +174,9 @@
     }
     return state;
   }
-  Result<EngineLoad> ReadLoad(const Address&) override { return EngineLoad{}; }
+  Result<EngineLoad> ReadLoad(const Address& address) override {
+    return EngineLoad{engines[address.port].running, 0, 8};
+  }
 
   /// What an engine does with an order, now or long after it was sent.
   OrderAnswer Take(FakeEngine& engine, const EngineOrder& order) {
@@ -234,7 +243,17 @@
 
   const std::string& self() const override { return self_; }
   const std::string& node_id() const override { return node_; }
-  std::vector<Member> Members() const override { return {}; }
+  std::vector<Member> Members() const override {
+    std::vector<Member> members;
+    for (const auto& it : LiveIds()) {
+      Member member;
+      member.vm.id = it;
+      member.incarnation = "1";
+      member.reachable = !hub_.cut.contains(it) || it == node_;
+      members.push_back(std::move(member));
+    }
+    return members;
+  }
   std::vector<std::string> LiveIds() const override {
     std::vector<std::string> ids;
     for (const auto& it : hub_.nodes) {
