--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -71,6 +71,7 @@
   reader.Unsigned("crash_limit", out.crash_limit, 1, 100);
   reader.Unsigned("max_waiting", out.max_waiting, 1, 1000000);
   reader.Unsigned("max_in_progress", out.max_in_progress, 1, 10000);
+  reader.Milliseconds("fixed_keep_alive_ms", out.fixed_keep_alive, 1, kDayMs);
   reader.String("keep_alive_policy", out.keep_alive_policy,
                 Presence::kOptional);
   constexpr std::array<std::string_view, 3> kPolicies = {"cost", "fixed",
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -51,6 +51,8 @@
   /// "cost", "fixed" or "never": how long idle models stay loaded. The last two
   /// are baselines for comparison.
   std::string keep_alive_policy = "cost";
+  /// Idle time after which the policy "fixed" unloads a model.
+  std::chrono::milliseconds fixed_keep_alive{600000};
 };
 
 /// Settings, or every problem of the text.
--- a/packages/decision/keep_alive.cc
+++ b/packages/decision/keep_alive.cc
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-KeepAlivePolicy KeepAlivePolicyOf(std::string_view name) {
+KeepAlivePolicy KeepAlivePolicyOf(std::string_view name, double fixed_idle_s) {
   if (name == "fixed") {
-    return FixedKeepAlive{};
+    return FixedKeepAlive{fixed_idle_s};
   }
   if (name == "never") {
     return NeverUnload{};
--- a/packages/decision/keep_alive.h
+++ b/packages/decision/keep_alive.h
@@ -28,7 +28,7 @@
     std::variant<CostKeepAlive, FixedKeepAlive, NeverUnload>;
 
 /// The policy of a setting: "cost", "fixed" or "never"; others are "cost".
-KeepAlivePolicy KeepAlivePolicyOf(std::string_view name);
+KeepAlivePolicy KeepAlivePolicyOf(std::string_view name, double fixed_idle_s);
 
 /// Costs of one model.
 struct KeepAliveCosts {
--- a/packages/load/load_report.cc
+++ b/packages/load/load_report.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/tail_quantile.hpp>
 #include <nlohmann/json.hpp>
@@ -18,11 +19,9 @@
 }
 
 nlohmann::json PercentilesJson(const Percentiles& value) {
-  return {{"count", value.count},
-          {"p50_ms", value.p50},
-          {"p95_ms", value.p95},
-          {"p99_ms", value.p99},
-          {"max_ms", value.max}};
+  return {{"count", value.count}, {"mean_ms", value.mean},
+          {"p50_ms", value.p50},  {"p95_ms", value.p95},
+          {"p99_ms", value.p99},  {"max_ms", value.max}};
 }
 
 nlohmann::json TrafficJson(const TrafficReport& report) {
@@ -55,7 +54,8 @@
     return {};
   }
   // A cache as large as the sample keeps every value: the quantiles are exact.
-  acc::accumulator_set<double, acc::stats<acc::tag::tail_quantile<acc::right>>>
+  acc::accumulator_set<
+      double, acc::stats<acc::tag::mean, acc::tag::tail_quantile<acc::right>>>
       set(acc::tag::tail<acc::right>::cache_size = values.size());
   for (const auto& it : values) {
     set(Milliseconds(it));
@@ -63,8 +63,9 @@
   const auto at = [&](double p) {
     return acc::quantile(set, acc::quantile_probability = p);
   };
-  return {values.size(), at(0.5), at(0.95), at(0.99),
-          at(1.0 - 0.5 / static_cast<double>(values.size()))};
+  return {values.size(), acc::mean(set),
+          at(0.5),       at(0.95),
+          at(0.99),      at(1.0 - 0.5 / static_cast<double>(values.size()))};
 }
 
 TrafficReport Summarise(const std::vector<LoadSample>& samples) {
--- a/packages/load/load_report.h
+++ b/packages/load/load_report.h
@@ -33,6 +33,7 @@
 /// Percentiles of a set of durations, in milliseconds.
 struct Percentiles {
   std::size_t count = 0;
+  double mean = 0;
   double p50 = 0;
   double p95 = 0;
   double p99 = 0;
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -549,7 +549,10 @@
        .demand = demand,
        .servers = monitor_.facts(),
        .histories = histories_,
-       .policy = KeepAlivePolicyOf(deps_.settings.keep_alive_policy),
+       .policy = KeepAlivePolicyOf(
+           deps_.settings.keep_alive_policy,
+           std::chrono::duration<double>(deps_.settings.fixed_keep_alive)
+               .count()),
        .remote_loads_allowed =
            static_cast<std::uint32_t>(grants_.size()) + free_slots,
        .adapter_loads_allowed =
--- a/packages/routing/caller_answer.cc
+++ b/packages/routing/caller_answer.cc
@@ -12,12 +12,19 @@
                            EventLog& log)
     : responder_(responder), record_(record), log_(log) {}
 
+void CallerAnswer::AddHeaders(HttpHeaders& headers) const {
+  headers.Set("X-Request-Id", record_.id());
+  if (cold_wait_.count() > 0) {
+    headers.Set("X-Cold-Wait-Ms", std::to_string(cold_wait_.count()));
+  }
+}
+
 bool CallerAnswer::Send(HttpResponse response) {
   record_.OnAnswer(Verdict::kRan);
   started_ = true;
   const int status = response.status;
   bytes_written_ = response.body.size();
-  response.headers.Set("X-Request-Id", record_.id());
+  AddHeaders(response.headers);
   gone_ = !responder_.Send(std::move(response));
   log_.Record(
       events::kRequestAnswered,
@@ -36,14 +43,14 @@
                {"code", refusal.code},
                {"verdict", VerdictName(refusal.verdict)}});
   auto response = RefusalResponse(refusal);
-  response.headers.Set("X-Request-Id", record_.id());
+  AddHeaders(response.headers);
   gone_ = !responder_.Send(std::move(response));
 }
 
 bool CallerAnswer::StartStream(int status, HttpHeaders headers) {
   record_.OnAnswer(Verdict::kRan);
   started_ = true;
-  headers.Set("X-Request-Id", record_.id());
+  AddHeaders(headers);
   gone_ = !responder_.StartStream(status, std::move(headers));
   return !gone_;
 }
--- a/packages/routing/caller_answer.h
+++ b/packages/routing/caller_answer.h
@@ -3,6 +3,7 @@
 #ifndef ROUTING_CALLER_ANSWER_H_
 #define ROUTING_CALLER_ANSWER_H_
 
+#include <chrono>
 #include <string_view>
 
 #include "http/http_message.h"
@@ -27,6 +28,10 @@
 
   /// Starts a streamed answer.
   bool StartStream(int status, HttpHeaders headers);
+
+  /// States in the answer's X-Cold-Wait-Ms header how long the request waited
+  /// for a replica to be loaded.
+  void SetColdWait(std::chrono::milliseconds wait) { cold_wait_ = wait; }
   bool Write(std::string_view bytes);
   /// Ends the stream properly; only after the end marker was relayed.
   void Finish();
@@ -44,9 +49,12 @@
   RequestRecord& record() { return record_; }
 
  private:
+  void AddHeaders(HttpHeaders& headers) const;
+
   HttpResponder& responder_;
   RequestRecord& record_;
   EventLog& log_;
+  std::chrono::milliseconds cold_wait_{0};
   bool started_ = false;
   bool gone_ = false;
   std::size_t bytes_written_ = 0;
--- a/packages/routing/model_dispatcher.cc
+++ b/packages/routing/model_dispatcher.cc
@@ -56,6 +56,8 @@
                             CancelSource& cancel) {
   deps_.placement.CountArrival(call.cell, call.key);
   budget_.CountRequest();
+  const bool cold = deps_.placement.Replicas(call.key).empty();
+  const auto queued = deps_.clock.Now();
   Progress progress;
   bool again = true;
   while (again) {
@@ -91,6 +93,10 @@
       return;
     }
     ++progress.attempts;
+    if (cold && progress.attempts == 1) {
+      answer.SetColdWait(std::chrono::ceil<std::chrono::milliseconds>(
+          deps_.clock.Now() - queued));
+    }
     progress.endpoint = ticket.lease->endpoint();
     progress.address = ticket.lease->address();
     progress.alone = ticket.lease->alone();
--- a/testing/run/estate.py
+++ b/testing/run/estate.py
@@ -88,8 +88,9 @@
 class Estate:
     """Nodes, stand-ins and their registration with the platform stand-in."""
 
-    def __init__(self, build: pathlib.Path):
+    def __init__(self, build: pathlib.Path, **weight_store_flags):
         self.build = build
+        self.bootstrap_token = BOOTSTRAP_TOKEN
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="tanagerloom-"))
         self.processes: list[Process] = []
         self.nodes: list[Node] = []
@@ -98,7 +99,8 @@
         self.keep = False
         atexit.register(self.stop_all)
         self.platform = self._standin("platform_standin", "platform")
-        self.weights = self._standin("weight_store_standin", "weights")
+        self.weights = self._standin("weight_store_standin", "weights",
+                                     **weight_store_flags)
 
     def _standin(self, program: str, name: str, **flags) -> int:
         port = free_port()
@@ -147,7 +149,7 @@
             "platform": f"127.0.0.1:{self.platform}",
             "peer_keys": ["a-shared-key-for-runs-on-loopback"],
             "bootstrap_token_sha256":
-                hashlib.sha256(BOOTSTRAP_TOKEN.encode()).hexdigest(),
+                hashlib.sha256(self.bootstrap_token.encode()).hexdigest(),
             **settings,
         }
         path = self.dir / f"{name}.json"
--- a/tests/correctness/decision_properties_test.cc
+++ b/tests/correctness/decision_properties_test.cc
@@ -146,8 +146,8 @@
             .demand = demand,
             .servers = servers,
             .histories = histories,
-            .policy =
-                KeepAlivePolicyOf(*rc::gen::element("cost", "fixed", "never")),
+            .policy = KeepAlivePolicyOf(
+                *rc::gen::element("cost", "fixed", "never"), 600),
             .remote_loads_allowed = remote_loads,
             .adapter_loads_allowed = 2,
             .now_ms = 2000000,
