Count replicas that only an engine knows, and drain placement

A loaded replica that the record lacks is added to it when limits and memory allow; its memory is not given to others in any case.

--- a/packages/decision/engine_report.h
+++ b/packages/decision/engine_report.h
@@ -31,6 +31,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t highest_fence = 0;
   std::uint64_t memory_mb = 0;
+  std::uint64_t used_mb = 0;
   bool leaving = false;
   std::map<std::string, WeightSource> cached;
   std::vector<ReportedEntry> entries;
@@ -57,7 +58,8 @@
   bool listed = false;   ///< In the VM list.
   bool leaving = false;  ///< By the VM list or a notice from a peer.
   std::uint64_t unlisted_since_ms = 0;  ///< Valid if not listed.
-  bool reachable = false;               ///< The last state read succeeded.
+  bool was_listed = false;  ///< This process has seen it in the VM list.
+  bool reachable = false;   ///< The last state read succeeded.
   std::optional<EngineReport> report;
   std::optional<ServerLoad> load;  ///< Read only when it is needed.
 };
--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -176,12 +176,28 @@
       unloading += it.state == ReplicaState::kUnloading ? it.memory_mb : 0;
     }
     const auto it = promised_mb_.find(id);
-    const auto promised = it == promised_mb_.end() ? 0 : it->second;
+    const auto taken =
+        (it == promised_mb_.end() ? 0 : it->second) + UnrecordedMb(id);
     const auto total = server.FreeMb() + unloading;
-    const auto later = total > promised ? total - promised : 0;
+    const auto later = total > taken ? total - taken : 0;
     return {std::min(server.FreeMb(), later), later};
   }
 
+  // Memory that the engine uses for what the record does not list.
+  std::uint64_t UnrecordedMb(const std::string& id) const {
+    const auto facts = input_.servers.find(id);
+    if (facts == input_.servers.end() || !facts->second.report) {
+      return 0;
+    }
+    std::uint64_t recorded = 0;
+    for (const auto& it : input_.record.servers.find(id)->second.replicas) {
+      recorded +=
+          facts->second.report->Find(it.key) != nullptr ? it.memory_mb : 0;
+    }
+    const auto used = facts->second.report->used_mb;
+    return used > recorded ? used - recorded : 0;
+  }
+
   // Lower is better: the fastest source, then the emptiest server.
   auto PlacementCost(const std::string& id, const ModelKey& key) const {
     const auto& server = trial_.servers.find(id)->second;
--- a/packages/decision/reconcile.cc
+++ b/packages/decision/reconcile.cc
@@ -39,13 +39,45 @@
     for (const auto& replica : replicas) {
       Reconcile(replica);
     }
+    AddFoundReplicas();
   }
 
  private:
-  // A VM that left the list and does not answer has no memory to protect.
+  // A VM that left the list and does not answer has no memory to protect. One
+  // that this process never saw listed may be missing because the list lags.
   bool IsGone(const ServerFacts& facts) const {
+    const auto wait_ms =
+        facts.was_listed ? input_.order_progress_ms : input_.server_gone_ms;
     return !facts.listed && !facts.reachable &&
-           input_.now_ms > facts.unlisted_since_ms + input_.order_progress_ms;
+           input_.now_ms > facts.unlisted_since_ms + wait_ms;
+  }
+
+  void AddFoundReplicas() {
+    if (report_ == nullptr || report_->read_started_ms <= input_.view_seen_ms) {
+      return;
+    }
+    for (const bool adapters : {false, true}) {
+      for (const auto& it : report_->entries) {
+        if (it.state == ReportedEntry::State::kLoaded &&
+            it.key.adapter.empty() != adapters) {
+          AddFound(it);
+        }
+      }
+    }
+  }
+
+  void AddFound(const ReportedEntry& entry) {
+    const auto allowance = AllowanceOf(input_.estate, entry.key);
+    const LoadDecision found{.server = server_,
+                             .key = entry.key,
+                             .memory_mb = allowance.memory_mb,
+                             .replica_limit = allowance.replica_limit,
+                             .source = WeightSource::kRemote,
+                             .reason = DecisionReason::kDemand,
+                             .order = entry.order};
+    if (AddFoundReplica(record_, found, input_.self)) {
+      ++outcome_.found;
+    }
   }
 
   void RemoveServer(const char* cause) {
--- a/packages/decision/reconcile.h
+++ b/packages/decision/reconcile.h
@@ -29,10 +29,12 @@
 /// Everything that reconciliation depends on. Times are local monotonic
 /// milliseconds, except for `self.now_ms`.
 struct ReconcileInput {
+  const Estate& estate;
   const ServerFactsMap& servers;
   const std::map<std::string, OrderFacts>& orders;
   /// When this process first saw an entry with its order in its present state.
   std::function<std::uint64_t(const ReplicaRecord&)> seen_ms;
+  std::uint64_t view_seen_ms = 0;  ///< When this record was first seen.
   SenderDone sender_done;
   /// Whether the executor of an order is running and reachable.
   std::function<bool(std::string_view process)> executor_present;
@@ -40,6 +42,7 @@
   bool engines_check_fence = false;
   std::uint64_t now_ms = 0;
   std::uint64_t order_progress_ms = 3000;
+  std::uint64_t server_gone_ms = 60000;
 };
 
 /// A replica whose state changed, and why.
@@ -56,7 +59,8 @@
   std::vector<ReplicaChange> loaded;
   std::vector<ReplicaChange> failed;   ///< Loads that failed.
   std::vector<ReplicaChange> removed;  ///< Entries taken out of the record.
-  std::uint32_t adopted = 0;
+  std::uint32_t adopted = 0;  ///< Orders taken over from their executors.
+  std::uint32_t found = 0;    ///< Replicas that only the engine knew.
 };
 
 ReconcileOutcome ReconcileCell(CellRecord& record, const ReconcileInput& input);
--- a/packages/decision/record_operations.cc
+++ b/packages/decision/record_operations.cc
@@ -269,6 +269,16 @@
   return server != before;
 }
 
+Result<void> AddFoundReplica(CellRecord& record,
+                             const LoadDecision& found,
+                             const Decider& decider) {
+  BOOST_OUTCOME_TRYV(DecideLoad(record, found, decider));
+  auto* replica = FindReplica(record, found.server, found.key);
+  replica->state = ReplicaState::kLoaded;
+  replica->senders.clear();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void NoteLoadFailure(CellRecord& record,
                      const std::string& server,
                      const ModelKey& key,
--- a/packages/decision/record_operations.h
+++ b/packages/decision/record_operations.h
@@ -106,6 +106,12 @@
                   std::string_view server,
                   const ServerReport& report);
 
+/// Adds a loaded replica that an engine holds although the record lacks it, so
+/// that it is counted and can be unloaded. Refuses as DecideLoad() does.
+Result<void> AddFoundReplica(CellRecord& record,
+                             const LoadDecision& found,
+                             const Decider& decider);
+
 /// Counts a failed load of a key on a server.
 void NoteLoadFailure(CellRecord& record,
                      const std::string& server,
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -43,6 +43,8 @@
 // A load that takes longer is taken as stuck and gives up its slot.
 constexpr std::uint64_t kLongestLoadMs = 600000;
 constexpr milliseconds kMissingTime{3000};
+// Hashing all members for each message would cost too much with 530 nodes.
+constexpr milliseconds kCoordinatorAge{20};
 // All nodes together read the records at most this often.
 constexpr int kReadsPerSecond = 50;
 
@@ -57,6 +59,7 @@
                                RecordStore& records,
                                SlotStore& slots,
                                PlatformBackoff& backoff,
+                               VmIndex& vms,
                                TaskGroup& tasks,
                                std::function<void()> on_change)
     : cell_(std::move(cell)),
@@ -64,6 +67,7 @@
       records_(records),
       slots_(slots),
       backoff_(backoff),
+      vms_(vms),
       on_change_(std::move(on_change)),
       view_(std::make_shared<StoredRecord>()),
       monitor_(deps.engines, deps.clock, tasks, [this] { Wake(); }),
@@ -99,6 +103,11 @@
   }
 }
 
+void CellController::Drain() {
+  draining_ = true;
+  Wake();
+}
+
 void CellController::Stop() {
   stopping_ = true;
   executor_.Stop();
@@ -178,13 +187,14 @@
 }
 
 void CellController::ReadVms() {
-  std::vector<Vm> engines;
-  for (auto& vm : deps_.peers.Vms()) {
-    if (vm.role == VmRole::kEngine && vm.pool == cell_) {
-      engines.push_back(std::move(vm));
-    }
+  const auto* engines = vms_.EnginesOf(cell_);
+  if (engines == nullptr) {
+    return;
+  }
+  monitor_.SetVms(*engines);
+  for (const auto& [id, server] : view_->record.servers) {
+    monitor_.AddUnlisted(id);
   }
-  monitor_.SetVms(engines);
 }
 
 std::map<std::string, Duration> CellController::PollIntervals() const {
@@ -258,6 +268,7 @@
   have_view_ = true;
   view_ = std::make_shared<const StoredRecord>(std::move(stored));
   const auto now_ms = LocalMs(deps_.clock);
+  view_seen_ms_ = now_ms;
   for (const auto& [key, seen] : seen_) {
     if (key.second == ReplicaState::kLoading && Drives()) {
       finished_.insert(key.first);
@@ -335,10 +346,11 @@
   decision.outcome = Reconcile(decision.next);
   waiting_for_slots_ = 0;
   // A node that is behind on the configuration does not know the limits.
-  if (stopping_ || decision.estate->version < decision.next.config_version) {
+  if (draining_ || stopping_ ||
+      decision.estate->version < decision.next.config_version) {
     return decision;
   }
-  auto plan = MakePlan(decision.next, book_.Total());
+  auto plan = MakePlan(decision.next, *decision.estate);
   if (plan.waiting_for_slots > 0 &&
       deps_.clock.Now() >= slots_read_ + kSlotRetry) {
     // Another cell may have freed slots since the last read.
@@ -348,7 +360,7 @@
       decision.complete = false;
       return decision;
     }
-    plan = MakePlan(decision.next, book_.Total());
+    plan = MakePlan(decision.next, *decision.estate);
   }
   waiting_for_slots_ = plan.waiting_for_slots;
   if (!TakeSlots(decision.next, plan)) {
@@ -504,26 +516,31 @@
   const auto estate = deps_.estate.Current();
   const auto pool = estate->pools.find(cell_);
   return ReconcileCell(
-      next, {.servers = monitor_.facts(),
-             .orders = executor_.answers(),
-             .seen_ms = [this](const auto& it) { return SeenMs(it); },
-             .sender_done =
-                 [this](auto server, const auto& replica, auto process) {
-                   return SenderIsDone(server, replica, process);
-                 },
-             .executor_present =
-                 [this](auto process) { return IsExecutorPresent(process); },
-             .self = Self(),
-             .engines_check_fence =
-                 pool != estate->pools.end() && pool->second.checks_fence,
-             .now_ms = LocalMs(deps_.clock),
-             .order_progress_ms = static_cast<std::uint64_t>(
-                 deps_.settings.order_progress.count())});
+      next,
+      {.estate = *estate,
+       .servers = monitor_.facts(),
+       .orders = executor_.answers(),
+       .seen_ms = [this](const auto& it) { return SeenMs(it); },
+       .view_seen_ms = view_seen_ms_,
+       .sender_done =
+           [this](auto server, const auto& replica, auto process) {
+             return SenderIsDone(server, replica, process);
+           },
+       .executor_present =
+           [this](auto process) { return IsExecutorPresent(process); },
+       .self = Self(),
+       .engines_check_fence =
+           pool != estate->pools.end() && pool->second.checks_fence,
+       .now_ms = LocalMs(deps_.clock),
+       .order_progress_ms =
+           static_cast<std::uint64_t>(deps_.settings.order_progress.count()),
+       .server_gone_ms =
+           static_cast<std::uint64_t>(deps_.settings.sender_gone.count())});
 }
 
 Plan CellController::MakePlan(const CellRecord& next,
-                              const std::map<ModelKey, ModelDemand>& demand) {
-  const auto estate = deps_.estate.Current();
+                              const Estate& estate) const {
+  const auto demand = book_.Total();
   std::uint32_t adapters_loading = 0;
   for (const auto& [id, server] : next.servers) {
     for (const auto& it : server.replicas) {
@@ -534,18 +551,18 @@
   }
   // Each cell has an equal share of the adapter loads, so that these short
   // loads need no write to the shared slots.
-  const auto cells = static_cast<std::uint32_t>(
-      std::max<std::size_t>(1, estate->pools.size()));
+  const auto cells =
+      static_cast<std::uint32_t>(std::max<std::size_t>(1, estate.pools.size()));
   const auto share =
-      std::max(1U, estate->weight_store.concurrent_adapter_loads / cells);
+      std::max(1U, estate.weight_store.concurrent_adapter_loads / cells);
   const auto wall_ms = Self().now_ms;
   auto slots = slots_.slots();
   slots.ReleaseOthers(
       cell_, [this](const auto& it) { return !finished_.contains(it.order); });
-  const auto free_slots = slots.Available(estate->weight_store, wall_ms);
+  const auto free_slots = slots.Available(estate.weight_store, wall_ms);
   return PlanCell(
       {.record = next,
-       .estate = *estate,
+       .estate = estate,
        .demand = demand,
        .servers = monitor_.facts(),
        .histories = histories_,
@@ -650,7 +667,8 @@
   Wake();
 }
 
-void CellController::SetDemand(const std::string& node, const Demand& demand) {
+void CellController::SetDemand(const std::string& process,
+                               const Demand& demand) {
   const auto now_ms = LocalMs(deps_.clock);
   for (const auto& it : demand.entries) {
     const ModelDemand entry{
@@ -660,7 +678,7 @@
         .deadline_ms =
             it.earliest_deadline_ms == 0 ? 0 : now_ms + it.earliest_deadline_ms,
         .arrivals = it.arrivals};
-    book_.Set(node, demand.number, {it.model, it.version, it.adapter}, entry,
+    book_.Set(process, demand.number, {it.model, it.version, it.adapter}, entry,
               now_ms);
   }
   Wake();
@@ -672,6 +690,10 @@
 }
 
 std::string CellController::Coordinator() const {
+  const auto now = deps_.clock.Now();
+  if (coordinator_until_ && now < *coordinator_until_) {
+    return coordinator_;
+  }
   std::string best;
   std::uint64_t best_hash = 0;
   for (const auto& id : deps_.peers.LiveIds()) {
@@ -681,6 +703,8 @@
       best_hash = hash;
     }
   }
+  coordinator_ = best;
+  coordinator_until_ = now + kCoordinatorAge;
   return best;
 }
 
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -26,6 +26,7 @@
 #include "placement/platform_backoff.h"
 #include "placement/record_store.h"
 #include "placement/slot_store.h"
+#include "placement/vm_index.h"
 #include "ports/peer_message.h"
 #include "runtime/event_flag.h"
 
@@ -42,6 +43,7 @@
                  RecordStore& records,
                  SlotStore& slots,
                  PlatformBackoff& backoff,
+                 VmIndex& vms,
                  TaskGroup& tasks,
                  std::function<void()> on_change);
 
@@ -56,7 +58,11 @@
   /// Makes Run() start a pass soon.
   void Wake() { wake_.Signal(); }
 
-  void SetDemand(const std::string& node, const Demand& demand);
+  /// Decides nothing new; goes on finishing orders.
+  void Drain();
+
+  /// `process` is the sender as "NODE/INCARNATION".
+  void SetDemand(const std::string& process, const Demand& demand);
   void HandleRecord(const RecordUpdate& update);
   void HandleOrderDone(const std::string& from, const OrderDone& done);
 
@@ -108,8 +114,7 @@
   Decision MakeDecision();
   Result<void> StoreDecision(Decision decision);
   ReconcileOutcome Reconcile(CellRecord& next);
-  Plan MakePlan(const CellRecord& next,
-                const std::map<ModelKey, ModelDemand>& demand);
+  Plan MakePlan(const CellRecord& next, const Estate& estate) const;
   /// Takes slots for the loads of a plan that need them, and drops those that
   /// got none.
   bool TakeSlots(const CellRecord& next, Plan& plan);
@@ -137,9 +142,14 @@
   RecordStore& records_;
   SlotStore& slots_;
   PlatformBackoff& backoff_;
+  VmIndex& vms_;
   std::function<void()> on_change_;
   EventFlag wake_;
   bool stopping_ = false;
+  bool draining_ = false;
+  mutable std::string coordinator_;
+  mutable std::optional<TimePoint> coordinator_until_;
+  std::uint64_t view_seen_ms_ = 0;
   View view_;
   bool have_view_ = false;
   TimePoint confirmed_{};  ///< The view is not older than this.
--- a/packages/placement/engine_monitor.cc
+++ b/packages/placement/engine_monitor.cc
@@ -42,6 +42,7 @@
                       .sequence = state.sequence,
                       .highest_fence = state.highest_fence,
                       .memory_mb = state.memory_mb,
+                      .used_mb = state.used_mb,
                       .leaving = state.leaving,
                       .cached = {},
                       .entries = {}};
@@ -86,6 +87,7 @@
     poll.data_centre = vm.data_centre;
     auto& facts = facts_[vm.id];
     facts.listed = true;
+    facts.was_listed = true;
     facts.leaving = vm.leaving;
   }
   for (auto& [id, facts] : facts_) {
@@ -96,6 +98,13 @@
   }
 }
 
+void EngineMonitor::AddUnlisted(const std::string& server) {
+  const auto [it, added] = facts_.try_emplace(server);
+  if (added) {
+    it->second.unlisted_since_ms = LocalMs(clock_);
+  }
+}
+
 void EngineMonitor::PollDue(const std::map<std::string, Duration>& intervals) {
   const auto now = clock_.Now();
   for (const auto& [server, interval] : intervals) {
--- a/packages/placement/engine_monitor.h
+++ b/packages/placement/engine_monitor.h
@@ -36,6 +36,9 @@
   /// Takes over the VM list; `vms` are the engines of the cell.
   void SetVms(const std::vector<Vm>& vms);
 
+  /// Makes a server known that is in the record, but may not be listed.
+  void AddUnlisted(const std::string& server);
+
   /// Starts reading the state of each server whose last read began at least
   /// `interval` ago and has ended.
   void PollDue(const std::map<std::string, Duration>& intervals);
--- a/packages/placement/placement_service.cc
+++ b/packages/placement/placement_service.cc
@@ -31,7 +31,8 @@
     : deps_(deps),
       records_(deps.store, deps.log),
       slots_(deps.store, deps.clock, deps.log),
-      backoff_(deps.clock) {
+      backoff_(deps.clock),
+      vms_(deps.peers, deps.clock) {
   deps_.peers.OnMessage([this](const auto& from, const auto& message) {
     OnMessage(from, message);
   });
@@ -51,6 +52,10 @@
 
 void PlacementService::RequestStop(Duration bound) {
   const auto end = deps_.clock.Now() + bound;
+  draining_ = true;
+  for (auto& [name, cell] : cells_) {
+    cell->Drain();
+  }
   const auto has_orders = [&] {
     return std::ranges::any_of(
         cells_, [](const auto& it) { return it.second->HasOwnOrders(); });
@@ -86,7 +91,7 @@
   auto& it = cells_[cell];
   if (!it) {
     it = std::make_unique<CellController>(cell, deps_, records_, slots_,
-                                          backoff_, tasks_,
+                                          backoff_, vms_, tasks_,
                                           [this] { changed_.Signal(); });
     if (started_ && !stopping_) {
       tasks_.Spawn([controller = it.get()] { controller->Run(); });
@@ -122,9 +127,9 @@
 
 void PlacementService::OnDemand(const std::string& from, const Demand& demand) {
   auto& cell = Cell(demand.cell);
-  cell.SetDemand(NodeOf(from), demand);
+  cell.SetDemand(from, demand);
   // Only a node that acts on the demand acknowledges it.
-  if (cell.IsCoordinator() && !stopping_) {
+  if (cell.IsCoordinator() && !draining_) {
     deps_.peers.Send(NodeOf(from), DemandAck{demand.cell, demand.number});
   }
 }
@@ -199,7 +204,7 @@
     const auto message = TakeDemand(cell, demand);
     demand.last_sent = now;
     // This node keeps its own demand too, in case it has to decide itself.
-    controller.SetDemand(deps_.peers.node_id(), message);
+    controller.SetDemand(deps_.peers.self(), message);
     if (!controller.IsCoordinator()) {
       if (!demand.unacknowledged_since) {
         demand.unacknowledged_since = now;
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -19,6 +19,7 @@
 #include "placement/record_store.h"
 #include "placement/slot_store.h"
 #include "placement/task_group.h"
+#include "placement/vm_index.h"
 
 namespace tanagerloom {
 
@@ -80,11 +81,13 @@
   RecordStore records_;
   SlotStore slots_;
   PlatformBackoff backoff_;
+  VmIndex vms_;
   EventFlag changed_;
   EventFlag demand_changed_;
   std::map<std::string, std::unique_ptr<CellController>> cells_;
   std::map<std::string, CellDemand> demand_;
   bool started_ = false;
+  bool draining_ = false;
   bool stopping_ = false;
   TaskGroup tasks_;
 };
