--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 // Keep this after <utility>.
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -11,6 +12,7 @@
 #include <boost/fiber/operations.hpp>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "http/http_responder.h"
 #include "runtime/await.h"
@@ -47,6 +49,41 @@
   std::function<void()> handler;
 };
 
+// Cancels a read that takes too long. A timeout of the stream would close the
+// connection, and the client could not be told.
+class ReadTimer {
+ public:
+  ReadTimer(asio::io_context& io, beast::tcp_stream& stream, Duration timeout)
+      : state_(std::make_shared<State>(io)) {
+    state_->timer.expires_after(timeout);
+    state_->timer.async_wait(
+        [state = state_, &stream](boost::system::error_code ec) {
+          if (state->active && !ec) {
+            state->expired = true;
+            stream.cancel();
+          }
+        });
+  }
+  ~ReadTimer() {
+    state_->active = false;
+    state_->timer.cancel();
+  }
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+
+  bool expired() const { return state_->expired; }
+
+ private:
+  // Shared with the pending wait, which outlives the timer.
+  struct State {
+    explicit State(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    bool active = true;
+    bool expired = false;
+  };
+  std::shared_ptr<State> state_;
+};
+
 class ConnectionResponder final : public HttpResponder {
  public:
   ConnectionResponder(beast::tcp_stream& stream,
@@ -187,6 +224,30 @@
 
 }  // namespace
 
+namespace {
+
+// Reads what the client still sends. Closing a connection with unread input
+// resets it, and the client may lose the response.
+void DiscardInput(beast::tcp_stream& stream) {
+  constexpr auto kTime = std::chrono::seconds(2);
+  constexpr std::size_t kMaxBytes = 64UL * 1024 * 1024;
+  boost::system::error_code ec;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  stream.expires_after(kTime);
+  std::vector<char> scratch(16UL * 1024);
+  for (std::size_t total = 0; total < kMaxBytes;) {
+    const auto read = AwaitIo([&](auto done) {
+      stream.async_read_some(asio::buffer(scratch), done);
+    });
+    if (read.ec) {
+      return;
+    }
+    total += read.n;
+  }
+}
+
+}  // namespace
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
   State(asio::io_context& io, HttpServerLimits limits, Handler handler)
       : io(io), limits(limits), handler(std::move(handler)), acceptor(io) {}
@@ -257,11 +318,13 @@
     }
     buffer.commit(ready.n);
   }
-  stream.expires_after(limits.read_timeout);
+  stream.expires_never();
+  const ReadTimer timer(io, stream, limits.read_timeout);
   const auto result = AwaitIo(
       [&](auto done) { bhttp::async_read(stream, buffer, parser, done); });
   if (result.ec) {
-    RefuseMalformed(stream, result.ec);
+    RefuseMalformed(stream,
+                    timer.expired() ? beast::error::timeout : result.ec);
     return false;
   }
   const auto message = parser.release();
@@ -282,6 +345,7 @@
 void HttpServer::State::RefuseMalformed(beast::tcp_stream& stream,
                                         boost::system::error_code ec) {
   int status = 400;
+  std::string what = "the request is malformed: " + ec.message();
   if (ec == bhttp::error::end_of_stream || ec == asio::error::eof ||
       ec == asio::error::connection_reset ||
       ec == asio::error::operation_aborted) {
@@ -289,10 +353,15 @@
   }
   if (ec == bhttp::error::body_limit) {
     status = 413;
+    what = "the body is larger than " + std::to_string(limits.max_body_bytes) +
+           " bytes";
   } else if (ec == bhttp::error::header_limit) {
     status = 431;
+    what = "the header is larger than " +
+           std::to_string(limits.max_header_bytes) + " bytes";
   } else if (ec == beast::error::timeout) {
     status = 408;
+    what = "the request did not arrive in time";
   }
   bhttp::response<bhttp::string_body> message;
   message.result(static_cast<unsigned>(status));
@@ -300,14 +369,11 @@
   message.set(bhttp::field::content_type, "application/json");
   message.keep_alive(false);
   message.body() = R"({"error":{"code":"malformed_request","message":")" +
-                   ec.message() + R"(","verdict":"not_run"}})";
+                   what + R"(","verdict":"not_run"}})";
   message.prepare_payload();
-  if (ec == beast::error::timeout) {
-    // The expired stream is closed already; nothing can be sent.
-    return;
-  }
   stream.expires_after(limits.write_timeout);
   AwaitIo([&](auto done) { bhttp::async_write(stream, message, done); });
+  DiscardInput(stream);
 }
 
 HttpServer::HttpServer(asio::io_context& io,
