--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -19,8 +19,8 @@
 #include "routing/claim_store.h"
 #include "routing/claimed_calls.h"
 #include "routing/crash_quarantine.h"
+#include "routing/endpoint_monitor.h"
 #include "routing/endpoint_table.h"
-#include "routing/engine_monitor.h"
 #include "routing/model_dispatcher.h"
 #include "routing/request_scheduler.h"
 #include "routing/service_dispatcher.h"
@@ -84,7 +84,7 @@
 
   RoutingDependencies deps;
   EndpointTable endpoints;
-  EngineMonitor monitor;
+  EndpointMonitor monitor;
   RequestScheduler scheduler;
   RetryBudget budget;
   CrashQuarantine quarantine;
--- a/packages/routing/engine_monitor.cc
+++ b/packages/routing/endpoint_monitor.cc
@@ -1,4 +1,4 @@
-#include "routing/engine_monitor.h"
+#include "routing/endpoint_monitor.h"
 
 #include <boost/fiber/fiber.hpp>
 
@@ -24,15 +24,15 @@
 
 }  // namespace
 
-EngineMonitor::EngineMonitor(const RoutingDependencies& deps,
-                             EndpointTable& endpoints)
+EndpointMonitor::EndpointMonitor(const RoutingDependencies& deps,
+                                 EndpointTable& endpoints)
     : deps_(deps), endpoints_(endpoints) {}
 
-void EngineMonitor::Start() {
+void EndpointMonitor::Start() {
   boost::fibers::fiber([this] { Loop(); }).detach();
 }
 
-void EngineMonitor::Loop() {
+void EndpointMonitor::Loop() {
   std::string last;
   while (true) {
     deps_.clock.SleepFor(kInterval);
@@ -59,7 +59,7 @@
   }
 }
 
-void EngineMonitor::Read(const std::string& endpoint) {
+void EndpointMonitor::Read(const std::string& endpoint) {
   const auto address = endpoints_.Get(endpoint).address;
   if (const auto load = deps_.engines.ReadLoad(address)) {
     auto& state = endpoints_.Get(endpoint);
@@ -70,7 +70,7 @@
   endpoints_.Get(endpoint).reading = false;
 }
 
-void EngineMonitor::ReadCache(const std::string& endpoint) {
+void EndpointMonitor::ReadCache(const std::string& endpoint) {
   const auto& before = endpoints_.Get(endpoint);
   const auto events =
       deps_.engines.ReadCacheEvents(before.address, before.cache_sequence);
--- a/packages/routing/engine_monitor.h
+++ b/packages/routing/endpoint_monitor.h
@@ -1,7 +1,7 @@
-// Defines EngineMonitor, which reads the load reports and cache events of the
+// Defines EndpointMonitor, which reads the load reports and cache events of the
 // engines that this node uses.
-#ifndef ROUTING_ENGINE_MONITOR_H_
-#define ROUTING_ENGINE_MONITOR_H_
+#ifndef ROUTING_ENDPOINT_MONITOR_H_
+#define ROUTING_ENDPOINT_MONITOR_H_
 
 #include <string>
 
@@ -11,9 +11,9 @@
 namespace tanagerloom {
 
 /// Keeps the reported load and the cached prefixes of engines up to date.
-class EngineMonitor {
+class EndpointMonitor {
  public:
-  EngineMonitor(const RoutingDependencies& deps, EndpointTable& endpoints);
+  EndpointMonitor(const RoutingDependencies& deps, EndpointTable& endpoints);
 
   void Start();
 
@@ -28,4 +28,4 @@
 
 }  // namespace tanagerloom
 
-#endif  // ROUTING_ENGINE_MONITOR_H_
+#endif  // ROUTING_ENDPOINT_MONITOR_H_
