--- a/testing/run/experiment.py
+++ b/testing/run/experiment.py
@@ -90,7 +90,11 @@
     for i in range(NODES):
         estate.add_node(f"{site.name}-n{i}", centres[i % 3], keep_alive_policy=policy,
                         fixed_keep_alive_ms=FIXED_KEEP_ALIVE_MS)
-    estate.apply(site.estate_file, BOOTSTRAP)
+    shared = read_json(site.estate_file)
+    shared["weight_store"]["loads_per_s"] *= TIME_SCALE
+    scaled = estate.dir / "estate.json"
+    scaled.write_text(json.dumps(shared))
+    estate.apply(scaled, BOOTSTRAP)
     for owner, path in site.operator_files.items():
         estate.apply(path, f"example-token-{owner}")
     estate.wait_ready()
