Resend unanswered orders until they are answered; plan evictions faster

A process whose order took effect without an answer stayed a sender until the sender-gone time, and a stopping service waited for it: it now sends the order again, which engines answer by its id. Gaps between requests are kept by length, since the gaps of a burst displaced those between bursts.

--- a/packages/decision/arrival_history.cc
+++ b/packages/decision/arrival_history.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::size_t kKeptGaps = 64;
+constexpr std::size_t kKeptGapsPerBand = 16;
+// Counts are halved above this, so that a changed pattern shows.
+constexpr double kLargestCount = 10000;
 // Shorter gaps are within one burst and say nothing about keeping a model.
 constexpr double kShortestGapS = 1.0;
 // Without known gaps, the chance of an arrival falls with the time without one:
@@ -23,15 +25,26 @@
   if (last_use_ms_ != 0 && now_ms > last_use_ms_) {
     const auto gap = IdleSeconds(now_ms);
     if (gap >= kShortestGapS) {
-      gaps_s_.push_back(gap);
-      if (gaps_s_.size() > kKeptGaps) {
-        gaps_s_.pop_front();
-      }
+      AddGap(gap);
     }
   }
   last_use_ms_ = std::max(last_use_ms_, now_ms);
 }
 
+void ArrivalHistory::AddGap(double gap_s) {
+  // A band spans a factor of two.
+  auto& band = bands_[std::ilogb(gap_s)];
+  band.gaps_s.push_back(gap_s);
+  if (band.gaps_s.size() > kKeptGapsPerBand) {
+    band.gaps_s.pop_front();
+  }
+  if (++band.count > kLargestCount) {
+    for (auto& [length, it] : bands_) {
+      it.count /= 2;
+    }
+  }
+}
+
 double ArrivalHistory::IdleSeconds(std::uint64_t now_ms) const {
   return now_ms > last_use_ms_
              ? static_cast<double>(now_ms - last_use_ms_) / 1000
@@ -45,14 +58,14 @@
   double longer = kPriorGaps;
   double ended = kPriorGaps * prior_end;
   double idle = kPriorGaps * offset * std::log1p(window_s / offset);
-  for (const auto gap : gaps_s_) {
+  VisitGaps([&](double gap, double weight) {
     if (gap <= from_s) {
-      continue;
+      return;
     }
-    longer += 1;
-    ended += gap <= from_s + window_s ? 1 : 0;
-    idle += std::min(gap - from_s, window_s);
-  }
+    longer += weight;
+    ended += gap <= from_s + window_s ? weight : 0;
+    idle += weight * std::min(gap - from_s, window_s);
+  });
   return {ended / longer, idle / longer};
 }
 
@@ -60,13 +73,13 @@
   double count = 0;
   double sum = 0;
   double squares = 0;
-  for (const auto gap : gaps_s_) {
+  VisitGaps([&](double gap, double weight) {
     if (gap > from_s) {
-      count += 1;
-      sum += gap;
-      squares += gap * gap;
+      count += weight;
+      sum += weight * gap;
+      squares += weight * gap * gap;
     }
-  }
+  });
   const double widest = std::max(1.0, kWidestShare * from_s);
   if (count < 3) {
     return widest;
--- a/packages/decision/arrival_history.h
+++ b/packages/decision/arrival_history.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 
 namespace tanagerloom {
 
@@ -35,8 +36,30 @@
   double WindowSeconds(double from_s) const;
 
  private:
+  /// Gaps of similar length. Each length keeps its own recent gaps, or the many
+  /// short gaps of a burst would displace the few long ones between bursts.
+  struct Band {
+    std::deque<double> gaps_s;
+    double count = 0;  ///< All gaps of this length so far.
+
+    /// How many gaps each kept one stands for.
+    double Weight() const { return count / static_cast<double>(gaps_s.size()); }
+  };
+
+  void AddGap(double gap_s);
+
+  /// Calls visit(gap, weight) for each kept gap.
+  template <typename Visit>
+  void VisitGaps(Visit visit) const {
+    for (const auto& [length, band] : bands_) {
+      for (const auto gap : band.gaps_s) {
+        visit(gap, band.Weight());
+      }
+    }
+  }
+
   std::uint64_t last_use_ms_ = 0;
-  std::deque<double> gaps_s_;
+  std::map<int, Band> bands_;
 };
 
 }  // namespace tanagerloom
--- a/packages/decision/eviction.cc
+++ b/packages/decision/eviction.cc
@@ -16,13 +16,6 @@
 // Older load reports don't show that a server is unused.
 constexpr std::uint64_t kLoadReportAgeMs = 2000;
 
-// Replicas that are evicted together.
-struct Group {
-  std::vector<ModelKey> keys;  // Adapters before their base.
-  std::uint64_t memory_mb = 0;
-  double cost = 0;
-};
-
 bool ReportsNoLoad(const EvictionInput& input, const std::string& server) {
   const auto it = input.servers.find(server);
   return it != input.servers.end() && it->second.load &&
@@ -30,15 +23,14 @@
          input.now_ms <= it->second.load->read_started_ms + kLoadReportAgeMs;
 }
 
-// The base with its adapters; empty if one of them is in use or still loading.
-std::optional<Group> GroupOf(const EvictionInput& input,
-                             const CellRecord& record,
-                             const std::string& server_id,
-                             const ModelKey& base) {
-  const auto& server = record.servers.find(server_id)->second;
-  Group group;
+// The base with its adapters; empty if one of them is still loading.
+std::optional<EvictionGroup> GroupOf(const EvictionInput& input,
+                                     const std::string& server_id,
+                                     const ServerRecord& server,
+                                     const ReplicaRecord& base) {
+  EvictionGroup group;
   for (const auto& it : server.replicas) {
-    if (it.key.adapter.empty() || it.key.Base() != base ||
+    if (it.key.adapter.empty() || it.key.Base() != base.key ||
         it.state == ReplicaState::kUnloading) {
       continue;
     }
@@ -47,50 +39,40 @@
     }
     group.keys.push_back(it.key);
     group.memory_mb += it.memory_mb;
-    group.cost += EvictionCost(input, record, server_id, it.key);
+    group.cost += EvictionCost(input, server_id, it.key);
   }
-  group.keys.push_back(base);
-  group.memory_mb += server.Find(base)->memory_mb;
-  group.cost += EvictionCost(input, record, server_id, base);
+  group.keys.push_back(base.key);
+  group.memory_mb += base.memory_mb;
+  group.cost += EvictionCost(input, server_id, base.key);
   return group;
 }
 
-std::vector<Group> ListGroups(const EvictionInput& input,
-                              const CellRecord& record,
-                              const std::string& server_id,
-                              const ModelKey& keep) {
-  std::vector<Group> groups;
-  for (const auto& it : record.servers.find(server_id)->second.replicas) {
-    if (it.state != ReplicaState::kLoaded || it.key == keep ||
-        !IsUnused(input, server_id, it.key)) {
-      continue;
-    }
-    if (!it.key.adapter.empty()) {
-      groups.push_back({{it.key},
-                        it.memory_mb,
-                        EvictionCost(input, record, server_id, it.key)});
-    } else if (auto group = GroupOf(input, record, server_id, it.key)) {
-      groups.push_back(std::move(*group));
-    }
+}  // namespace
+
+std::set<ModelKey> UsedKeys(const std::map<ModelKey, ModelDemand>& demand) {
+  std::set<ModelKey> used;
+  for (const auto& [key, it] : demand) {
+    used.insert(key);
+    used.insert(key.Base());
   }
-  std::ranges::stable_sort(groups, {}, [](const Group& it) {
-    return it.cost /
-           static_cast<double>(std::max<std::uint64_t>(1, it.memory_mb));
-  });
-  return groups;
+  return used;
 }
 
-}  // namespace
+std::map<ModelKey, std::uint32_t> CountReplicas(const CellRecord& record) {
+  std::map<ModelKey, std::uint32_t> counts;
+  for (const auto& [id, server] : record.servers) {
+    for (const auto& it : server.replicas) {
+      ++counts[it.key];
+    }
+  }
+  return counts;
+}
 
 bool IsUnused(const EvictionInput& input,
               const std::string& server,
               const ModelKey& key) {
-  for (const auto& [other, demand] : input.demand) {
-    if (other == key || (key.adapter.empty() && other.Base() == key)) {
-      return false;
-    }
-  }
-  return input.demand_is_complete || ReportsNoLoad(input, server);
+  return !input.used.contains(key) &&
+         (input.demand_is_complete || ReportsNoLoad(input, server));
 }
 
 KeepAliveCosts CostsOf(const Estate& estate,
@@ -118,41 +100,64 @@
 }
 
 double EvictionCost(const EvictionInput& input,
-                    const CellRecord& record,
                     const std::string& server,
                     const ModelKey& key) {
+  static const ArrivalHistory kUnknown;
   const auto it = input.histories.find(key);
-  const auto unknown = ArrivalHistory();
-  const auto& history = it == input.histories.end() ? unknown : it->second;
+  const auto& history = it == input.histories.end() ? kUnknown : it->second;
   const auto idle_s = history.IdleSeconds(input.now_ms);
   if (std::holds_alternative<FixedKeepAlive>(input.policy)) {
     return 1 / (1 + idle_s);
   }
   const auto costs = CostsOf(input.estate, input.servers, server, key);
+  const auto count = input.replica_counts.find(key);
   return history.Chance(idle_s, kHorizonS).probability * costs.cold_start_s *
-         costs.cold_start_cost_per_s / std::max(1U, record.CountReplicas(key));
+         costs.cold_start_cost_per_s /
+         (count == input.replica_counts.end() ? 1U : count->second);
 }
 
-std::optional<Eviction> ChooseEviction(const EvictionInput& input,
-                                       const CellRecord& record,
-                                       const std::string& server,
+std::vector<EvictionGroup> ListEvictionGroups(const EvictionInput& input,
+                                              const std::string& server_id,
+                                              const ServerRecord& server) {
+  std::vector<EvictionGroup> groups;
+  for (const auto& it : server.replicas) {
+    if (it.state != ReplicaState::kLoaded ||
+        !IsUnused(input, server_id, it.key)) {
+      continue;
+    }
+    if (!it.key.adapter.empty()) {
+      groups.push_back(
+          {{it.key}, it.memory_mb, EvictionCost(input, server_id, it.key)});
+    } else if (auto group = GroupOf(input, server_id, server, it)) {
+      groups.push_back(std::move(*group));
+    }
+  }
+  std::ranges::stable_sort(groups, {}, [](const EvictionGroup& it) {
+    return it.cost /
+           static_cast<double>(std::max<std::uint64_t>(1, it.memory_mb));
+  });
+  return groups;
+}
+
+std::optional<Eviction> ChooseEviction(const std::vector<EvictionGroup>& groups,
+                                       const ServerRecord& server,
                                        std::uint64_t need_mb,
                                        const ModelKey& keep) {
   Eviction eviction;
   std::uint64_t freed_mb = 0;
-  for (const auto& group : ListGroups(input, record, server, keep)) {
+  for (const auto& group : groups) {
     if (freed_mb >= need_mb) {
       break;
     }
+    if (group.keys.back() == keep) {
+      continue;
+    }
     for (const auto& key : group.keys) {
-      const UnloadChoice choice{server, key};
       // An adapter may have been chosen alone before its base.
-      if (std::ranges::find(eviction.unloads, choice) !=
-          eviction.unloads.end()) {
-        continue;
+      if (std::ranges::find(eviction.keys, key) == eviction.keys.end()) {
+        freed_mb += server.Find(key)->memory_mb;
+        eviction.keys.push_back(key);
       }
-      freed_mb += record.servers.find(server)->second.Find(key)->memory_mb;
-      eviction.unloads.push_back(choice);
     }
     eviction.cost += group.cost;
   }
--- a/packages/decision/eviction.h
+++ b/packages/decision/eviction.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,8 @@
 /// What decisions about unloading depend on.
 struct EvictionInput {
   const Estate& estate;
-  const std::map<ModelKey, ModelDemand>& demand;
+  const std::set<ModelKey>& used;  ///< See UsedKeys().
+  const std::map<ModelKey, std::uint32_t>& replica_counts;
   const ServerFactsMap& servers;
   const std::map<ModelKey, ArrivalHistory>& histories;
   const KeepAlivePolicy& policy;
@@ -37,6 +39,12 @@
   bool demand_is_complete = true;
 };
 
+/// The keys that demand names, and the bases of its adapters.
+std::set<ModelKey> UsedKeys(const std::map<ModelKey, ModelDemand>& demand);
+
+/// The number of replicas of each key, in any state.
+std::map<ModelKey, std::uint32_t> CountReplicas(const CellRecord& record);
+
 /// Whether nothing waits or runs for a key or, for a base, its adapters.
 bool IsUnused(const EvictionInput& input,
               const std::string& server,
@@ -50,21 +58,33 @@
 
 /// The cost of the next cold start, weighed by the chance that it comes soon.
 double EvictionCost(const EvictionInput& input,
-                    const CellRecord& record,
                     const std::string& server,
                     const ModelKey& key);
 
+/// Unused replicas that are unloaded together: an adapter, or a base after its
+/// adapters.
+struct EvictionGroup {
+  std::vector<ModelKey> keys;
+  std::uint64_t memory_mb = 0;
+  double cost = 0;
+};
+
+/// The groups of a server that may be evicted, the lowest cost for its memory
+/// first.
+std::vector<EvictionGroup> ListEvictionGroups(const EvictionInput& input,
+                                              const std::string& server_id,
+                                              const ServerRecord& server);
+
 /// Replicas to unload on one server, adapters before their base.
 struct Eviction {
-  std::vector<UnloadChoice> unloads;
+  std::vector<ModelKey> keys;
   double cost = 0;
 };
 
-/// The cheapest unused replicas of a server that free at least `need_mb`; empty
-/// if they don't suffice. `keep` is a base that must stay.
-std::optional<Eviction> ChooseEviction(const EvictionInput& input,
-                                       const CellRecord& record,
-                                       const std::string& server,
+/// The first groups that free at least `need_mb`; empty if all don't suffice.
+/// `keep` is a base that must stay.
+std::optional<Eviction> ChooseEviction(const std::vector<EvictionGroup>& groups,
+                                       const ServerRecord& server,
                                        std::uint64_t need_mb,
                                        const ModelKey& keep);
 
--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -32,7 +32,13 @@
       : input_(input),
         trial_(input.record),
         remote_left_(input.remote_loads_allowed),
-        adapters_left_(input.adapter_loads_allowed) {}
+        adapters_left_(input.adapter_loads_allowed),
+        used_(UsedKeys(input.demand)),
+        replica_counts_(CountReplicas(input.record)) {
+    for (const auto& [id, server] : input.record.servers) {
+      unrecorded_mb_[id] = UnrecordedMb(id, server);
+    }
+  }
 
   Plan Run() {
     UnloadFromLeavingServers();
@@ -48,13 +54,14 @@
 
  private:
   EvictionInput Evictions() const {
-    return {input_.estate,
-            input_.demand,
-            input_.servers,
-            input_.histories,
-            input_.policy,
-            input_.now_ms,
-            input_.demand_is_complete};
+    return {.estate = input_.estate,
+            .used = used_,
+            .replica_counts = replica_counts_,
+            .servers = input_.servers,
+            .histories = input_.histories,
+            .policy = input_.policy,
+            .now_ms = input_.now_ms,
+            .demand_is_complete = input_.demand_is_complete};
   }
 
   bool IsUsable(const std::string& id) const {
@@ -177,20 +184,21 @@
     }
     const auto it = promised_mb_.find(id);
     const auto taken =
-        (it == promised_mb_.end() ? 0 : it->second) + UnrecordedMb(id);
+        (it == promised_mb_.end() ? 0 : it->second) + unrecorded_mb_.at(id);
     const auto total = server.FreeMb() + unloading;
     const auto later = total > taken ? total - taken : 0;
     return {std::min(server.FreeMb(), later), later};
   }
 
   // Memory that the engine uses for what the record does not list.
-  std::uint64_t UnrecordedMb(const std::string& id) const {
+  std::uint64_t UnrecordedMb(const std::string& id,
+                             const ServerRecord& server) const {
     const auto facts = input_.servers.find(id);
     if (facts == input_.servers.end() || !facts->second.report) {
       return 0;
     }
     std::uint64_t recorded = 0;
-    for (const auto& it : input_.record.servers.find(id)->second.replicas) {
+    for (const auto& it : server.replicas) {
       recorded +=
           facts->second.report->Find(it.key) != nullptr ? it.memory_mb : 0;
     }
@@ -278,7 +286,7 @@
         return;
       }
       auto eviction = ChooseEviction(
-          Evictions(), trial_, id, need_mb - later,
+          GroupsOf(id, server), server, need_mb - later,
           want.key.adapter.empty() ? ModelKey{} : want.key.Base());
       if (eviction && (!best || eviction->cost < best->cost)) {
         best = std::move(eviction);
@@ -286,14 +294,25 @@
       }
     }
     if (best) {
-      for (const auto& it : best->unloads) {
-        Unload(it.server, it.key);
+      for (const auto& key : best->keys) {
+        Unload(best_server, key);
       }
       promised_mb_[best_server] += need_mb;
     }
   }
 
+  const std::vector<EvictionGroup>& GroupsOf(const std::string& id,
+                                             const ServerRecord& server) {
+    auto it = groups_.find(id);
+    if (it == groups_.end()) {
+      it = groups_.emplace(id, ListEvictionGroups(Evictions(), id, server))
+               .first;
+    }
+    return it->second;
+  }
+
   void Unload(const std::string& server, const ModelKey& key) {
+    groups_.erase(server);
     if (DecideUnload(trial_, server, key, {})) {
       plan_.unloads.push_back({server, key});
     }
@@ -376,7 +395,11 @@
   CellRecord trial_;
   std::uint32_t remote_left_;
   std::uint32_t adapters_left_;
+  std::set<ModelKey> used_;
+  std::map<ModelKey, std::uint32_t> replica_counts_;
+  std::map<std::string, std::uint64_t> unrecorded_mb_;
   std::map<std::string, std::uint64_t> promised_mb_;
+  std::map<std::string, std::vector<EvictionGroup>> groups_;  // By server.
   Plan plan_;
 };
 
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -638,8 +638,9 @@
 }
 
 void CellController::Announce() {
-  deps_.peers.Broadcast(
-      RecordUpdate{cell_, view_->version, WriteRecord(view_->record)});
+  deps_.peers.Broadcast(RecordUpdate{
+      cell_, view_->version,
+      view_->text.empty() ? WriteRecord(view_->record) : view_->text});
 }
 
 void CellController::HandleRecord(const RecordUpdate& update) {
@@ -648,7 +649,7 @@
   }
   auto record = ParseRecord(update.record);
   if (record && record.assume_value().cell == cell_) {
-    SetView({std::move(record).assume_value(), update.object_version});
+    SetView({std::move(record).assume_value(), update.object_version, ""});
     Wake();
   }
 }
@@ -786,7 +787,8 @@
                             ? nullptr
                             : it->second.Find(replica.key);
   return current != nullptr && current->order == replica.order &&
-         current->executor == deps_.peers.self();
+         (current->executor == deps_.peers.self() ||
+          executor_.IsUnanswered(replica.order));
 }
 
 bool CellController::HoldOrder(const std::string& server,
--- a/packages/placement/order_executor.cc
+++ b/packages/placement/order_executor.cc
@@ -71,17 +71,21 @@
   const auto now = clock_.Now();
   for (const auto& [id, server] : record.servers) {
     for (const auto& replica : server.replicas) {
-      if (!IsOpen(replica)) {
+      const auto it = outgoing_.find(replica.order);
+      const bool unanswered = it != outgoing_.end() && it->second.unanswered;
+      // An order without an answer is sent again although another process may
+      // have adopted it, or the engine reports its effect: only an answer shows
+      // that this process can't deliver it any more.
+      if (!unanswered && (!IsOpen(replica) || stopping_)) {
         continue;
       }
-      const auto [it, added] = outgoing_.try_emplace(replica.order);
-      auto& outgoing = it->second;
-      if (added) {
+      auto& outgoing = outgoing_[replica.order];
+      if (outgoing.server.empty()) {
         outgoing.server = id;
         outgoing.replica = replica;
       }
       if (outgoing.sending || now < outgoing.next_send ||
-          (stopping_ && !outgoing.unanswered) || hooks_.hold(id, replica)) {
+          (!unanswered && hooks_.hold(id, replica))) {
         continue;
       }
       outgoing.sending = true;
@@ -195,6 +199,11 @@
   }
 }
 
+bool OrderExecutor::IsUnanswered(const std::string& order) const {
+  const auto it = outgoing_.find(order);
+  return it != outgoing_.end() && it->second.unanswered;
+}
+
 bool OrderExecutor::has_outstanding() const {
   return std::ranges::any_of(outgoing_, [](const auto& it) {
     return it.second.sending || it.second.unanswered;
--- a/packages/placement/order_executor.h
+++ b/packages/placement/order_executor.h
@@ -27,7 +27,8 @@
   /// Whether the order has to wait, such as an unload with requests running.
   std::function<bool(const std::string& server, const ReplicaRecord&)> hold;
   /// Whether the stored record still names this process as the executor of the
-  /// order. Reads the record again if the view may be stale.
+  /// order, or the order is still current and was sent before. Reads the record
+  /// again if the view may be stale.
   std::function<bool(const std::string& server, const ReplicaRecord&)> confirm;
   std::function<void()> on_answer;
 };
@@ -53,6 +54,9 @@
   /// Whether an order of this process for the replica may still arrive.
   bool HasOutstanding(std::string_view server, const ModelKey& key) const;
 
+  /// Whether this process sent the order and got no answer yet.
+  bool IsUnanswered(const std::string& order) const;
+
   /// Answers to orders, by order id.
   const std::map<std::string, OrderFacts>& answers() const { return answers_; }
 
--- a/packages/placement/record_store.cc
+++ b/packages/placement/record_store.cc
@@ -32,7 +32,7 @@
     return Failed("get", std::move(error));
   }
   BOOST_OUTCOME_TRY(record, ParseRecord(object.assume_value().value));
-  return StoredRecord{std::move(record), object.assume_value().version};
+  return StoredRecord{std::move(record), object.assume_value().version, ""};
 }
 
 Result<StoredRecord> RecordStore::Replace(const StoredRecord& base,
@@ -42,9 +42,11 @@
   StampWrite(next, write_id);
   CheckRecord(base.record, next, estate);
   ++calls_.writes;
-  auto version = store_.Put(KeyOf(next.cell), WriteRecord(next), base.version);
+  auto text = WriteRecord(next);
+  auto version = store_.Put(KeyOf(next.cell), text, base.version);
   if (version) {
-    return StoredRecord{std::move(next), version.assume_value()};
+    return StoredRecord{std::move(next), version.assume_value(),
+                        std::move(text)};
   }
   auto error = std::move(version).assume_error();
   switch (error.kind) {
--- a/packages/placement/record_store.h
+++ b/packages/placement/record_store.h
@@ -19,6 +19,7 @@
 struct StoredRecord {
   CellRecord record;
   std::uint64_t version = 0;
+  std::string text;  ///< The stored form, if this process wrote it.
 };
 
 /// Calls that placement made to the object API.
--- a/tests/correctness/decision_properties_test.cc
+++ b/tests/correctness/decision_properties_test.cc
@@ -186,18 +186,21 @@
   EXPECT_TRUE(rc::check([] {
     const RandomCase it;
     const KeepAlivePolicy policy = CostKeepAlive{};
-    const EvictionInput input{it.estate, it.demand, it.servers, it.histories,
-                              policy,    2000000,   true};
+    const auto used = UsedKeys(it.demand);
+    const auto counts = CountReplicas(it.record);
+    const EvictionInput input{it.estate,    used,   counts,  it.servers,
+                              it.histories, policy, 2000000, true};
+    const auto& server = it.record.servers.at("s0");
     const auto need_mb = *rc::gen::inRange<std::uint64_t>(1, 100);
-    const auto eviction = ChooseEviction(input, it.record, "s0", need_mb, {});
+    const auto eviction = ChooseEviction(
+        ListEvictionGroups(input, "s0", server), server, need_mb, {});
     if (!eviction) {
       return;
     }
     std::uint64_t freed_mb = 0;
-    for (const auto& unload : eviction->unloads) {
-      const auto* replica = it.record.servers.at("s0").Find(unload.key);
-      freed_mb += replica->memory_mb;
-      RC_ASSERT(!it.demand.contains(unload.key));
+    for (const auto& key : eviction->keys) {
+      freed_mb += server.Find(key)->memory_mb;
+      RC_ASSERT(!it.demand.contains(key));
     }
     RC_ASSERT(freed_mb >= need_mb);
   }));
