Keep standby replicas that may start while the platform is down

The coordinator reserves free memory for the models that are most likely needed next; the reservations are evicted first.

--- a/packages/decision/eviction.cc
+++ b/packages/decision/eviction.cc
@@ -102,9 +102,9 @@
 double EvictionCost(const EvictionInput& input,
                     const std::string& server,
                     const ModelKey& key) {
-  static const ArrivalHistory kUnknown;
+  static const ArrivalHistory unknown;
   const auto it = input.histories.find(key);
-  const auto& history = it == input.histories.end() ? kUnknown : it->second;
+  const auto& history = it == input.histories.end() ? unknown : it->second;
   const auto idle_s = history.IdleSeconds(input.now_ms);
   if (std::holds_alternative<FixedKeepAlive>(input.policy)) {
     return 1 / (1 + idle_s);
@@ -121,6 +121,10 @@
                                               const ServerRecord& server) {
   std::vector<EvictionGroup> groups;
   for (const auto& it : server.replicas) {
+    if (input.dormant.contains(it.order) && !input.used.contains(it.key)) {
+      groups.push_back({{it.key}, it.memory_mb, 0});
+      continue;
+    }
     if (it.state != ReplicaState::kLoaded ||
         !IsUnused(input, server_id, it.key)) {
       continue;
--- a/packages/decision/eviction.h
+++ b/packages/decision/eviction.h
@@ -32,6 +32,8 @@
   const Estate& estate;
   const std::set<ModelKey>& used;  ///< See UsedKeys().
   const std::map<ModelKey, std::uint32_t>& replica_counts;
+  /// Orders of standby replicas whose load was not started.
+  const std::set<std::string>& dormant;
   const ServerFactsMap& servers;
   const std::map<ModelKey, ArrivalHistory>& histories;
   const KeepAlivePolicy& policy;
--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -15,6 +15,9 @@
 // A replica stays at least this many cold starts long, so that a wrong estimate
 // can't load and unload it in turn.
 constexpr double kShortestStayColdStarts = 2;
+// Reservations cost a write each time they change, and memory that others get
+// only after an unload order.
+constexpr std::size_t kStandbyReplicas = 4;
 
 // One replica to load.
 struct Want {
@@ -48,6 +51,7 @@
     }
     if (plan_.loads.empty() && plan_.waiting_for_slots == 0) {
       Prewarm();
+      ReserveStandby();
     }
     return std::move(plan_);
   }
@@ -57,6 +61,7 @@
     return {.estate = input_.estate,
             .used = used_,
             .replica_counts = replica_counts_,
+            .dormant = input_.dormant,
             .servers = input_.servers,
             .histories = input_.histories,
             .policy = input_.policy,
@@ -244,7 +249,9 @@
       return;
     }
     const auto source = SourceOn(input_.servers, *server, want.key);
-    auto* left = LimitOf(want.key, source);
+    auto* left = want.reason == DecisionReason::kStandby
+                     ? nullptr
+                     : LimitOf(want.key, source);
     if (left != nullptr && *left == 0) {
       ++plan_.waiting_for_slots;
       promised_mb_[*server] += need_mb;
@@ -325,7 +332,8 @@
     for (const bool adapters : {true, false}) {
       for (const auto& [id, server] : input_.record.servers) {
         for (const auto& it : server.replicas) {
-          if (it.state == ReplicaState::kLoaded &&
+          if ((it.state == ReplicaState::kLoaded ||
+               input_.dormant.contains(it.order)) &&
               it.key.adapter.empty() != adapters) {
             visit(id, server, it);
           }
@@ -362,7 +370,8 @@
   bool IsIdleTooLong(const std::string& server,
                      const ReplicaRecord& replica) const {
     const auto history = input_.histories.find(replica.key);
-    if (history == input_.histories.end()) {
+    if (history == input_.histories.end() ||
+        replica.state != ReplicaState::kLoaded) {
       return false;
     }
     const auto costs =
@@ -391,6 +400,37 @@
     }
   }
 
+  // Reserves free memory for the models that are most likely needed next. Their
+  // loads can be started without a further write, even while the platform is
+  // down; the reservations are the first to be evicted.
+  void ReserveStandby() {
+    if (!std::holds_alternative<CostKeepAlive>(input_.policy)) {
+      return;
+    }
+    std::vector<std::pair<double, ModelKey>> candidates;
+    for (const auto& [key, history] : input_.histories) {
+      if (key.adapter.empty() && history.used() &&
+          !replica_counts_.contains(key) &&
+          !input_.record.failures.contains(key)) {
+        candidates.emplace_back(-EvictionCost(Evictions(), "", key), key);
+      }
+    }
+    std::ranges::sort(candidates);
+    auto count = input_.dormant.size();
+    for (const auto& [cost, key] : candidates) {
+      if (count >= kStandbyReplicas) {
+        return;
+      }
+      const auto loads = plan_.loads.size();
+      Place({.key = key,
+             .replica_number = 0,
+             .demand = {},
+             .extra_mb = 0,
+             .reason = DecisionReason::kStandby});
+      count += plan_.loads.size() - loads;
+    }
+  }
+
   const PlanInput& input_;
   CellRecord trial_;
   std::uint32_t remote_left_;
--- a/packages/decision/planner.h
+++ b/packages/decision/planner.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "config/estate.h"
@@ -25,6 +27,8 @@
   const std::map<ModelKey, ModelDemand>& demand;
   const ServerFactsMap& servers;
   const std::map<ModelKey, ArrivalHistory>& histories;
+  /// Orders of standby replicas whose load was not started.
+  const std::set<std::string>& dormant;
   KeepAlivePolicy policy;
   std::uint32_t remote_loads_allowed = 0;
   std::uint32_t adapter_loads_allowed = 0;
--- a/packages/decision/reconcile.cc
+++ b/packages/decision/reconcile.cc
@@ -190,7 +190,9 @@
   }
 
   void AdoptIfStuck(const ReplicaRecord& replica) {
-    if (replica.executor == input_.self.process) {
+    if (replica.executor == input_.self.process ||
+        (replica.reason == DecisionReason::kStandby &&
+         !input_.is_coordinator)) {
       return;
     }
     const bool overdue =
--- a/packages/decision/reconcile.h
+++ b/packages/decision/reconcile.h
@@ -39,6 +39,7 @@
   /// Whether the executor of an order is running and reachable.
   std::function<bool(std::string_view process)> executor_present;
   Decider self;
+  bool is_coordinator = true;  ///< Only the coordinator adopts standby orders.
   bool engines_check_fence = false;
   std::uint64_t now_ms = 0;
   std::uint64_t order_progress_ms = 3000;
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -132,7 +132,7 @@
     coordinator_since_ = now;
   }
   if (const auto wait = backoff_.UntilAllowed(); wait > Duration::zero()) {
-    return wait;
+    return PollDuringOutage(wait);
   }
   if ((!have_view_ || now > last_refresh_ + RefreshInterval()) && !Refresh()) {
     return kFirstPlatformRetry;
@@ -208,7 +208,7 @@
     const auto it = view_->record.servers.find(id);
     if (it != view_->record.servers.end()) {
       for (const auto& replica : it->second.replicas) {
-        if (replica.state == ReplicaState::kLoaded) {
+        if (replica.state == ReplicaState::kLoaded || IsDormant(replica)) {
           continue;
         }
         const auto age = Ms(now_ms - std::min(now_ms, SeenMs(replica)));
@@ -421,13 +421,16 @@
 
 bool CellController::TakeSlots(const CellRecord& next, Plan& plan) {
   const auto uses_store = [](const LoadDecision& it) {
-    return UsesWeightStore(it.key, it.source);
+    return UsesWeightStore(it.key, it.source) &&
+           it.reason != DecisionReason::kStandby;
   };
   const auto needed =
       static_cast<std::size_t>(std::ranges::count_if(plan.loads, uses_store));
-  if (needed > grants_.size() &&
-      !ExchangeSlots(next,
-                     static_cast<std::uint32_t>(needed - grants_.size()))) {
+  auto standby = StandbyOrdersToStart();
+  const auto more = needed > grants_.size() ? needed - grants_.size() : 0;
+  if ((more > 0 || !standby.empty()) &&
+      !ExchangeSlots(next, static_cast<std::uint32_t>(more),
+                     std::move(standby))) {
     return false;
   }
   auto grant = grants_.begin();
@@ -446,7 +449,8 @@
 }
 
 bool CellController::ExchangeSlots(const CellRecord& next,
-                                   std::uint32_t wanted) {
+                                   std::uint32_t wanted,
+                                   std::vector<std::string> orders) {
   std::set<std::string_view> loading;
   for (const auto& [id, server] : next.servers) {
     for (const auto& it : server.replicas) {
@@ -466,6 +470,7 @@
   };
   auto granted = slots_.Exchange({.cell = cell_,
                                   .is_needed = is_needed,
+                                  .orders = std::move(orders),
                                   .wanted = wanted,
                                   .durations = durations_},
                                  deps_.estate.Current()->weight_store);
@@ -508,7 +513,7 @@
     }
   }
   if (free || !durations_.empty()) {
-    (void)ExchangeSlots(view_->record, 0);
+    (void)ExchangeSlots(view_->record, 0, {});
   }
 }
 
@@ -529,6 +534,7 @@
        .executor_present =
            [this](auto process) { return IsExecutorPresent(process); },
        .self = Self(),
+       .is_coordinator = IsCoordinator(),
        .engines_check_fence =
            pool != estate->pools.end() && pool->second.checks_fence,
        .now_ms = LocalMs(deps_.clock),
@@ -560,12 +566,14 @@
   slots.ReleaseOthers(
       cell_, [this](const auto& it) { return !finished_.contains(it.order); });
   const auto free_slots = slots.Available(estate.weight_store, wall_ms);
+  const auto dormant = DormantOrders(next);
   return PlanCell(
       {.record = next,
        .estate = estate,
        .demand = demand,
        .servers = monitor_.facts(),
        .histories = histories_,
+       .dormant = dormant,
        .policy = KeepAlivePolicyOf(deps_.settings.keep_alive_policy),
        .remote_loads_allowed =
            static_cast<std::uint32_t>(grants_.size()) + free_slots,
@@ -720,7 +728,7 @@
 bool CellController::HasOpenOrders() const {
   for (const auto& [id, server] : view_->record.servers) {
     for (const auto& it : server.replicas) {
-      if (it.state != ReplicaState::kLoaded) {
+      if (it.state != ReplicaState::kLoaded && !IsDormant(it)) {
         return true;
       }
     }
@@ -728,10 +736,103 @@
   return false;
 }
 
+bool CellController::IsDormant(const ReplicaRecord& replica) const {
+  return replica.reason == DecisionReason::kStandby &&
+         replica.state == ReplicaState::kLoading &&
+         replica.executor == deps_.peers.self() &&
+         !executor_.IsStarted(replica.order);
+}
+
+std::set<std::string> CellController::DormantOrders(
+    const CellRecord& record) const {
+  std::set<std::string> orders;
+  for (const auto& [id, server] : record.servers) {
+    for (const auto& it : server.replicas) {
+      if (IsDormant(it)) {
+        orders.insert(it.order);
+      }
+    }
+  }
+  return orders;
+}
+
+bool CellController::HasSlot(const ReplicaRecord& replica) const {
+  return !UsesWeightStore(replica.key, replica.source) ||
+         std::ranges::any_of(slots_.slots().slots, [&](const auto& it) {
+           return it.order == replica.order;
+         });
+}
+
+std::vector<std::string> CellController::StandbyOrdersToStart() const {
+  std::vector<std::string> orders;
+  const auto demand = book_.Total();
+  for (const auto& [id, server] : view_->record.servers) {
+    for (const auto& it : server.replicas) {
+      const auto found = demand.find(it.key);
+      if (IsDormant(it) && found != demand.end() && found->second.waiting > 0 &&
+          !HasSlot(it)) {
+        orders.push_back(it.order);
+      }
+    }
+  }
+  return orders;
+}
+
+bool CellController::IsReportedLoaded(const std::string& server,
+                                      const ReplicaRecord& replica) const {
+  const auto facts = monitor_.facts().find(server);
+  if (facts == monitor_.facts().end() || !facts->second.report) {
+    return false;
+  }
+  const auto* entry = facts->second.report->Find(replica.key);
+  return entry != nullptr && entry->order == replica.order &&
+         entry->state == ReportedEntry::State::kLoaded;
+}
+
+bool CellController::MayStartStandby(const ReplicaRecord& replica) const {
+  const auto demand = book_.Total();
+  const auto it = demand.find(replica.key);
+  if (it == demand.end() || it->second.waiting == 0) {
+    return false;
+  }
+  if (HasSlot(replica)) {
+    return true;
+  }
+  // Without the platform no slot can be taken; one load at a time stays within
+  // the store's limits together with those of the other cells.
+  if (backoff_.failures() == 0) {
+    return false;
+  }
+  for (const auto& [id, other] : view_->record.servers) {
+    for (const auto& load : other.replicas) {
+      if (load.state == ReplicaState::kLoading && !IsDormant(load) &&
+          UsesWeightStore(load.key, load.source) &&
+          !IsReportedLoaded(id, load)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+Duration CellController::PollDuringOutage(Duration wait) {
+  std::map<std::string, Duration> intervals;
+  const auto demand = book_.Total();
+  for (const auto& [id, server] : view_->record.servers) {
+    for (const auto& it : server.replicas) {
+      if (it.state == ReplicaState::kLoading && demand.contains(it.key)) {
+        intervals[id] = kSlowestOpenPoll;
+      }
+    }
+  }
+  monitor_.PollDue(intervals);
+  return intervals.empty() ? wait : std::min<Duration>(wait, kSlowestOpenPoll);
+}
+
 bool CellController::HasOwnOrders() const {
   for (const auto& [id, server] : view_->record.servers) {
     for (const auto& it : server.replicas) {
-      if (it.state != ReplicaState::kLoaded &&
+      if (it.state != ReplicaState::kLoaded && !IsDormant(it) &&
           it.executor == deps_.peers.self() &&
           !executor_.answers().contains(it.order)) {
         return true;
@@ -778,7 +879,12 @@
 
 bool CellController::ConfirmOrder(const std::string& server,
                                   const ReplicaRecord& replica) {
-  if (deps_.clock.Now() > confirmed_ + deps_.settings.order_progress &&
+  // A standby order may start while the platform is down: this process stays
+  // one of its senders, so the entry and its memory stay reserved.
+  const bool starts_standby = replica.reason == DecisionReason::kStandby &&
+                              have_view_ && backoff_.failures() > 0;
+  if (!starts_standby &&
+      deps_.clock.Now() > confirmed_ + deps_.settings.order_progress &&
       (backoff_.UntilAllowed() > Duration::zero() || !Refresh())) {
     return false;
   }
@@ -794,7 +900,8 @@
 bool CellController::HoldOrder(const std::string& server,
                                const ReplicaRecord& replica) const {
   if (replica.state != ReplicaState::kUnloading) {
-    return false;
+    return replica.reason == DecisionReason::kStandby &&
+           !MayStartStandby(replica);
   }
   const auto facts = monitor_.facts().find(server);
   if (facts == monitor_.facts().end() || !facts->second.report) {
@@ -839,7 +946,12 @@
   for (const auto& [id, server] : view_->record.servers) {
     const auto* replica = server.Find(key);
     const auto facts = monitor_.facts().find(id);
-    if (replica == nullptr || replica->state != ReplicaState::kLoaded ||
+    // During an outage of the platform the record can't say that a load has
+    // completed; the engine's report does.
+    if (replica == nullptr ||
+        (replica->state != ReplicaState::kLoaded &&
+         (replica->state != ReplicaState::kLoading ||
+          !IsReportedLoaded(id, *replica))) ||
         server.leaving || facts == monitor_.facts().end() ||
         !facts->second.listed || facts->second.leaving) {
       continue;
@@ -870,7 +982,9 @@
   Duration ready_in = model->second.expected_load;
   for (const auto& [id, server] : view_->record.servers) {
     const auto* replica = server.Find(key);
-    if (replica != nullptr && replica->state == ReplicaState::kLoading) {
+    // A standby load may not have been started.
+    if (replica != nullptr && replica->state == ReplicaState::kLoading &&
+        replica->reason != DecisionReason::kStandby) {
       const auto age = Ms(LocalMs(deps_.clock) -
                           std::min(LocalMs(deps_.clock), SeenMs(*replica)));
       ready_in = std::min<Duration>(
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -118,7 +118,9 @@
   /// Takes slots for the loads of a plan that need them, and drops those that
   /// got none.
   bool TakeSlots(const CellRecord& next, Plan& plan);
-  bool ExchangeSlots(const CellRecord& next, std::uint32_t wanted);
+  bool ExchangeSlots(const CellRecord& next,
+                     std::uint32_t wanted,
+                     std::vector<std::string> orders);
   void ApplyPlan(CellRecord& next, const Plan& plan);
   void FreeSlots();
   void NoteLoaded(const ReplicaChange& change);
@@ -135,6 +137,15 @@
   bool DemandIsComplete() const;
   bool IsExecutorPresent(std::string_view process) const;
   bool HasOpenOrders() const;
+  /// Whether this process is to start a standby load and has not.
+  bool IsDormant(const ReplicaRecord& replica) const;
+  bool MayStartStandby(const ReplicaRecord& replica) const;
+  bool IsReportedLoaded(const std::string& server,
+                        const ReplicaRecord& replica) const;
+  bool HasSlot(const ReplicaRecord& replica) const;
+  std::set<std::string> DormantOrders(const CellRecord& record) const;
+  std::vector<std::string> StandbyOrdersToStart() const;
+  Duration PollDuringOutage(Duration wait);
   Decider Self() const;
 
   std::string cell_;
--- a/packages/placement/order_executor.cc
+++ b/packages/placement/order_executor.cc
@@ -204,6 +204,13 @@
   return it != outgoing_.end() && it->second.unanswered;
 }
 
+bool OrderExecutor::IsStarted(const std::string& order) const {
+  const auto it = outgoing_.find(order);
+  return answers_.contains(order) ||
+         (it != outgoing_.end() &&
+          (it->second.sending || it->second.unanswered));
+}
+
 bool OrderExecutor::has_outstanding() const {
   return std::ranges::any_of(outgoing_, [](const auto& it) {
     return it.second.sending || it.second.unanswered;
--- a/packages/placement/order_executor.h
+++ b/packages/placement/order_executor.h
@@ -57,6 +57,9 @@
   /// Whether this process sent the order and got no answer yet.
   bool IsUnanswered(const std::string& order) const;
 
+  /// Whether this process began to send the order.
+  bool IsStarted(const std::string& order) const;
+
   /// Answers to orders, by order id.
   const std::map<std::string, OrderFacts>& answers() const { return answers_; }
 
--- a/packages/placement/placement_service.cc
+++ b/packages/placement/placement_service.cc
@@ -114,10 +114,13 @@
     OnDemand(from, *demand);
   } else if (const auto* ack = std::get_if<DemandAck>(&message)) {
     auto& it = demand_[ack->cell];
-    it.acknowledged = std::max(it.acknowledged, ack->number);
-    if (it.acknowledged >= it.number) {
+    if (ack->number >= it.number) {
       it.unacknowledged_since.reset();
+    } else if (ack->number > it.acknowledged && it.unacknowledged_since) {
+      // The coordinator answers; only the latest demand is on its way.
+      it.unacknowledged_since = deps_.clock.Now();
     }
+    it.acknowledged = std::max(it.acknowledged, ack->number);
   } else if (const auto* update = std::get_if<RecordUpdate>(&message)) {
     Cell(update->cell).HandleRecord(*update);
   } else if (const auto* done = std::get_if<OrderDone>(&message)) {
@@ -197,19 +200,22 @@
   const bool waiting = std::ranges::any_of(demand.models, [](const auto& it) {
     return it.second.demand.waiting > 0;
   });
-  const bool due =
-      !demand.models.empty() && now >= demand.last_sent + kRenewInterval;
   auto& controller = Cell(cell);
+  const auto coordinator = controller.Coordinator();
+  const bool due =
+      !demand.models.empty() && (now >= demand.last_sent + kRenewInterval ||
+                                 coordinator != demand.sent_to);
   if (dirty || due) {
     const auto message = TakeDemand(cell, demand);
     demand.last_sent = now;
+    demand.sent_to = coordinator;
     // This node keeps its own demand too, in case it has to decide itself.
     controller.SetDemand(deps_.peers.self(), message);
     if (!controller.IsCoordinator()) {
       if (!demand.unacknowledged_since) {
         demand.unacknowledged_since = now;
       }
-      deps_.peers.Send(controller.Coordinator(), message);
+      deps_.peers.Send(coordinator, message);
     }
   }
   if (controller.IsCoordinator()) {
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -65,6 +65,7 @@
     std::uint64_t number = 0;
     std::uint64_t acknowledged = 0;
     std::optional<TimePoint> unacknowledged_since;
+    std::string sent_to;  ///< The coordinator that the last one went to.
     TimePoint last_sent{};
   };
 
--- a/packages/placement/slot_store.cc
+++ b/packages/placement/slot_store.cc
@@ -56,6 +56,9 @@
       next.NoteDuration(it.took_ms, it.expected_ms);
     }
     std::vector<std::string> granted;
+    for (const auto& it : exchange.orders) {
+      (void)next.Take(it, exchange.cell, limits, WallMs());
+    }
     while (granted.size() < exchange.wanted) {
       auto order = NewId("ord-");
       if (!next.Take(order, exchange.cell, limits, WallMs())) {
--- a/packages/placement/slot_store.h
+++ b/packages/placement/slot_store.h
@@ -28,7 +28,8 @@
 struct SlotExchange {
   std::string cell;
   std::function<bool(const LoadSlot&)> is_needed;  ///< Of the cell's slots.
-  std::uint32_t wanted = 0;
+  std::vector<std::string> orders;  ///< Existing orders that need slots.
+  std::uint32_t wanted = 0;         ///< Slots for new orders.
   std::vector<LoadDuration> durations;
 };
 
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -342,5 +342,38 @@
   EXPECT_EQ(Loaded("n0", other), 1U);
 }
 
+// Guards against a node that can load nothing while the platform is down, and
+// against standby memory that blocks other models.
+TEST_F(PlacementTest, StandbyLoadStartsWithoutThePlatform) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 50000, 1);
+  estate_.estate->pools["pool"].idle_cost_per_hour = 1000;
+  RunFor(2s);
+  Demand("n0", model, 1);
+  RunFor(500ms);
+  Demand("n0", model, 0);
+  RunFor(60s, 100ms);
+  ASSERT_EQ(engines_.Replicas(model), 0);  // Idle for too long.
+  EXPECT_EQ(TotalLoads(), 1);
+  const auto record = [&] {
+    return nodes_["n0"]->service.Status()["cells"]["pool"]["record"];
+  };
+  ASSERT_EQ(record()["servers"]["gw-0"]["replicas"][0]["reason"], "standby");
+  store_.down = true;
+  Demand("n0", model, 1);
+  RunFor(8s);
+  EXPECT_EQ(TotalLoads(), 2);
+  EXPECT_EQ(Loaded("n0", model), 1U);
+  store_.down = false;
+  Demand("n0", model, 0);
+  RunFor(60s, 100ms);
+  ASSERT_EQ(engines_.Replicas(model), 0);
+  const auto other = AddModel("other", 50000, 1);
+  Demand("n1", other, 1);
+  RunFor(1s);
+  EXPECT_EQ(Loaded("n1", other), 1U);
+}
+
 }  // namespace
 }  // namespace tanagerloom::testing_placement
--- a/tests/performance/placement_record_test.cc
+++ b/tests/performance/placement_record_test.cc
@@ -84,6 +84,7 @@
                                 .demand = demand,
                                 .servers = facts,
                                 .histories = histories,
+                                .dormant = {},
                                 .policy = NeverUnload{},
                                 .remote_loads_allowed = 4,
                                 .adapter_loads_allowed = 32,
