--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -15,6 +15,9 @@
 // A replica stays at least this many cold starts long, so that a wrong estimate
 // can't load and unload it in turn.
 constexpr double kShortestStayColdStarts = 2;
+// Reservations cost a write each time they change, and memory that others get
+// only after an unload order.
+constexpr std::size_t kStandbyReplicas = 4;
 
 // One replica to load.
 struct Want {
@@ -32,7 +35,13 @@
       : input_(input),
         trial_(input.record),
         remote_left_(input.remote_loads_allowed),
-        adapters_left_(input.adapter_loads_allowed) {}
+        adapters_left_(input.adapter_loads_allowed),
+        used_(UsedKeys(input.demand)),
+        replica_counts_(CountReplicas(input.record)) {
+    for (const auto& [id, server] : input.record.servers) {
+      unrecorded_mb_[id] = UnrecordedMb(id, server);
+    }
+  }
 
   Plan Run() {
     UnloadFromLeavingServers();
@@ -42,19 +51,22 @@
     }
     if (plan_.loads.empty() && plan_.waiting_for_slots == 0) {
       Prewarm();
+      ReserveStandby();
     }
     return std::move(plan_);
   }
 
  private:
   EvictionInput Evictions() const {
-    return {input_.estate,
-            input_.demand,
-            input_.servers,
-            input_.histories,
-            input_.policy,
-            input_.now_ms,
-            input_.demand_is_complete};
+    return {.estate = input_.estate,
+            .used = used_,
+            .replica_counts = replica_counts_,
+            .dormant = input_.dormant,
+            .servers = input_.servers,
+            .histories = input_.histories,
+            .policy = input_.policy,
+            .now_ms = input_.now_ms,
+            .demand_is_complete = input_.demand_is_complete};
   }
 
   bool IsUsable(const std::string& id) const {
@@ -177,20 +189,21 @@
     }
     const auto it = promised_mb_.find(id);
     const auto taken =
-        (it == promised_mb_.end() ? 0 : it->second) + UnrecordedMb(id);
+        (it == promised_mb_.end() ? 0 : it->second) + unrecorded_mb_.at(id);
     const auto total = server.FreeMb() + unloading;
     const auto later = total > taken ? total - taken : 0;
     return {std::min(server.FreeMb(), later), later};
   }
 
   // Memory that the engine uses for what the record does not list.
-  std::uint64_t UnrecordedMb(const std::string& id) const {
+  std::uint64_t UnrecordedMb(const std::string& id,
+                             const ServerRecord& server) const {
     const auto facts = input_.servers.find(id);
     if (facts == input_.servers.end() || !facts->second.report) {
       return 0;
     }
     std::uint64_t recorded = 0;
-    for (const auto& it : input_.record.servers.find(id)->second.replicas) {
+    for (const auto& it : server.replicas) {
       recorded +=
           facts->second.report->Find(it.key) != nullptr ? it.memory_mb : 0;
     }
@@ -236,7 +249,9 @@
       return;
     }
     const auto source = SourceOn(input_.servers, *server, want.key);
-    auto* left = LimitOf(want.key, source);
+    auto* left = want.reason == DecisionReason::kStandby
+                     ? nullptr
+                     : LimitOf(want.key, source);
     if (left != nullptr && *left == 0) {
       ++plan_.waiting_for_slots;
       promised_mb_[*server] += need_mb;
@@ -278,7 +293,7 @@
         return;
       }
       auto eviction = ChooseEviction(
-          Evictions(), trial_, id, need_mb - later,
+          GroupsOf(id, server), server, need_mb - later,
           want.key.adapter.empty() ? ModelKey{} : want.key.Base());
       if (eviction && (!best || eviction->cost < best->cost)) {
         best = std::move(eviction);
@@ -286,14 +301,25 @@
       }
     }
     if (best) {
-      for (const auto& it : best->unloads) {
-        Unload(it.server, it.key);
+      for (const auto& key : best->keys) {
+        Unload(best_server, key);
       }
       promised_mb_[best_server] += need_mb;
     }
   }
 
+  const std::vector<EvictionGroup>& GroupsOf(const std::string& id,
+                                             const ServerRecord& server) {
+    auto it = groups_.find(id);
+    if (it == groups_.end()) {
+      it = groups_.emplace(id, ListEvictionGroups(Evictions(), id, server))
+               .first;
+    }
+    return it->second;
+  }
+
   void Unload(const std::string& server, const ModelKey& key) {
+    groups_.erase(server);
     if (DecideUnload(trial_, server, key, {})) {
       plan_.unloads.push_back({server, key});
     }
@@ -306,7 +332,8 @@
     for (const bool adapters : {true, false}) {
       for (const auto& [id, server] : input_.record.servers) {
         for (const auto& it : server.replicas) {
-          if (it.state == ReplicaState::kLoaded &&
+          if ((it.state == ReplicaState::kLoaded ||
+               input_.dormant.contains(it.order)) &&
               it.key.adapter.empty() != adapters) {
             visit(id, server, it);
           }
@@ -343,7 +370,8 @@
   bool IsIdleTooLong(const std::string& server,
                      const ReplicaRecord& replica) const {
     const auto history = input_.histories.find(replica.key);
-    if (history == input_.histories.end()) {
+    if (history == input_.histories.end() ||
+        replica.state != ReplicaState::kLoaded) {
       return false;
     }
     const auto costs =
@@ -372,11 +400,46 @@
     }
   }
 
+  // Reserves free memory for the models that are most likely needed next. Their
+  // loads can be started without a further write, even while the platform is
+  // down; the reservations are the first to be evicted.
+  void ReserveStandby() {
+    if (!std::holds_alternative<CostKeepAlive>(input_.policy)) {
+      return;
+    }
+    std::vector<std::pair<double, ModelKey>> candidates;
+    for (const auto& [key, history] : input_.histories) {
+      if (key.adapter.empty() && history.used() &&
+          !replica_counts_.contains(key) &&
+          !input_.record.failures.contains(key)) {
+        candidates.emplace_back(-EvictionCost(Evictions(), "", key), key);
+      }
+    }
+    std::ranges::sort(candidates);
+    auto count = input_.dormant.size();
+    for (const auto& [cost, key] : candidates) {
+      if (count >= kStandbyReplicas) {
+        return;
+      }
+      const auto loads = plan_.loads.size();
+      Place({.key = key,
+             .replica_number = 0,
+             .demand = {},
+             .extra_mb = 0,
+             .reason = DecisionReason::kStandby});
+      count += plan_.loads.size() - loads;
+    }
+  }
+
   const PlanInput& input_;
   CellRecord trial_;
   std::uint32_t remote_left_;
   std::uint32_t adapters_left_;
+  std::set<ModelKey> used_;
+  std::map<ModelKey, std::uint32_t> replica_counts_;
+  std::map<std::string, std::uint64_t> unrecorded_mb_;
   std::map<std::string, std::uint64_t> promised_mb_;
+  std::map<std::string, std::vector<EvictionGroup>> groups_;  // By server.
   Plan plan_;
 };
 
