Hold back endpoints without the model; follow a model's new version

Retries after not-run answers no longer use up a request's attempts, a 429 of a service is repeated only if it states that nothing ran, waiting requests are reviewed once for each queue, and the VM list is read at an interval that grows with it.

--- a/packages/routing/endpoint_reply.cc
+++ b/packages/routing/endpoint_reply.cc
@@ -64,9 +64,7 @@
                             std::string_view body) {
   EndpointRefusal refusal;
   refusal.missing = status == 404;
-  if (headers.Find("X-Not-Run") == "true" || status == 429 || status == 404) {
-    refusal.verdict = Verdict::kNotRun;
-  }
+  refusal.states_not_run = headers.Find("X-Not-Run") == "true";
   bool overloaded = status == 429;
   if (status == 503) {
     const auto reason = ReasonOf(body);
--- a/packages/routing/endpoint_reply.h
+++ b/packages/routing/endpoint_reply.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string_view>
 
-#include "base/verdict.h"
 #include "http/http_message.h"
 #include "runtime/clock.h"
 
@@ -14,7 +13,7 @@
 
 /// What an endpoint's refusal says.
 struct EndpointRefusal {
-  Verdict verdict = Verdict::kMayHaveRun;
+  bool states_not_run = false;  ///< By `X-Not-Run: true`.
   std::optional<Duration> backpressure;
   bool leaving = false;  ///< The endpoint takes no new work.
   bool missing = false;  ///< The engine does not hold the model.
@@ -28,8 +27,7 @@
 /// of the connection and of the platform's protocol are not.
 bool IsRelayedHeader(std::string_view name);
 
-/// Reads a 429, 503 or other failure. Only `X-Not-Run: true` and 429 state that
-/// nothing ran.
+/// Reads a 429, 503 or other failure.
 EndpointRefusal ReadRefusal(int status,
                             const HttpHeaders& headers,
                             std::string_view body);
--- a/packages/routing/endpoint_table.cc
+++ b/packages/routing/endpoint_table.cc
@@ -34,8 +34,16 @@
 constexpr Duration kReservationStep = seconds(2);
 
 // Interval of use messages for each member: 100 ms at 8 nodes. Their number
-// grows with the square of the members, so the interval grows with them.
+// grows with the square of the members, so the interval grows with them. With
+// more members than kMaxSharingMembers the counts would be old and cost more
+// than a node's share of control traffic; load reports remain.
 constexpr Duration kShareIntervalPerMember = std::chrono::microseconds(12500);
+constexpr std::int64_t kMaxSharingMembers = 64;
+
+// Interval of reading the VM list; copying it takes about 0.2 us for each VM,
+// which is kept below half a percent of a core.
+constexpr Duration kLeastRefresh = milliseconds(50);
+constexpr Duration kRefreshPerVm = std::chrono::microseconds(50);
 
 // Bounds one use message to about 3 KB.
 constexpr std::size_t kMaxShared = 64;
@@ -229,15 +237,31 @@
   return false;
 }
 
-void EndpointTable::RefreshLeaving() {
+void EndpointTable::RefreshVms() {
+  const auto now = deps_.clock.Now();
+  if (now < next_refresh_) {
+    return;
+  }
+  const auto vms = deps_.peers.Vms();
+  next_refresh_ =
+      now + std::max(kLeastRefresh,
+                     kRefreshPerVm * static_cast<std::int64_t>(vms.size()));
   leaving_.clear();
-  for (const auto& it : deps_.peers.Vms()) {
+  services_.clear();
+  for (const auto& it : vms) {
     if (it.leaving) {
       leaving_.insert(it.id);
+    } else if (it.role == VmRole::kService) {
+      services_[it.pool].push_back(it);
     }
   }
 }
 
+const std::vector<Vm>& EndpointTable::ServicesOf(const std::string& pool) {
+  RefreshVms();
+  return services_[pool];
+}
+
 void EndpointTable::ShareUse() {
   const auto now = deps_.clock.Now();
   if (now < next_share_) {
@@ -246,6 +270,9 @@
   const auto members = static_cast<std::int64_t>(deps_.peers.Members().size());
   next_share_ =
       now + kShareIntervalPerMember * std::max<std::int64_t>(members, 1);
+  if (members > kMaxSharingMembers) {
+    return;
+  }
   EndpointUse use;
   for (const auto& [endpoint, state] : states_) {
     auto& last = shared_[endpoint];
--- a/packages/routing/endpoint_table.h
+++ b/packages/routing/endpoint_table.h
@@ -15,6 +15,7 @@
 #include "decision/endpoint_breaker.h"
 #include "decision/endpoint_choice.h"
 #include "ports/peer_message.h"
+#include "ports/vm_list.h"
 #include "routing/routing_dependencies.h"
 #include "runtime/clock.h"
 
@@ -80,8 +81,11 @@
   /// Takes a notice or use message of a peer. True if it may free requests.
   bool OnPeerMessage(const std::string& from, const PeerMessage& message);
 
-  /// Refreshes the set of leaving endpoints from the VM list.
-  void RefreshLeaving();
+  /// Reads the VM list again if it is due: leaving endpoints and services.
+  void RefreshVms();
+
+  /// The endpoints of the services of a pool that are not leaving.
+  const std::vector<Vm>& ServicesOf(const std::string& pool);
 
   /// Sends this node's use of endpoints to the peers if it changed.
   void ShareUse();
@@ -99,7 +103,9 @@
 
   const RoutingDependencies& deps_;
   std::map<std::string, EndpointState> states_;
-  std::set<std::string> leaving_;  ///< By the VM list.
+  std::set<std::string> leaving_;                    ///< By the VM list.
+  std::map<std::string, std::vector<Vm>> services_;  ///< By pool.
+  TimePoint next_refresh_;
   std::map<std::string, std::uint32_t> shared_;
   TimePoint next_share_;
 };
--- a/packages/routing/model_attempt.cc
+++ b/packages/routing/model_attempt.cc
@@ -105,6 +105,9 @@
 // Sends the request. On a response head, or when the head may still come over
 // another connection, it returns nothing and the relay goes on.
 std::optional<AttemptOutcome> ModelAttempt::Open() {
+  if (cancel_.cancelled()) {
+    return AttemptCancelled();
+  }
   auto started = deps_.client.Start(lease_.address(), call_.engine_request,
                                     {.deadline = ReadDeadline()});
   if (!started) {
@@ -118,11 +121,14 @@
       failed.cause = failure.error.message;
       return failed;
     }
-    return Resume(
-        {failure.error.message, failure.error.kind != ErrorKind::kTimeout});
+    return Resume({failure.error.message,
+                   failure.error.kind != ErrorKind::kTimeout,
+                   /*before_head=*/true});
   }
   exchange_ = std::move(started.assume_value());
   if (cancel_.cancelled()) {
+    // The first order to cancel may have come before the request.
+    CancelAtEngine();
     return AttemptCancelled();
   }
   if (!AnswersThisRequest()) {
@@ -190,7 +196,7 @@
     exchange_.reset();
     cause = failure.cause + "; the stream cannot be resumed: status " +
             std::to_string(status);
-    crash_sign = failure.connection_broke;
+    crash_sign = failure.connection_broke && !failure.before_head;
     if (status == 404) {
       break;
     }
@@ -311,12 +317,15 @@
   const auto reply =
       ReadRefusal(response.status, exchange_->headers(), response.body);
   AttemptFailed failed;
-  failed.verdict = reply.verdict;
+  // An engine that is full or lacks the model has not run the request.
+  const bool not_run =
+      reply.states_not_run || response.status == 429 || reply.missing;
+  failed.verdict = not_run ? Verdict::kNotRun : Verdict::kMayHaveRun;
   failed.cause = "status " + std::to_string(response.status);
   failed.backpressure = reply.backpressure;
   failed.leaving = reply.leaving;
   failed.missing = reply.missing;
-  failed.endpoint_fault = reply.verdict != Verdict::kNotRun;
+  failed.endpoint_fault = !not_run;
   return failed;
 }
 
--- a/packages/routing/model_attempt.h
+++ b/packages/routing/model_attempt.h
@@ -78,6 +78,7 @@
   struct ReadFailure {
     std::string cause;
     bool connection_broke = false;  ///< Closed by the other side.
+    bool before_head = false;  ///< A stale idle connection fails like this.
   };
 
   std::optional<AttemptOutcome> Open();
--- a/packages/routing/model_dispatcher.cc
+++ b/packages/routing/model_dispatcher.cc
@@ -1,11 +1,13 @@
 #include "routing/model_dispatcher.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 #include "base/event_log.h"
 #include "base/events.h"
 #include "base/id.h"
+#include "config/estate_source.h"
 #include "placement/placement_view.h"
 #include "ports/engine_control.h"
 #include "routing/crash_quarantine.h"
@@ -16,14 +18,14 @@
 namespace {
 
 // A request that failed on this many endpoints is more likely the cause itself.
-constexpr int kMaxAttempts = 6;
+constexpr int kMaxFailures = 6;
 
 constexpr Duration kFirstRetryPause = std::chrono::milliseconds(10);
 
 // The pause before a retry doubles and is spread over half its length, so that
 // requests that failed together don't return together.
 Duration RetryPause(int attempt) {
-  const auto pause = kFirstRetryPause * (1 << attempt);
+  const auto pause = kFirstRetryPause * (1 << std::min(attempt, 8));
   return std::chrono::duration_cast<Duration>(pause * (0.5 + RandomUnit() / 2));
 }
 
@@ -31,6 +33,7 @@
 
 struct ModelDispatcher::Progress {
   int attempts = 0;
+  int failures = 0;      ///< Attempts that may have run.
   std::string endpoint;  ///< Of the last attempt.
   Address address;
   bool alone = false;  ///< The last attempt had its endpoint for itself.
@@ -79,6 +82,9 @@
       return;
     }
     if (ticket.lease == nullptr) {
+      if (ticket.refusal->code == kModelChanged && FollowChange(call)) {
+        continue;
+      }
       if (!progress.cause.empty()) {
         ticket.refusal->message += "; last attempt: " + progress.cause;
       }
@@ -176,6 +182,7 @@
     endpoints_.OnLeaving(progress.endpoint);
   } else if (failed.missing) {
     deps_.placement.ReportMissing(progress.endpoint, call.key);
+    scheduler_.HoldBack(ModelTarget{call.key, call.cell}, progress.endpoint);
   } else if (failed.backpressure) {
     endpoints_.OnBackpressure(progress.endpoint, *failed.backpressure);
   } else if (failed.endpoint_fault) {
@@ -190,16 +197,19 @@
       return false;
     }
   }
-  if (progress.attempts >= kMaxAttempts) {
+  progress.failures += failed.verdict == Verdict::kNotRun ? 0 : 1;
+  if (progress.failures >= kMaxFailures) {
     answer.Refuse({502,
                    "endpoints_failed",
-                   std::to_string(progress.attempts) +
+                   std::to_string(progress.failures) +
                        " attempts failed; the last: " + failed.cause,
                    answer.record().verdict(),
                    {}});
     return false;
   }
-  if (!budget_.TakeRetry()) {
+  // An endpoint that is held back cannot be flooded by retries.
+  const bool held = failed.leaving || failed.missing || failed.backpressure;
+  if (!held && !budget_.TakeRetry()) {
     answer.Refuse(
         {503, "retry_budget_exhausted",
          "too many requests are being retried; last attempt: " + failed.cause,
@@ -210,6 +220,18 @@
   return true;
 }
 
+bool ModelDispatcher::FollowChange(ModelCall& call) {
+  const auto estate = deps_.estate.Current();
+  const auto resolved = estate->Resolve(call.model_name);
+  if (!resolved || resolved->key == call.key) {
+    return false;
+  }
+  call.key = resolved->key;
+  call.cell = resolved->model->pool;
+  call.engine_request.headers.Set("X-Model-Version", call.key.version);
+  return true;
+}
+
 std::string ModelDispatcher::BootOf(const Address& engine) {
   auto state = deps_.engines.ReadState(engine);
   return state ? std::move(state.assume_value().boot) : std::string();
--- a/packages/routing/model_dispatcher.h
+++ b/packages/routing/model_dispatcher.h
@@ -48,6 +48,9 @@
                      CallerAnswer& answer,
                      Progress& progress);
 
+  /// Moves a call to the version that the configuration in force offers; false
+  /// if there is none.
+  bool FollowChange(ModelCall& call);
   /// Counts a crash if there is evidence of one; known to all nodes before the
   /// request is dispatched again.
   void CountCrash(const CallerRequest& request, const Progress& progress);
--- a/packages/routing/request_scheduler.cc
+++ b/packages/routing/request_scheduler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/id.h"
+#include "config/estate_source.h"
 #include "config/settings.h"
 #include "decision/admission_estimate.h"
 #include "placement/placement_view.h"
@@ -25,6 +26,10 @@
 // A queue without requests is kept this long for its mean service time.
 constexpr Duration kQueueLife = std::chrono::minutes(10);
 
+// A replica that the engine does not hold is left out this long; placement
+// removes it or loads it again meanwhile.
+constexpr Duration kMissingHold = std::chrono::seconds(1);
+
 constexpr int kTicksBetweenRenewals = 50;
 
 // Time between a reservation and its use, in which peers learn of it and their
@@ -97,14 +102,8 @@
     }
   } else {
     const auto& service = std::get<ServiceTarget>(queue.target);
-    for (auto& it : deps_.peers.Vms()) {
-      if (it.role == VmRole::kService && it.pool == service.pool &&
-          !it.leaving) {
-        out.push_back({std::move(it.id),
-                       std::move(it.address),
-                       std::move(it.data_centre),
-                       {}});
-      }
+    for (const auto& it : endpoints_.ServicesOf(service.pool)) {
+      out.push_back({it.id, it.address, it.data_centre, {}});
     }
   }
   const bool is_service = std::holds_alternative<ServiceTarget>(queue.target);
@@ -113,6 +112,10 @@
     it.candidate = endpoints_.Candidate(
         it.name, it.data_centre,
         mine == queue.in_progress.end() ? 0 : mine->second, LimitOf(queue));
+    if (const auto held = queue.held.find(it.name);
+        held != queue.held.end() && deps_.clock.Now() < held->second) {
+      it.candidate.usable = false;
+    }
     if (is_service) {
       // The limit of a service is for all nodes together.
       it.candidate.limit -= std::min(it.candidate.limit, it.candidate.peers);
@@ -140,8 +143,10 @@
   Pump(name, queue);
   if (ticket.lease == nullptr) {
     MarkDemand(queue, /*urgent=*/queue.tickets.size() == 1);
-    ticket.refusal =
-        refuse_waiting_ ? refuse_waiting_ : Review(queue, ticket, ahead);
+    auto review = ReviewQueue(queue);
+    ticket.refusal = refuse_waiting_
+                         ? refuse_waiting_
+                         : Review(queue, review, ticket.deadline, ahead);
   }
   while (ticket.lease == nullptr && !ticket.refusal && !ticket.cancelled) {
     const auto seen = ticket.changed.count();
@@ -319,15 +324,12 @@
           : queue.mean_service_s * (1 - kMeanWeight) + seconds * kMeanWeight;
 }
 
-std::optional<Refusal> RequestScheduler::Review(Queue& queue,
-                                                const WaitTicket& ticket,
-                                                std::size_t ahead) {
-  AdmissionInput input;
-  input.ahead = ahead;
+RequestScheduler::QueueReview RequestScheduler::ReviewQueue(
+    const Queue& queue) {
+  QueueReview review;
+  auto& input = review.input;
   input.service_time = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(queue.mean_service_s));
-  input.remaining = ticket.deadline - deps_.clock.Now();
-  std::string cause;
   if (const auto* model = std::get_if<ModelTarget>(&queue.target)) {
     input.slots = static_cast<std::uint32_t>(
                       deps_.placement.Replicas(model->key).size()) *
@@ -336,36 +338,55 @@
       const auto forecast = deps_.placement.Forecast(model->key);
       input.load_failing = forecast.failing;
       input.ready_in = forecast.ready_in;
-      cause = forecast.cause;
+      review.cause = forecast.cause;
+      review.changed = deps_.estate.Current()->ReplicaLimit(model->key) == 0;
     }
   } else {
     for (const auto& it : EndpointsOf(queue)) {
       input.slots += it.candidate.usable ? it.candidate.limit : 0;
     }
   }
-  const auto refusal = ReviewAdmission(input);
+  return review;
+}
+
+std::optional<Refusal> RequestScheduler::Review(const Queue& queue,
+                                                QueueReview& review,
+                                                TimePoint deadline,
+                                                std::size_t ahead) const {
+  if (review.changed) {
+    return Refusal{503, std::string(kModelChanged),
+                   QueueName(queue.target) + " is no longer offered",
+                   Verdict::kNotRun, std::chrono::seconds(1)};
+  }
+  review.input.ahead = ahead;
+  review.input.remaining = deadline - deps_.clock.Now();
+  const auto refusal = ReviewAdmission(review.input);
   if (!refusal) {
     return std::nullopt;
   }
   std::string message = QueueName(queue.target) +
                         " cannot be served before the deadline by the current "
                         "estimate";
-  if (!cause.empty()) {
-    message = "loads of " + QueueName(queue.target) + " fail: " + cause;
+  if (!review.cause.empty()) {
+    message = "loads of " + QueueName(queue.target) + " fail: " + review.cause;
   }
   return Refusal{503, refusal->code, message, Verdict::kNotRun,
                  refusal->retry_after};
 }
 
+// Only the wait for a load is reviewed again: the place in the queue got better
+// since the request was admitted.
 void RequestScheduler::ReviewAll() {
   for (auto& [name, queue] : queues_) {
+    if (queue.tickets.empty()) {
+      continue;
+    }
+    auto review = ReviewQueue(queue);
     for (auto& [id, ticket] : queue.tickets) {
       if (ticket->refusal || ticket->cancelled) {
         continue;
       }
-      // Only the wait for a load is reviewed again: the place in the queue got
-      // better since the request was admitted.
-      if (auto refusal = Review(queue, *ticket, /*ahead=*/0)) {
+      if (auto refusal = Review(queue, review, ticket->deadline, 0)) {
         ticket->refusal = std::move(refusal);
         ticket->changed.Signal();
       }
@@ -373,6 +394,11 @@
   }
 }
 
+void RequestScheduler::HoldBack(const QueueTarget& target,
+                                const std::string& endpoint) {
+  QueueOf(target).held[endpoint] = deps_.clock.Now() + kMissingHold;
+}
+
 void RequestScheduler::RefuseWaiting(const Refusal& refusal) {
   refuse_waiting_ = refusal;
   for (auto& [name, queue] : queues_) {
@@ -428,7 +454,7 @@
 void RequestScheduler::Tick() {
   for (int n = 0;; ++n) {
     deps_.clock.SleepFor(kTick);
-    endpoints_.RefreshLeaving();
+    endpoints_.RefreshVms();
     // Holds and breakers end with time, without a signal.
     PumpAll();
     for (auto& [name, queue] : queues_) {
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -10,12 +10,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "base/address.h"
 #include "config/model_key.h"
+#include "decision/admission_estimate.h"
 #include "decision/fair_queue.h"
 #include "routing/endpoint_table.h"
 #include "routing/refusal.h"
@@ -103,6 +105,10 @@
   /// Wakes a waiting request whose caller has left.
   void Cancel(WaitTicket& ticket);
 
+  /// Keeps a queue's requests from an endpoint that does not serve its target,
+  /// until its replicas are known again.
+  void HoldBack(const QueueTarget& target, const std::string& endpoint);
+
   /// Records how long a request held its slot, for the estimates.
   void CountServiceTime(const QueueTarget& target, Duration time);
 
@@ -124,6 +130,7 @@
     FairQueue fair;
     std::unordered_map<std::uint64_t, WaitTicket*> tickets;
     std::map<std::string, std::uint32_t> in_progress;  ///< By endpoint.
+    std::map<std::string, TimePoint> held;  ///< Endpoints without the model.
     std::uint32_t running = 0;
     double mean_service_s = 0;
     bool demand_changed = false;
@@ -153,9 +160,16 @@
   void Release(const EndpointLease& lease);
   void DropReservations(const std::string& request);
 
-  std::optional<Refusal> Review(Queue& queue,
-                                const WaitTicket& ticket,
-                                std::size_t ahead);
+  struct QueueReview {
+    AdmissionInput input;  ///< Without `ahead` and `remaining`.
+    std::string cause;     ///< Of failing loads.
+    bool changed = false;  ///< The model is no longer offered as it was.
+  };
+  QueueReview ReviewQueue(const Queue& queue);
+  std::optional<Refusal> Review(const Queue& queue,
+                                QueueReview& review,
+                                TimePoint deadline,
+                                std::size_t ahead) const;
   void ReviewAll();
   void ReportDemand(Queue& queue);
   void MarkDemand(Queue& queue, bool urgent);
@@ -172,6 +186,10 @@
   bool pumping_ = false;
 };
 
+/// Code of the refusal of a request whose model changed while it waited; it may
+/// be queued again for the new version.
+inline constexpr std::string_view kModelChanged = "model_changed";
+
 /// The name of a target's queue, such as "model:M@1".
 std::string QueueName(const QueueTarget& target);
 
--- a/packages/routing/service_dispatcher.cc
+++ b/packages/routing/service_dispatcher.cc
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr int kMaxAttempts = 5;
+constexpr int kMaxFailures = 5;
 constexpr Duration kRetryPause = std::chrono::milliseconds(20);
 
 std::string PoolOf(const CallerRequest& request, const ServiceCall& call) {
@@ -29,6 +29,7 @@
 
 struct ServiceDispatcher::Progress {
   int attempts = 0;
+  int failures = 0;  ///< Attempts that may have run.
   std::string endpoint;
   Address address;
   bool alone = false;  ///< The last attempt had its endpoint for itself.
@@ -127,9 +128,10 @@
     CancelSource& cancel) {
   TimePoint deadline = request.deadline;
   if (call.repeatable) {
-    deadline = std::min(deadline,
-                        deps_.clock.Now() + deps_.settings.progress_timeout *
-                                                (1 << (progress.attempts - 1)));
+    deadline =
+        std::min(deadline, deps_.clock.Now() +
+                               deps_.settings.progress_timeout *
+                                   (1 << std::min(progress.failures, 10)));
   }
   BOOST_OUTCOME_TRY(exchange,
                     deps_.client.Start(lease.address(), call.endpoint_request,
@@ -181,13 +183,14 @@
   progress.held_back = reply.leaving || reply.backpressure.has_value();
   // The endpoint's own 5xx is the truthful answer of a call that may not be
   // repeated, unless it states that nothing ran.
-  if (reply.verdict != Verdict::kNotRun && !call.repeatable) {
+  if (!reply.states_not_run && !call.repeatable) {
     return std::nullopt;
   }
-  return HttpFailure{MakeError(ErrorKind::kUnavailable,
-                               "status " + std::to_string(response.status) +
-                                   " from " + progress.endpoint),
-                     reply.verdict};
+  return HttpFailure{
+      MakeError(ErrorKind::kUnavailable, "status " +
+                                             std::to_string(response.status) +
+                                             " from " + progress.endpoint),
+      reply.states_not_run ? Verdict::kNotRun : Verdict::kMayHaveRun};
 }
 
 std::optional<ServiceOutcome> ServiceDispatcher::SettleFailure(
@@ -228,21 +231,23 @@
                    Verdict::kMayHaveRun,
                    {}};
   }
-  if (progress.attempts >= kMaxAttempts) {
+  progress.failures += failure.verdict == Verdict::kNotRun ? 0 : 1;
+  if (progress.failures >= kMaxFailures) {
     return Refusal{502,
                    "endpoints_failed",
-                   std::to_string(progress.attempts) +
+                   std::to_string(progress.failures) +
                        " attempts failed; the last: " + failure.error.message,
                    record.verdict(),
                    {}};
   }
-  if (!budget_.TakeRetry()) {
+  // An endpoint that is held back cannot be flooded by retries.
+  if (!progress.held_back && !budget_.TakeRetry()) {
     return Refusal{503, "retry_budget_exhausted",
                    "too many requests are being retried; last attempt: " +
                        failure.error.message,
                    record.verdict(), std::chrono::seconds(2)};
   }
-  deps_.clock.SleepFor(kRetryPause * progress.attempts);
+  deps_.clock.SleepFor(kRetryPause * std::min(progress.attempts, 10));
   return std::nullopt;
 }
 
--- a/tests/correctness/claims_test.cc
+++ b/tests/correctness/claims_test.cc
@@ -152,6 +152,40 @@
   EXPECT_EQ(service_.requests.size(), 2U);
 }
 
+// Only an explicit statement makes a refusal "not run": a 429 or 500 without it
+// is passed on, and the call is not sent again.
+TEST_F(ClaimsTest, RefusalWithoutAStatementIsNotRepeated) {
+  auto& node = AddNode("n1");
+  FakeEndpoint busy([](const auto& request, auto& responder) {
+    (void)responder.Send({429, EchoId(request, "text/plain"), "busy"});
+  });
+  node.AddService("svc", busy);
+  node.Start();
+  const auto response = Call(node, Service("POST", "/close"));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response.assume_value().status, 429);
+  EXPECT_EQ(busy.requests.size(), 1U);
+}
+
+// Repeatable calls are the ones that the configuration names.
+TEST_F(ClaimsTest, OnlyRepeatableCallsAreRetriedAfterALostAnswer) {
+  auto& node = AddNode("n1");
+  int calls = 0;
+  FakeEndpoint flaky([&](const auto& request, auto& responder) {
+    if (++calls == 1) {
+      responder.Abort();
+      return;
+    }
+    (void)responder.Send({200, EchoId(request, "text/plain"), "stock"});
+  });
+  node.AddService("svc", flaky);
+  node.Start();
+  const auto response = Call(node, Service("GET", "/stock?item=3"));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response.assume_value().body, "stock");
+  EXPECT_EQ(flaky.requests[1].target, "/stock?item=3");
+}
+
 TEST_F(ClaimsTest, ReleasedClaimLetsAResendRun) {
   auto& node = AddServing("n1");
   node.peers.vms.clear();
--- a/tests/correctness/model_requests_test.cc
+++ b/tests/correctness/model_requests_test.cc
@@ -59,6 +59,29 @@
       Eventually([&] { return node.placement.demand[key].waiting == 0; }));
 }
 
+// Nothing loads the old version any more once a new one is in force.
+TEST_F(ModelRequestsTest, WaitingRequestFollowsANewVersion) {
+  auto& node = AddNode("n1");
+  node.Start();
+  FakeEndpoint engine([](const auto& request, auto& responder) {
+    StreamTokens(request, responder, 0, 1);
+  });
+  node.placement.replicas[{"m", "2", ""}] = {{"s1", engine.address, "dc1"}};
+  boost::fibers::fiber change([&] {
+    ASSERT_TRUE(Eventually(
+        [&] { return node.api->Status()["scheduler"]["waiting"] == 1; }));
+    auto estate = std::make_shared<Estate>(*node.estate.estate);
+    estate->version = 2;
+    estate->models["m"].version = "2";
+    node.estate.estate = estate;
+  });
+  const auto response = Call(node, Chat(true));
+  change.join();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(TextOf(response.assume_value().body), "t0 ");
+  EXPECT_EQ(engine.requests[0].headers.Find("X-Model-Version"), "2");
+}
+
 TEST_F(ModelRequestsTest, RefusedAtTheDeadlineAsNotRun) {
   auto& node = AddNode("n1");
   node.Start();
--- a/tests/error/model_faults_test.cc
+++ b/tests/error/model_faults_test.cc
@@ -264,5 +264,33 @@
   EXPECT_TRUE(Eventually([&] { return engine.cancelled.size() == 1; }));
 }
 
+// An engine that restarted holds nothing; the request waits for the load
+// instead of using up its retries.
+TEST_F(ModelFaultsTest, ReplicaThatIsGoneIsWaitedFor) {
+  int refusals = 0;
+  AddEngine("s1", [&](const auto& request, auto& responder) {
+    if (++refusals > 1) {
+      StreamTokens(request, responder, 0, 4);
+      return;
+    }
+    HttpResponse response = JsonResponse(503, R"({"reason":"not_loaded"})");
+    response.headers = EchoId(request, "application/json");
+    response.headers.Set("X-Not-Run", "true");
+    (void)responder.Send(response);
+  });
+  const auto replica = node_->placement.replicas[{"m", "1", ""}];
+  boost::fibers::fiber loader([&] {
+    ASSERT_TRUE(Eventually([&] { return refusals == 1; }));
+    boost::this_fiber::sleep_for(30ms);
+    EXPECT_TRUE((node_->placement.replicas[{"m", "1", ""}].empty()));
+    node_->placement.replicas[{"m", "1", ""}] = replica;
+    node_->placement.changed().Signal();
+  });
+  const auto response = Call(*node_, Chat(true));
+  loader.join();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(TextOf(response.assume_value().body), "t0 t1 t2 t3 ");
+}
+
 }  // namespace
 }  // namespace tanagerloom
