--- a/packages/platform/http_engine_control.cc
+++ b/packages/platform/http_engine_control.cc
@@ -54,6 +54,7 @@
   state.memory_mb = json.at("memory_mb").get<std::uint64_t>();
   state.used_mb = json.value("used_mb", std::uint64_t{0});
   state.leaving = json.value("leaving", false);
+  // items() refers to the object, which must outlive the loop.
   const auto cached = json.value("cached", nlohmann::json::object());
   for (const auto& [model, source] : cached.items()) {
     state.cached[model] = ParseSource(source.get<std::string>());
