Move the reading of the VM list out of PeerService; test pauses and restarts

A connection closed before its fiber ran could have connected without any timeout; it is now refused before the attempt.

New: a paused node that returns, a restart at the same address, idle connections that end, a 500 KB broadcast that crosses each path about once.

--- a/packages/membership/peer_connection.cc
+++ b/packages/membership/peer_connection.cc
@@ -70,7 +70,7 @@
   mesh_ = mesh;
   peer_ = node;
   remote_ = address.ToString();
-  auto outcome = Connect(address);
+  const auto outcome = Connect(address);
   if (!outcome) {
     Close(CloseCause::kConnectFailed, outcome.assume_error().message);
     owner_.OnClosed(*this);
@@ -102,6 +102,10 @@
   if (ec) {
     return MakeError(ErrorKind::kInvalid, "bad IP number " + address.ip);
   }
+  if (closed_) {
+    // Closed before this fiber ran; nothing would end the attempt any more.
+    return MakeError(ErrorKind::kCancelled, "closed");
+  }
   const asio::ip::tcp::endpoint remote(ip, address.port);
   const auto result =
       AwaitIo([&](auto done) { socket_.async_connect(remote, done); });
--- a/packages/membership/peer_service.cc
+++ b/packages/membership/peer_service.cc
@@ -9,17 +9,16 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <map>
-#include <optional>
 
 #include "base/event_log.h"
 #include "base/events.h"
-#include "base/id.h"
 #include "config/settings.h"
 #include "membership/event_limiter.h"
 #include "membership/flood_filter.h"
 #include "membership/link_set.h"
 #include "membership/liveness.h"
 #include "membership/peer_context.h"
+#include "membership/vm_list_reader.h"
 #include "runtime/await.h"
 #include "runtime/clock.h"
 
@@ -34,12 +33,6 @@
 // A check that is late by this part of the peer timeout means that the process
 // was paused, not that the peers were silent.
 constexpr double kPausePart = 0.5;
-// Above this number of nodes each reads the VM list less often, so that all
-// reads together stay constant (32 a second at the default interval) and a list
-// of 12,000 servers costs a node little. Nodes tell each other what they read.
-constexpr double kNodesAtFullRate = 16.0;
-// Keeps the nodes of a site from reading the list in step.
-constexpr double kListJitter = 0.2;
 // An endpoint's leaving notice holds until the VM list has surely caught up.
 constexpr auto kNoticeValid = std::chrono::seconds(60);
 // Bounds the effect of a wrong notice.
@@ -60,16 +53,18 @@
        Clock& clock,
        EventLog& events,
        const Settings& settings)
-      : vm_list(vm_list),
-        context(io, clock, events, settings),
+      : context(io, clock, events, settings),
         links(context, *this),
         liveness(context, links),
+        list(context,
+             vm_list,
+             [this](const std::vector<Vm>& before) { OnListChanged(before); }),
         acceptor(io) {}
 
-  VmList& vm_list;
   PeerContext context;
   LinkSet links;
   Liveness liveness;
+  VmListReader list;
   asio::ip::tcp::acceptor acceptor;
   std::map<std::string, FloodFilter> floods;
   std::uint64_t flood_number = 0;
@@ -77,18 +72,14 @@
   TimePoint last_tick{};
   bool started = false;
   bool stopped = false;
-  bool reading_list = false;
   bool accepting = false;
-  std::optional<TimePoint> list_failed_since;
   std::vector<Handler> handlers;
   std::vector<std::function<void()>> change_handlers;
   EventLimiter stale_limit;
 
   Result<Address> Listen();
   void AcceptLoop();
-  void ListLoop();
-  Duration ListInterval() const;
-  void ReadList();
+  void OnListChanged(const std::vector<Vm>& before);
   void NoteListedLeaving(const std::vector<Vm>& before, TimePoint now);
   void TickLoop();
   void Tick();
@@ -162,52 +153,8 @@
   accepting = false;
 }
 
-Duration PeerService::Impl::ListInterval() const {
-  const auto nodes = static_cast<double>(context.members.Nodes().size());
-  const double jitter = 1.0 - kListJitter + 2 * kListJitter * RandomUnit();
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(Duration(context.settings.vm_list_interval).count()) *
-      jitter * std::max(1.0, nodes / kNodesAtFullRate)));
-}
-
-void PeerService::Impl::ListLoop() {
-  while (!context.stopping) {
-    reading_list = true;
-    ReadList();
-    reading_list = false;
-    if (!context.stopping) {
-      context.clock.SleepFor(ListInterval());
-    }
-  }
-}
-
-void PeerService::Impl::ReadList() {
-  auto list = vm_list.Read();
-  if (context.stopping) {
-    return;
-  }
+void PeerService::Impl::OnListChanged(const std::vector<Vm>& before) {
   const auto now = context.clock.Now();
-  if (!list) {
-    if (!list_failed_since) {
-      list_failed_since = now;
-      context.events.Record(events::kVmListUnavailable,
-                            {{"cause", list.assume_error().message}});
-    }
-    return;
-  }
-  if (list_failed_since) {
-    context.events.Record(events::kVmListAvailable,
-                          {{"outage_ms", ToMillis(now - *list_failed_since)}});
-    list_failed_since.reset();
-  }
-  const auto before = context.members.Vms(now);
-  if (!context.members.SetVms(std::move(list).assume_value(), now)) {
-    return;
-  }
-  const auto nodes = context.members.Nodes().size();
-  const auto vms = context.members.Vms(now).size();
-  context.events.Record(events::kVmListChanged,
-                        {{"nodes", nodes}, {"endpoints", vms - nodes}});
   NoteListedLeaving(before, now);
   links.Choose();
   links.Maintain(now);
@@ -217,7 +164,7 @@
 
 void PeerService::Impl::NoteListedLeaving(const std::vector<Vm>& before,
                                           TimePoint now) {
-  if (static_cast<double>(context.members.Nodes().size()) <= kNodesAtFullRate) {
+  if (!list.large_site()) {
     return;
   }
   std::map<std::string_view, bool> known;
@@ -291,7 +238,7 @@
   }
   links.CloseAll();
   // The fibers use objects that belong to the caller.
-  while (!links.empty() || reading_list || accepting) {
+  while (!links.empty() || list.reading() || accepting) {
     boost::this_fiber::sleep_for(kStopStep);
   }
   handlers.clear();
@@ -514,7 +461,7 @@
   impl_->last_tick = impl_->context.clock.Now();
   impl_->Refresh();
   boost::fibers::fiber([impl = impl_] { impl->AcceptLoop(); }).detach();
-  boost::fibers::fiber([impl = impl_] { impl->ListLoop(); }).detach();
+  boost::fibers::fiber([impl = impl_] { impl->list.Run(); }).detach();
   boost::fibers::fiber([impl = impl_] { impl->TickLoop(); }).detach();
   return address;
 }
@@ -539,7 +486,7 @@
           {"links", impl_->links.Status(now)},
           {"vm_list",
            {{"known", members.has_list()},
-            {"failing", impl_->list_failed_since.has_value()},
+            {"failing", impl_->list.failing()},
             {"age_ms", ToMillis(age)}}},
           {"counters", impl_->CountersStatus()}};
 }
--- /dev/null
+++ b/packages/membership/vm_list_reader.cc
@@ -0,0 +1,82 @@
+#include "membership/vm_list_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// Above this number of nodes each reads the VM list less often, so that all
+// reads together stay constant (32 a second at the default interval) and a list
+// of 12,000 servers costs a node little. Nodes tell each other what they read.
+constexpr std::size_t kNodesAtFullRate = 16;
+// Keeps the nodes of a site from reading the list in step.
+constexpr double kJitter = 0.2;
+
+}  // namespace
+
+VmListReader::VmListReader(PeerContext& context,
+                           VmList& vm_list,
+                           OnChange on_change)
+    : context_(context), vm_list_(vm_list), on_change_(std::move(on_change)) {}
+
+bool VmListReader::large_site() const {
+  return context_.members.Nodes().size() > kNodesAtFullRate;
+}
+
+Duration VmListReader::Interval() const {
+  const double jitter = 1.0 - kJitter + 2 * kJitter * RandomUnit();
+  const double spread =
+      static_cast<double>(context_.members.Nodes().size()) / kNodesAtFullRate;
+  const Duration base = context_.settings.vm_list_interval;
+  return Duration(static_cast<Duration::rep>(static_cast<double>(base.count()) *
+                                             jitter * std::max(1.0, spread)));
+}
+
+void VmListReader::Run() {
+  while (!context_.stopping) {
+    reading_ = true;
+    Read();
+    reading_ = false;
+    if (!context_.stopping) {
+      context_.clock.SleepFor(Interval());
+    }
+  }
+}
+
+void VmListReader::Read() {
+  auto list = vm_list_.Read();
+  if (context_.stopping) {
+    return;
+  }
+  const auto now = context_.clock.Now();
+  if (!list) {
+    if (!failed_since_) {
+      failed_since_ = now;
+      context_.events.Record(events::kVmListUnavailable,
+                             {{"cause", list.assume_error().message}});
+    }
+    return;
+  }
+  if (failed_since_) {
+    context_.events.Record(events::kVmListAvailable,
+                           {{"outage_ms", ToMillis(now - *failed_since_)}});
+    failed_since_.reset();
+  }
+  const auto before = context_.members.Vms(now);
+  if (!context_.members.SetVms(std::move(list).assume_value(), now)) {
+    return;
+  }
+  const auto nodes = context_.members.Nodes().size();
+  const auto vms = context_.members.Vms(now).size();
+  context_.events.Record(events::kVmListChanged,
+                         {{"nodes", nodes}, {"endpoints", vms - nodes}});
+  on_change_(before);
+}
+
+}  // namespace tanagerloom
--- a/tests/correctness/peer_service_test.cc
+++ b/tests/correctness/peer_service_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "base/events.h"
+#include "membership/peer_counters.h"
 #include "tests/support/peer_site.h"
 
 namespace tanagerloom {
@@ -38,6 +39,25 @@
   }
 }
 
+// Guards against large records that every node passes on to all others again.
+TEST(PeerService, LargeBroadcastCrossesEachPathAboutOnce) {
+  PeerSite site;
+  site.StartMany(6);
+  ASSERT_TRUE(PeerSite::Wait([&] { return site.AllSee(6); }));
+  boost::this_fiber::sleep_for(2 * site.settings.peer_timeout);
+  constexpr std::size_t kBytes = 500 * 1024;
+  auto& sender = site.Node("n02");
+  sender.service.Broadcast(RecordUpdate{"c", 1, std::string(kBytes, 'r')});
+  ASSERT_TRUE(PeerSite::Wait([&] {
+    return std::ranges::all_of(site.nodes, [](const auto& it) {
+      return it.first == "n02" || it.second->received.size() == 1;
+    });
+  }));
+  for (const auto& [id, node] : site.nodes) {
+    EXPECT_LT(node->service.counters().bytes_received, kBytes * 3 / 2) << id;
+  }
+}
+
 // Guards against a direct message that reaches other nodes, or none.
 TEST(PeerService, SendReachesOnlyTheNamedNode) {
   PeerSite site;
@@ -136,6 +156,12 @@
   boost::this_fiber::sleep_for(2 * site_.settings.peer_timeout);
   EXPECT_TRUE(site_.AllSee(kNodes));
   EXPECT_EQ(sender.Count(events::kPeerSilent), 0);
+
+  // Unused for longer than the idle time, they end without harm.
+  sender.clock.skipped += 31s;
+  EXPECT_TRUE(PeerSite::Wait([&] { return Links(sender, false) == 0; }));
+  EXPECT_GT(Links(sender, true), 0U);
+  EXPECT_TRUE(site_.AllSee(kNodes));
 }
 
 // Guards against a leaving node, or endpoint, that part of the fleet misses.
--- a/tests/error/peer_faults_test.cc
+++ b/tests/error/peer_faults_test.cc
@@ -123,6 +123,39 @@
   EXPECT_TRUE(Delivers("n01", "n00"));
 }
 
+// Guards against a restarted node at its old address that stays gone because
+// its predecessor announced its end.
+TEST_F(PeerFaults, RestartAtTheSameAddress) {
+  site_.StartMany(3);
+  ASSERT_TRUE(PeerSite::Wait([&] { return site_.AllSee(3); }));
+  const auto port = site_.vms.at("n01").peer_port;
+  site_.nodes.erase("n01");
+  ASSERT_TRUE(PeerSite::Wait([&] { return site_.AllSee(2); }));
+  EXPECT_EQ(site_.Node("n00").service.Members().size(), 2U);
+  site_.Start("n01", port);
+  EXPECT_TRUE(PeerSite::Wait([&] { return site_.AllSee(3); }));
+  EXPECT_EQ(site_.Node("n02").Count(events::kMemberRestarted), 1);
+  EXPECT_TRUE(Delivers("n00", "n01"));
+}
+
+// Guards against a paused node that, when it goes on, takes the silence of its
+// own pause for the death of all others.
+TEST_F(PeerFaults, PausedNodeReturnsWithoutDeclaringOthersDead) {
+  StartRelayed(3);
+  auto& paused = site_.Node("n02");
+  site_.Pause("n02", true);
+  ASSERT_TRUE(PeerSite::Wait([&] {
+    return site_.Node("n00").service.LiveIds().size() == 2 &&
+           site_.Node("n01").service.LiveIds().size() == 2;
+  }));
+  boost::this_fiber::sleep_for(2 * site_.settings.peer_timeout);
+  site_.Pause("n02", false);
+  ASSERT_TRUE(PeerSite::Wait([&] { return site_.AllSee(3); }));
+  EXPECT_GE(paused.Count(events::kProcessPaused), 1);
+  EXPECT_EQ(paused.Count(events::kMemberRestarted), 0);
+  EXPECT_TRUE(Delivers("n02", "n00"));
+}
+
 // Guards against members that vanish while the VM list cannot be read.
 TEST_F(PeerFaults, FailingVmListKeepsTheLastOne) {
   StartRelayed(3);
--- a/tests/support/fault_relay.h
+++ b/tests/support/fault_relay.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <memory>
 #include <vector>
 
@@ -40,6 +41,10 @@
     }
   }
 
+  /// Holds back everything while set; afterwards it is delivered, as by a peer
+  /// that was paused.
+  void SetHeld(bool held) { held_ = held; }
+
   /// Closes all connections, and those made while `cut` is set.
   void SetCut(bool cut) {
     cut_ = cut;
@@ -85,16 +90,19 @@
     }
   }
 
-  static void Pump(const std::shared_ptr<Pair>& pair,
-                   Socket& from,
-                   Socket& to,
-                   std::size_t direction) {
-    boost::fibers::fiber([pair, &from, &to, direction] {
+  void Pump(const std::shared_ptr<Pair>& pair,
+            Socket& from,
+            Socket& to,
+            std::size_t direction) {
+    boost::fibers::fiber([this, pair, &from, &to, direction] {
       char buf[16384];
       while (true) {
         const auto read = AwaitIo([&](auto done) {
           from.async_read_some(boost::asio::buffer(buf), done);
         });
+        while (held_) {
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+        }
         if (read.ec) {
           // A silent direction swallows the end of the stream as well.
           if (!pair->silent[direction]) {
@@ -119,6 +127,7 @@
   std::uint16_t target_;
   std::uint16_t port_ = 0;
   bool cut_ = false;
+  bool held_ = false;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<Pair>> pairs_;
 };
--- a/tests/support/peer_site.h
+++ b/tests/support/peer_site.h
@@ -50,6 +50,28 @@
   PortOf port_of_;
 };
 
+/// The system's clock, whose sleepers a test can hold up as a paused VM would,
+/// and whose time it can move forward.
+class PausableClock final : public Clock {
+ public:
+  TimePoint Now() const override { return steady_.Now() + skipped; }
+  std::chrono::milliseconds WallNow() const override {
+    return steady_.WallNow();
+  }
+  void SleepUntil(TimePoint time) override {
+    steady_.SleepUntil(time - skipped);
+    while (paused) {
+      steady_.SleepFor(std::chrono::milliseconds(5));
+    }
+  }
+
+  bool paused = false;
+  Duration skipped{};
+
+ private:
+  SteadyClock steady_;
+};
+
 /// One service with what it needs.
 struct SiteNode {
   SiteNode(const std::map<std::string, Vm>& vms,
@@ -73,7 +95,7 @@
   }
 
   FakeVmList list;
-  SteadyClock clock;
+  PausableClock clock;
   EventLog events;
   PeerService service;
   std::vector<std::pair<std::string, PeerMessage>> received;
@@ -90,10 +112,11 @@
     settings.peer_timeout = std::chrono::milliseconds(400);
   }
 
-  /// Starts a node and lists it.
-  SiteNode& Start(const std::string& id) {
+  /// Starts a node and lists it. Port 0 takes any free one.
+  SiteNode& Start(const std::string& id, std::uint16_t port = 0) {
     Settings own = settings;
     own.node_id = id;
+    own.peer_listen.port = port;
     const auto port_of = [this, id](const Vm& vm) {
       return relayed ? Relay(id, vm.id).port() : vm.peer_port;
     };
@@ -120,6 +143,17 @@
     }
   }
 
+  /// Pauses a relayed node as a stopped VM: what it was sent meanwhile reaches
+  /// it when it goes on.
+  void Pause(const std::string& id, bool paused) {
+    Node(id).clock.paused = paused;
+    for (const auto& [key, relay] : relays) {
+      if (std::get<0>(key) == id || std::get<1>(key) == id) {
+        relay->SetHeld(paused);
+      }
+    }
+  }
+
   SiteNode& Node(const std::string& id) { return *nodes.at(id); }
 
   void List(const std::string& id, std::uint16_t peer_port) {
