--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -58,8 +58,39 @@
                                           "request_answered"};
 inline constexpr EventId kRequestRefused{403, Severity::kInfo,
                                          "request_refused"};
+inline constexpr EventId kCallerGone{404, Severity::kInfo, "caller_gone"};
+inline constexpr EventId kEndpointHeldBack{405, Severity::kWarning,
+                                           "endpoint_held_back"};
+inline constexpr EventId kEndpointRecovered{406, Severity::kInfo,
+                                            "endpoint_recovered"};
+inline constexpr EventId kAttemptFailed{407, Severity::kWarning,
+                                        "attempt_failed"};
+inline constexpr EventId kStreamResumed{408, Severity::kWarning,
+                                        "stream_resumed"};
+inline constexpr EventId kClaimWriteFailed{409, Severity::kWarning,
+                                           "claim_write_failed"};
+inline constexpr EventId kClaimRangeSplit{410, Severity::kInfo,
+                                          "claim_range_split"};
+inline constexpr EventId kRequestCrashedEndpoint{411, Severity::kWarning,
+                                                 "request_crashed_endpoint"};
+inline constexpr EventId kRequestQuarantined{412, Severity::kWarning,
+                                             "request_quarantined"};
 inline constexpr EventId kConfigurationInForce{500, Severity::kInfo,
                                                "configuration_in_force"};
+inline constexpr EventId kConfigurationApplied{501, Severity::kInfo,
+                                               "configuration_applied"};
+inline constexpr EventId kConfigurationRefused{502, Severity::kInfo,
+                                               "configuration_refused"};
+inline constexpr EventId kConfigurationUnreachable{503, Severity::kWarning,
+                                                   "configuration_unreachable"};
+inline constexpr EventId kConfigurationUnusable{504, Severity::kError,
+                                                "configuration_unusable"};
+inline constexpr EventId kConfigurationOlder{505, Severity::kWarning,
+                                             "configuration_older_ignored"};
+inline constexpr EventId kConfigurationRetried{506, Severity::kDebug,
+                                               "configuration_retried"};
+inline constexpr EventId kDrainRequested{507, Severity::kInfo,
+                                         "drain_requested"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
                                             "invariant_violated"};
 
--- /dev/null
+++ b/packages/placement/cell_controller.h
@@ -0,0 +1,178 @@
+// Defines CellController, one node's part in the placement of one cell. As the
+// cell's coordinator, or when the coordinator can't be reached, it compares the
+// record with engines and demand, stores decisions and sends their orders.
+#ifndef PLACEMENT_CELL_CONTROLLER_H_
+#define PLACEMENT_CELL_CONTROLLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "decision/arrival_history.h"
+#include "decision/demand_book.h"
+#include "decision/planner.h"
+#include "decision/reconcile.h"
+#include "placement/engine_monitor.h"
+#include "placement/order_executor.h"
+#include "placement/placement_dependencies.h"
+#include "placement/placement_view.h"
+#include "placement/platform_backoff.h"
+#include "placement/record_store.h"
+#include "placement/slot_store.h"
+#include "placement/vm_index.h"
+#include "ports/peer_message.h"
+#include "runtime/event_flag.h"
+
+namespace tanagerloom {
+
+class TaskGroup;
+
+/// Placement of one cell as this node sees and drives it.
+class CellController {
+ public:
+  /// `on_change` is called when the record or the servers' state changes.
+  CellController(std::string cell,
+                 const PlacementDependencies& deps,
+                 RecordStore& records,
+                 SlotStore& slots,
+                 PlatformBackoff& backoff,
+                 VmIndex& vms,
+                 TaskGroup& tasks,
+                 std::function<void()> on_change);
+
+  /// Runs passes until Stop().
+  void Run();
+  void Stop();
+
+  /// One pass: reconcile, plan, store, send orders. Returns the time until the
+  /// next pass is due without a wake-up.
+  Duration Step();
+
+  /// Makes Run() start a pass soon.
+  void Wake() { wake_.Signal(); }
+
+  /// Decides nothing new; goes on finishing orders.
+  void Drain();
+
+  /// `process` is the sender as "NODE/INCARNATION".
+  void SetDemand(const std::string& process, const Demand& demand);
+  void HandleRecord(const RecordUpdate& update);
+  void HandleOrderDone(const std::string& from, const OrderDone& done);
+
+  /// Lets this node decide for a while although another node is coordinator,
+  /// because that one does not acknowledge demand.
+  void ActWithoutCoordinator();
+
+  /// The rendezvous-hash winner among the live members.
+  std::string Coordinator() const;
+  bool IsCoordinator() const;
+  bool IsActing() const;
+
+  /// Whether this process still has orders to finish.
+  bool HasOwnOrders() const;
+
+  /// The engine said that it does not hold a replica: it is not offered until
+  /// the record or a report confirms it.
+  void ReportMissing(const std::string& server, const ModelKey& key);
+
+  /// Servers with a loaded replica that takes requests.
+  std::vector<std::string> ServersOf(const ModelKey& key) const;
+
+  LoadForecast Forecast(const ModelKey& key) const;
+
+  const StoredRecord& view() const { return *view_; }
+  const EngineMonitor& monitor() const { return monitor_; }
+  nlohmann::json Status() const;
+
+ private:
+  using View = std::shared_ptr<const StoredRecord>;
+
+  bool Drives() const { return IsCoordinator() || IsActing(); }
+  Duration Pass();
+  /// Notices that this process did not run for long, and distrusts its view.
+  void NoticePause();
+  void NoteUse();
+  void ReadVms();
+  std::map<std::string, Duration> PollIntervals() const;
+  std::set<std::string> ServersToReadLoadOf() const;
+  Duration RefreshInterval() const;
+  bool Refresh();
+  void NoteWriteFailure();
+  void SetView(StoredRecord stored);
+  /// Reconciles and plans from the current view and stores the result. False
+  /// if the platform did not take it.
+  bool Decide();
+  /// What one decision changes.
+  struct Decision;
+  Decision MakeDecision();
+  Result<void> StoreDecision(Decision decision);
+  ReconcileOutcome Reconcile(CellRecord& next);
+  Plan MakePlan(const CellRecord& next, const Estate& estate) const;
+  /// Takes slots for the loads of a plan that need them, and drops those that
+  /// got none.
+  bool TakeSlots(const CellRecord& next, Plan& plan);
+  bool ExchangeSlots(const CellRecord& next, std::uint32_t wanted);
+  void ApplyPlan(CellRecord& next, const Plan& plan);
+  void FreeSlots();
+  void NoteLoaded(const ReplicaChange& change);
+  void Report(const ReconcileOutcome& outcome, const CellRecord& stored);
+  void Announce();
+  void SendDone();
+  bool SenderIsDone(std::string_view server,
+                    const ReplicaRecord& replica,
+                    std::string_view process) const;
+  std::uint64_t SeenMs(const ReplicaRecord& replica) const;
+  bool ConfirmOrder(const std::string& server, const ReplicaRecord& replica);
+  bool HoldOrder(const std::string& server, const ReplicaRecord& replica) const;
+  /// Whether this node knows the running requests of all nodes.
+  bool DemandIsComplete() const;
+  bool IsExecutorPresent(std::string_view process) const;
+  bool HasOpenOrders() const;
+  Decider Self() const;
+
+  std::string cell_;
+  PlacementDependencies deps_;
+  RecordStore& records_;
+  SlotStore& slots_;
+  PlatformBackoff& backoff_;
+  VmIndex& vms_;
+  std::function<void()> on_change_;
+  EventFlag wake_;
+  bool stopping_ = false;
+  bool draining_ = false;
+  mutable std::string coordinator_;
+  mutable std::optional<TimePoint> coordinator_until_;
+  std::uint64_t view_seen_ms_ = 0;
+  View view_;
+  bool have_view_ = false;
+  TimePoint confirmed_{};  ///< The view is not older than this.
+  TimePoint last_refresh_{};
+  std::optional<TimePoint> acting_until_;
+  bool write_failed_ = false;  ///< The last write; reads may work all the same.
+  std::optional<TimePoint> last_pass_;
+  std::optional<TimePoint> coordinator_since_;
+  std::uint32_t waiting_for_slots_ = 0;
+  TimePoint slots_read_{};
+  std::set<std::string> grants_;    ///< Slots taken for orders not decided yet.
+  std::set<std::string> finished_;  ///< Orders whose slots are to be freed.
+  std::vector<LoadDuration> durations_;
+  std::map<std::pair<std::string, ModelKey>, TimePoint> missing_;
+  std::map<ModelKey, ArrivalHistory> histories_;
+  DemandBook book_;
+  EngineMonitor monitor_;
+  OrderExecutor executor_;
+  std::map<std::pair<std::string, ReplicaState>, std::uint64_t> seen_;
+  std::set<std::pair<std::string, std::string>> done_;  ///< Order, process.
+  std::map<std::string, TimePoint> done_sent_;          ///< By order.
+};
+
+}  // namespace tanagerloom
+
+#endif  // PLACEMENT_CELL_CONTROLLER_H_
--- /dev/null
+++ b/packages/routing/endpoint_reply.cc
@@ -0,0 +1,86 @@
+#include "routing/endpoint_reply.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace tanagerloom {
+
+namespace {
+
+// Pause after a refusal for load that names none.
+constexpr Duration kDefaultPause = std::chrono::milliseconds(500);
+
+std::optional<Duration> RetryAfter(const HttpHeaders& headers) {
+  const auto header = headers.Find("Retry-After");
+  if (!header) {
+    return std::nullopt;
+  }
+  double seconds = 0;
+  const auto* end = header->data() + header->size();
+  const auto parsed = std::from_chars(header->data(), end, seconds);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !(seconds >= 0)) {
+    return std::nullopt;
+  }
+  constexpr double kLongestSeconds = 3600;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, kLongestSeconds)));
+}
+
+// The "reason" of a refusal's body.
+std::string ReasonOf(std::string_view body) {
+  const auto json =
+      nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) {
+    return {};
+  }
+  const auto it = json.find("reason");
+  return it != json.end() && it->is_string() ? it->get<std::string>()
+                                             : std::string();
+}
+
+}  // namespace
+
+bool IsCallersFault(int status) {
+  return status >= 400 && status < 500 && status != 404 && status != 408 &&
+         status != 425 && status != 429;
+}
+
+bool IsRelayedHeader(std::string_view name) {
+  std::string lower(name);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
+  });
+  static constexpr std::string_view kDropped[] = {
+      "connection", "content-length", "keep-alive", "transfer-encoding",
+      "te",         "trailer",        "upgrade",    "x-request-id"};
+  return std::find(std::begin(kDropped), std::end(kDropped), lower) ==
+         std::end(kDropped);
+}
+
+EndpointRefusal ReadRefusal(int status,
+                            const HttpHeaders& headers,
+                            std::string_view body) {
+  EndpointRefusal refusal;
+  refusal.missing = status == 404;
+  if (headers.Find("X-Not-Run") == "true" || status == 429 || status == 404) {
+    refusal.verdict = Verdict::kNotRun;
+  }
+  bool overloaded = status == 429;
+  if (status == 503) {
+    const auto reason = ReasonOf(body);
+    refusal.leaving = reason == "leaving";
+    refusal.missing = reason == "not_loaded";
+    overloaded = reason == "overloaded";
+  }
+  if (status == 503 || status == 429) {
+    refusal.backpressure = RetryAfter(headers);
+  }
+  if (overloaded && !refusal.backpressure) {
+    refusal.backpressure = kDefaultPause;
+  }
+  return refusal;
+}
+
+}  // namespace tanagerloom
