--- a/tests/error/peer_faults_test.cc
+++ b/tests/error/peer_faults_test.cc
@@ -156,6 +156,30 @@
   EXPECT_TRUE(Delivers("n02", "n00"));
 }
 
+// Guards against a lost data centre whose nodes keep each other alive in the
+// view of the others, by the links among themselves that they reported last.
+TEST_F(PeerFaults, LostDataCentreDisappearsAsAWhole) {
+  site_.settings.peer_links = 4;
+  StartRelayed(12);
+  const auto lost = [](const std::string& id) { return id >= "n08"; };
+  const auto cut = [&](bool on) {
+    for (const auto& [key, relay] : site_.relays) {
+      if (lost(std::get<0>(key)) != lost(std::get<1>(key))) {
+        relay->SetCut(on);
+      }
+    }
+  };
+  const auto sides_see_themselves = [&] {
+    return std::ranges::all_of(site_.nodes, [&](const auto& it) {
+      return it.second->service.LiveIds().size() == (lost(it.first) ? 4U : 8U);
+    });
+  };
+  cut(true);
+  EXPECT_TRUE(PeerSite::Wait(sides_see_themselves));
+  cut(false);
+  EXPECT_TRUE(PeerSite::Wait([&] { return site_.AllSee(12); }));
+}
+
 // Guards against members that vanish while the VM list cannot be read.
 TEST_F(PeerFaults, FailingVmListKeepsTheLastOne) {
   StartRelayed(3);
