--- a/tests/correctness/peer_service_test.cc
+++ b/tests/correctness/peer_service_test.cc
@@ -158,7 +158,7 @@
   EXPECT_EQ(sender.Count(events::kPeerSilent), 0);
 
   // Unused for longer than the idle time, they end without harm.
-  sender.clock.skipped += 31s;
+  sender.clock.state->skipped += 31s;
   EXPECT_TRUE(PeerSite::Wait([&] { return Links(sender, false) == 0; }));
   EXPECT_GT(Links(sender, true), 0U);
   EXPECT_TRUE(site_.AllSee(kNodes));
--- a/tests/support/peer_site.h
+++ b/tests/support/peer_site.h
@@ -54,22 +54,26 @@
 /// and whose time it can move forward.
 class PausableClock final : public Clock {
  public:
-  TimePoint Now() const override { return steady_.Now() + skipped; }
+  TimePoint Now() const override {
+    return SteadyClock().Now() + state->skipped;
+  }
   std::chrono::milliseconds WallNow() const override {
-    return steady_.WallNow();
+    return SteadyClock().WallNow();
   }
   void SleepUntil(TimePoint time) override {
-    steady_.SleepUntil(time - skipped);
-    while (paused) {
-      steady_.SleepFor(std::chrono::milliseconds(5));
+    // A fiber of a stopped service may sleep on after the clock is gone.
+    const auto kept = state;
+    SteadyClock().SleepUntil(time - kept->skipped);
+    while (kept->paused) {
+      SteadyClock().SleepFor(std::chrono::milliseconds(5));
     }
   }
 
-  bool paused = false;
-  Duration skipped{};
-
- private:
-  SteadyClock steady_;
+  struct State {
+    bool paused = false;
+    Duration skipped{};
+  };
+  const std::shared_ptr<State> state = std::make_shared<State>();
 };
 
 /// One service with what it needs.
@@ -146,7 +150,7 @@
   /// Pauses a relayed node as a stopped VM: what it was sent meanwhile reaches
   /// it when it goes on.
   void Pause(const std::string& id, bool paused) {
-    Node(id).clock.paused = paused;
+    Node(id).clock.state->paused = paused;
     for (const auto& [key, relay] : relays) {
       if (std::get<0>(key) == id || std::get<1>(key) == id) {
         relay->SetHeld(paused);
