Check requests of bursts against the ledgers of the endpoints

The stand-ins gain responses without an end marker, swapped streams and a count of calls during outages.

--- a/testing/engine_standin/main.cc
+++ b/testing/engine_standin/main.cc
@@ -16,7 +16,9 @@
 // order takes effect, lose_order_answers after it. fail_loads counts by model.
 // not_run refuses requests with X-Not-Run; fail answers 500 before running;
 // lose_answers runs a request and closes the connection; wrong_answers answers
-// with another request's id and text; cut_streams closes a stream halfway.
+// with another request's id and text; cut_streams closes a stream halfway;
+// cut_ends closes it after the last token, and omit_ends ends the response
+// properly there, both without the end marker.
 const nlohmann::json kDefaults = {{"leaving", false},
                                   {"order_delay_ms", 0},
                                   {"drop_orders", 0},
@@ -27,6 +29,8 @@
                                   {"lose_answers", 0},
                                   {"wrong_answers", 0},
                                   {"cut_streams", 0},
+                                  {"cut_ends", 0},
+                                  {"omit_ends", 0},
                                   {"slow_factor", 1.0}};
 
 constexpr auto kWaitStep = std::chrono::milliseconds(20);
@@ -275,6 +279,20 @@
            "\n\n";
   }
 
+  // The complete generation of a request that nobody sent.
+  static std::shared_ptr<Generation> Foreign(const Generation& generation) {
+    auto foreign = std::make_shared<Generation>();
+    foreign->request_id = NewId("foreign-");
+    foreign->model = generation.model;
+    foreign->max_tokens = generation.max_tokens;
+    for (int i = 0; i < foreign->max_tokens; ++i) {
+      foreign->tokens.push_back(
+          EngineToken(foreign->model, foreign->request_id, i));
+    }
+    foreign->completed = true;
+    return foreign;
+  }
+
   // Streams the generation from its token number `offset` on; a stream that
   // nobody reads for resume_ms_ is cancelled.
   void Follow(const std::shared_ptr<Generation>& generation,
@@ -283,12 +301,17 @@
               HttpResponder& responder) {
     ++generation->followers;
     const bool cut = control_.Take("cut_streams");
-    (void)responder.StartStream(200,
-                                {{"Content-Type", "text/event-stream"},
-                                 {"X-Request-Id", generation->request_id}});
-    const bool whole = WriteTokens(*generation, offset, chat, cut, responder);
-    if (whole) {
-      (void)responder.Write(StreamEvent(*generation, chat, "", "stop"));
+    const auto source =
+        control_.Take("wrong_answers") ? Foreign(*generation) : generation;
+    (void)responder.StartStream(200, {{"Content-Type", "text/event-stream"},
+                                      {"X-Request-Id", source->request_id}});
+    const bool whole = WriteTokens(*source, offset, chat, cut, responder);
+    if (whole && control_.Take("cut_ends")) {
+      responder.Abort();
+    } else if (whole && control_.Take("omit_ends")) {
+      (void)responder.Finish();
+    } else if (whole) {
+      (void)responder.Write(StreamEvent(*source, chat, "", "stop"));
       (void)responder.Write("data: [DONE]\n\n");
       (void)responder.Finish();
     } else {
--- a/testing/harness/cluster.cc
+++ b/testing/harness/cluster.cc
@@ -160,12 +160,18 @@
   std::ofstream(path) << all.dump(2);
   vm.arguments = {ProgramPath("apps/tanagerloomd"), "--settings", path};
   node_ids_.push_back(id);
-  SetVm(id, {{"role", "node"},
-             {"address", kLoopback},
-             {"port", vm.address.port},
-             {"peer_port", Link(id + "-peer", peer.port)},
-             {"admin_port", vm.admin.port},
-             {"data_centre", data_centre}});
+  vm.fields = {{"role", "node"},
+               {"address", kLoopback},
+               {"port", vm.address.port},
+               {"peer_port", Link(id + "-peer", peer.port)},
+               {"admin_port", vm.admin.port},
+               {"data_centre", data_centre},
+               {"state", "live"}};
+  return ReplaceNode(id);
+}
+
+bool Cluster::ReplaceNode(const std::string& id) {
+  SetVm(id, vms_.at(id).fields);
   return Start(id);
 }
 
--- a/testing/harness/cluster.h
+++ b/testing/harness/cluster.h
@@ -52,6 +52,10 @@
   /// Starts an ended process again with the same arguments and ports.
   bool Restart(const std::string& id);
 
+  /// Enters the VM of a node that was removed from the list again and starts
+  /// its process.
+  bool ReplaceNode(const std::string& id);
+
   Process& process(const std::string& id) { return *vms_.at(id).process; }
   std::vector<std::string> node_ids() const { return node_ids_; }
   std::vector<std::string> engine_ids() const { return engine_ids_; }
@@ -97,6 +101,7 @@
     std::unique_ptr<Process> process;
     Address address;
     Address admin;
+    nlohmann::json fields;  ///< Of a node in the VM list.
   };
 
   bool Start(const std::string& id);
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -101,10 +101,12 @@
 
   /// Checks G3, G4 and G5 for each call: its own whole answer, or a refusal
   /// with a verdict that the ledgers confirm. A broken connection is a problem
-  /// unless the call went to one of `ended` nodes.
+  /// unless the call went to one of `ended` nodes, or if it is a stream and
+  /// `streams_may_break`: a caller recognises the missing end marker.
   Tally Check(const std::vector<Call>& calls,
               const std::vector<Answer>& answers,
-              const std::set<std::string>& ended = {}) const;
+              const std::set<std::string>& ended = {},
+              bool streams_may_break = false) const;
 
   /// Checks G1, G2 and G6 for the whole run by the ledgers, and that no node
   /// outside `ended` ended; one line for each violation, empty if there is
--- a/testing/platform_standin/main.cc
+++ b/testing/platform_standin/main.cc
@@ -118,6 +118,7 @@
     const auto half_delay = Slow() ? control_.Number("slow_ms") / 2 : 0;
     SleepMs(half_delay);
     if (Down()) {
+      ++refused_;
       SendJson(responder, 503, {{"error", "unavailable"}});
       return;
     }
@@ -274,6 +275,7 @@
                 {"vm_reads", vm_reads_.ToJson()},
                 {"conflicts", conflicts_},
                 {"lost", lost_},
+                {"refused", refused_},
                 {"by_key", by_key_}});
     } else {
       SendJson(responder, 404, {{"error", "no such path"}});
@@ -292,6 +294,7 @@
   std::map<std::string, std::uint64_t> by_key_;
   std::uint64_t conflicts_ = 0;
   std::uint64_t lost_ = 0;
+  std::uint64_t refused_ = 0;  ///< Calls during outages.
 };
 
 }  // namespace
