Reserve the ports of test processes among all test programs

Two test programs that ran at the same time found the same free port, so a node or stand-in could not listen (12 of 27 tests failed to start). A bound socket on another loopback address now reserves each port.

--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -22,6 +22,7 @@
 // Below the kernel's default range of ports for outgoing connections.
 constexpr int kFirstPort = 12000;
 constexpr int kLastPort = 32000;
+constexpr std::uint32_t kReservingAddress = 0x7f000002;  // 127.0.0.2
 
 [[noreturn]] void RunChild(const std::vector<std::string>& arguments,
                            const std::string& log_path,
@@ -46,16 +47,34 @@
   _exit(127);
 }
 
-bool CanBind(std::uint16_t port) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+// A socket bound to the address; -1 if that fails.
+int Bind(std::uint16_t port, std::uint32_t ip) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
-                         sizeof(address)) == 0;
+  address.sin_addr.s_addr = htonl(ip);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+      0) {
+    return fd;
+  }
   close(fd);
-  return free;
+  return -1;
+}
+
+// Reserves a port among all test processes until this one ends, by binding it
+// on a loopback address that nothing else uses; another process that looks for
+// a port at the same time would otherwise find the same one.
+bool Reserve(std::uint16_t port) {
+  return Bind(port, kReservingAddress) >= 0;
+}
+
+bool IsFree(std::uint16_t port) {
+  const int fd = Bind(port, INADDR_LOOPBACK);
+  if (fd >= 0) {
+    close(fd);
+  }
+  return fd >= 0;
 }
 
 }  // namespace
@@ -129,8 +148,9 @@
   static int next = kFirstPort + getpid() * 97 % (kLastPort - kFirstPort);
   while (true) {
     next = next >= kLastPort ? kFirstPort : next + 1;
-    if (CanBind(static_cast<std::uint16_t>(next))) {
-      return static_cast<std::uint16_t>(next);
+    const auto port = static_cast<std::uint16_t>(next);
+    if (Reserve(port) && IsFree(port)) {
+      return port;
     }
   }
 }
