--- /dev/null
+++ b/tests/integration/configuration_race_test.cc
@@ -0,0 +1,198 @@
+// Operators that apply files at the same moment: guards against a file that is
+// in force in part, nodes that differ, and versions that fall.
+#include <gtest/gtest.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <map>
+#include <set>
+
+#include "config/digest.h"
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kFiles = 12;
+constexpr auto kAgreement = 5s;
+
+class ConfigurationRaceTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.engines_per_pool = 1;
+    options.models_per_pool = 3;
+    return options;
+  }
+
+  // Adds a second operator.
+  void SetUp() override {
+    ASSERT_EQ(site_.Start(), "");
+    auto estate = site_.EstateFile();
+    estate["operators"]["cliffline"] = estate["operators"]["ramdeen"];
+    std::string output;
+    ASSERT_EQ(cluster_.Apply(estate, Site::Node(0), kEstateToken, &output), 0)
+        << output;
+  }
+
+  // File number `n` of an operator. Every model of it names the number in its
+  // version, so that a mix of two files is visible.
+  static nlohmann::json File(const std::string& owner, int n) {
+    auto models = nlohmann::json::object();
+    for (int i = 0; i < 3 + n % 3; ++i) {
+      models[owner + "-" + std::to_string(i)] = {{"version", std::to_string(n)},
+                                                 {"pool", kCheckingPool},
+                                                 {"memory_mb", 1000},
+                                                 {"replica_limit", 1},
+                                                 {"expected_load_ms", 200},
+                                                 {"sources", {"remote"}}};
+    }
+    return {{"operator", owner},
+            {"models", models},
+            {"callers",
+             {{"desk-" + owner,
+               {{"key_sha256", Sha256Hex(owner + "-key")},
+                {"classes", {"interactive"}}}}}}};
+  }
+
+  nlohmann::json Status(const std::string& node) {
+    return cluster_.Read(cluster_.admin(node), "/operator/status");
+  }
+
+  std::uint64_t Version(const std::string& node) {
+    const auto status = Status(node);
+    return status.is_object() ? status.value("config_version", std::uint64_t{0})
+                              : 0;
+  }
+
+  // The file of an operator in force at a node.
+  nlohmann::json InForce(const std::string& node, const std::string& owner) {
+    const auto answer =
+        cluster_.Read(cluster_.admin(node), "/operator/configuration/" + owner);
+    return answer.is_object() ? answer["file"] : nlohmann::json();
+  }
+
+  // The number of the file whose models are in force; -1 if it is a mix.
+  int NumberInForce(const std::string& node, const std::string& owner) {
+    const auto file = InForce(node, owner);
+    for (int n = 1; n <= kFiles; ++n) {
+      if (file.is_object() && file["models"] == File(owner, n)["models"]) {
+        return n;
+      }
+    }
+    return -1;
+  }
+
+  bool AllAgree() {
+    const auto version = Version(Site::Node(0));
+    for (const auto& node : cluster_.node_ids()) {
+      if (Version(node) != version) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+};
+
+TEST_F(ConfigurationRaceTest, TwoOperatorsApplyManyFilesWithLostAnswers) {
+  cluster_.Control("platform", {{"lose_probability", 0.3}});
+  bool stop = false;
+  // Watches each node's version from outside during the whole race.
+  boost::fibers::fiber watcher([&] {
+    std::map<std::string, std::uint64_t> highest;
+    while (!stop) {
+      for (const auto& node : cluster_.node_ids()) {
+        const auto version = Version(node);
+        // A node that starts again knows no version for a moment.
+        EXPECT_TRUE(version == 0 || version >= highest[node])
+            << node << " fell from " << highest[node] << " to " << version;
+        highest[node] = std::max(highest[node], version);
+      }
+      SleepMs(20);
+    }
+  });
+  std::vector<boost::fibers::fiber> appliers;
+  std::map<std::string, std::set<int>> accepted;
+  std::map<std::string, std::set<int>> unsure;
+  for (const std::string owner : {"ramdeen", "cliffline"}) {
+    for (int n = 1; n <= kFiles; ++n) {
+      appliers.emplace_back([&, owner, n] {
+        std::string output;
+        const int status = cluster_.Apply(File(owner, n), Site::Node(1 + n % 7),
+                                          kOperatorToken, &output);
+        EXPECT_TRUE(status == 0 || status == 1 || status == 3) << output;
+        (status == 0 ? accepted : unsure)[owner].insert(n);
+      });
+    }
+  }
+  // A node that starts in between must not serve under an older version.
+  cluster_.process(Site::Node(0)).Kill();
+  EXPECT_TRUE(cluster_.Restart(Site::Node(0)));
+  for (auto& it : appliers) {
+    it.join();
+  }
+  cluster_.Control("platform", {{"lose_probability", 0.0}});
+  EXPECT_TRUE(WaitUntil([&] { return AllAgree(); }, kAgreement));
+  stop = true;
+  watcher.join();
+  for (const std::string owner : {"ramdeen", "cliffline"}) {
+    const int in_force = NumberInForce(Site::Node(0), owner);
+    EXPECT_TRUE(accepted[owner].contains(in_force) ||
+                unsure[owner].contains(in_force))
+        << owner << " " << in_force;
+    for (const auto& node : cluster_.node_ids()) {
+      EXPECT_EQ(NumberInForce(node, owner), in_force) << node << " " << owner;
+    }
+  }
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// A file is refused whole: nothing of its valid part may take effect.
+TEST_F(ConfigurationRaceTest, InvalidFileChangesNothing) {
+  ASSERT_TRUE(WaitUntil([&] { return AllAgree(); }));
+  const auto before = Version(Site::Node(0));
+  auto file = File("cliffline", 1);
+  file["models"]["broken"] = {{"version", "1"}, {"pool", "no-such-pool"}};
+  std::string output;
+  EXPECT_EQ(cluster_.Apply(file, Site::Node(1), kOperatorToken, &output), 1);
+  EXPECT_NE(output.find("no-such-pool"), std::string::npos) << output;
+  for (const auto& node : cluster_.node_ids()) {
+    EXPECT_EQ(Version(node), before);
+  }
+}
+
+// A process that does not know the key must not become a member.
+TEST_F(ConfigurationRaceTest, PeerWithAWrongKeyIsRefused) {
+  ASSERT_TRUE(
+      cluster_.AddNode("stranger", "dc-1",
+                       {{"peer_keys", {"another-key-of-32-characters-xx"}}}));
+  EXPECT_TRUE(WaitUntil([&] {
+    for (const auto& node : cluster_.node_ids()) {
+      if (cluster_.process(node).Output().find("peer_refused") !=
+          std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  const auto members = Status("stranger")["members"];
+  for (const auto& it : members) {
+    EXPECT_TRUE(it["node"] == "stranger" || !it["reachable"].get<bool>())
+        << it.dump();
+  }
+  for (int i = 0; i < site_.options().nodes; ++i) {
+    for (const auto& it : Status(Site::Node(i))["members"]) {
+      EXPECT_TRUE(it["node"] != "stranger" || !it["reachable"].get<bool>())
+          << it.dump();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/crashing_request_test.cc
@@ -0,0 +1,95 @@
+// A request that crashes each engine that runs it, and whose caller repeats it:
+// guards against one caller taking the engines away from all others.
+#include <gtest/gtest.h>
+
+#include "testing/harness/ledgers.h"
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kCrashLimit = 2;
+
+class CrashingRequestTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.nodes = 4;
+    options.engines_per_pool = 3;
+    options.models_per_pool = 2;
+    options.replica_limit = 3;
+    options.engine_flags = {"--crash", "simulate", "--crash-ms", "300"};
+    return options;
+  }
+
+  void SetUp() override { ASSERT_EQ(site_.Start(), ""); }
+
+  int Crashes() const {
+    int n = 0;
+    for (const auto& ledger : cluster_.EngineLedgers()) {
+      n += static_cast<int>(EventsOfKind(ledger, "crash").size());
+    }
+    return n;
+  }
+
+  Call Crashing(int n) const {
+    return site_.Complete(Site::Node(n % 4), Site::Model(kCheckingPool, 0),
+                          "CRASH_ENGINE", 20s);
+  }
+
+  // Requests of others, repeated until all succeed.
+  void OthersSucceed() {
+    int round = 0;
+    EXPECT_TRUE(WaitUntil(
+        [&] {
+          const auto calls =
+              site_.Spread("others-" + std::to_string(++round), 16, 20s);
+          const auto tally =
+              site_.Check(calls, cluster_.caller().SendAll(calls));
+          EXPECT_EQ(tally.problems, "");
+          return tally.answers == 16;
+        },
+        60s));
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+};
+
+TEST_F(CrashingRequestTest, RepeatedOneByOneCrashesAtMostTheLimit) {
+  for (int i = 0; i < 50; ++i) {
+    const auto answer = cluster_.caller().Send(Crashing(i));
+    EXPECT_NE(answer.status, 200);
+    EXPECT_NE(answer.RefusalCode(), "");
+  }
+  EXPECT_GE(Crashes(), 1);
+  EXPECT_LE(Crashes(), kCrashLimit);
+  OthersSucceed();
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// Sent at once, the ones that were in flight together may crash in addition;
+// after that no further engine crashes.
+TEST_F(CrashingRequestTest, RepeatedAtOnceIsStoppedEverywhere) {
+  std::vector<Call> calls;
+  for (int i = 0; i < 50; ++i) {
+    calls.push_back(Crashing(i));
+  }
+  for (const auto& it : cluster_.caller().SendAll(calls)) {
+    EXPECT_NE(it.status, 200);
+    EXPECT_NE(it.RefusalCode(), "");
+  }
+  // Each of the three engines can crash once before any sign of it is seen.
+  EXPECT_LE(Crashes(), kCrashLimit + site_.options().engines_per_pool);
+  const int before = Crashes();
+  (void)cluster_.caller().SendAll(calls);
+  EXPECT_EQ(Crashes(), before);
+  OthersSucceed();
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/leaving_test.cc
@@ -0,0 +1,138 @@
+// Endpoints and nodes that leave under load: guards against work sent to a VM
+// that is about to end, and against requests cut by a shutdown.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "testing/harness/ledgers.h"
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t kLeavingLimitMs = 3000;
+
+class LeavingTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.nodes = 4;
+    options.models_per_pool = 2;
+    options.services = 2;
+    // 200 streams of one node run at the same time.
+    options.engine_flags = {"--capacity", "100"};
+    options.node_settings = {{"max_in_progress", 100}};
+    return options;
+  }
+
+  void SetUp() override { ASSERT_EQ(site_.Start(), ""); }
+
+  // Sends rounds of requests until `stop`, and checks each.
+  void Load(const bool& stop) {
+    for (int round = 0; !stop; ++round) {
+      auto calls = site_.Spread("load-" + std::to_string(round), 16, 30s);
+      for (int i = 0; i < 8; ++i) {
+        const auto key =
+            "book-" + std::to_string(round) + "-" + std::to_string(i);
+        calls.push_back(site_.Book(Site::Node(i % 4), key, key));
+      }
+      const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+      EXPECT_EQ(tally.problems, "");
+      answers_ += tally.answers;
+      SleepMs(20);
+    }
+  }
+
+  // The time of the last event of `kind` in a ledger; 0 if there is none.
+  std::int64_t LastMs(const std::string& id, const std::string& kind) const {
+    const auto events = EventsOfKind(cluster_.Ledger(id), kind);
+    return events.empty() ? 0 : events.back().value("at_ms", std::int64_t{0});
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+  int answers_ = 0;
+};
+
+// The first sign comes from the VM list here.
+TEST_F(LeavingTest, LeavingEndpointsGetNothingNewAfterThreeSeconds) {
+  bool stop = false;
+  boost::fibers::fiber load([&] { Load(stop); });
+  EXPECT_TRUE(WaitUntil([&] { return answers_ > 50; }));
+  const auto engine = site_.Engine(kIgnoringPool, 0);
+  cluster_.SetVm(engine, {{"state", "leaving"}});
+  cluster_.SetVm("desk-0", {{"state", "leaving"}});
+  const auto sign_ms = NowMs();
+  const int before = answers_;
+  SleepMs(kLeavingLimitMs + 2000);
+  EXPECT_TRUE(WaitUntil([&] { return answers_ > before + 50; }));
+  stop = true;
+  load.join();
+  for (const auto& [id, kind] : {std::pair{engine, "request"},
+                                 {engine, "load_started"},
+                                 {std::string("desk-0"), "run"}}) {
+    EXPECT_LE(LastMs(id, kind), sign_ms + kLeavingLimitMs) << id << " " << kind;
+  }
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// The first sign is an endpoint's own refusal to one node; the list is silent.
+TEST_F(LeavingTest, OneRefusalTellsEveryNode) {
+  bool stop = false;
+  boost::fibers::fiber load([&] { Load(stop); });
+  EXPECT_TRUE(WaitUntil([&] { return answers_ > 50; }));
+  cluster_.Control("desk-0", {{"leaving", true}});
+  SleepMs(1000);
+  // It accepts again, but nobody may ask it any more.
+  const auto sign_ms = NowMs();
+  cluster_.Control("desk-0", {{"leaving", false}});
+  const int before = answers_;
+  SleepMs(kLeavingLimitMs + 1000);
+  EXPECT_TRUE(WaitUntil([&] { return answers_ > before + 50; }));
+  stop = true;
+  load.join();
+  EXPECT_LE(LastMs("desk-0", "run"), sign_ms + kLeavingLimitMs);
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// A restart for a new version must not cut a single stream.
+TEST_F(LeavingTest, SigtermWithStreamsOpenFinishesThemAll) {
+  constexpr int kStreams = 200;
+  for (const auto& id : cluster_.engine_ids()) {
+    cluster_.Control(id, {{"slow_factor", 50}});
+  }
+  std::vector<Call> calls;
+  const auto models = site_.Models();
+  for (int i = 0; i < kStreams; ++i) {
+    calls.push_back(site_.Complete(Site::Node(0), models[i % models.size()],
+                                   "stream-" + std::to_string(i), 60s,
+                                   /*stream=*/true, 60));
+  }
+  std::vector<Answer> answers;
+  boost::fibers::fiber burst(
+      [&] { answers = cluster_.caller().SendAll(calls); });
+  EXPECT_TRUE(
+      WaitUntil([&] { return site_.RunsByPrompt().size() == kStreams; }));
+  auto& node = cluster_.process(Site::Node(0));
+  node.Signal(SIGTERM);
+  // New requests are refused from the first moment on.
+  EXPECT_TRUE(WaitUntil([&] {
+    const auto answer = cluster_.caller().SendJson(
+        cluster_.admin(Site::Node(0)), "GET", "/readyz", nullptr);
+    return answer.status != 200;
+  }));
+  burst.join();
+  const auto tally = site_.Check(calls, answers);
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(tally.answers, kStreams);
+  EXPECT_EQ(node.WaitForExit(60s), 0);
+  EXPECT_EQ(site_.Violations({Site::Node(0)}), "");
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/platform_outage_test.cc
@@ -0,0 +1,156 @@
+// A platform that is down or slow for long: guards against loaded models that
+// stop serving, requests that hang, and a storm of calls after the return.
+#include <gtest/gtest.h>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kOutageMs = 15000;
+constexpr double kWindowMs = 3000;
+// Beyond the deadline of a request; bounds only a failing run.
+constexpr auto kLateLimit = 10s;
+
+class PlatformOutageTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.models_per_pool = 4;
+    return options;
+  }
+
+  // Loads the first two models of each pool.
+  void SetUp() override {
+    ASSERT_EQ(site_.Start(), "");
+    const auto calls = Warm("warm-up");
+    ASSERT_EQ(site_.Check(calls, cluster_.caller().SendAll(calls)).answers,
+              static_cast<int>(calls.size()));
+  }
+
+  std::vector<Call> OfModels(const std::string& name,
+                             int first,
+                             std::chrono::milliseconds deadline) const {
+    std::vector<Call> calls;
+    for (int node = 0; node < site_.options().nodes; ++node) {
+      for (const auto& pool : {kCheckingPool, kIgnoringPool}) {
+        for (int i = first; i < first + 2; ++i) {
+          calls.push_back(site_.Complete(
+              Site::Node(node), Site::Model(pool, i),
+              name + "-" + std::to_string(calls.size()), deadline));
+        }
+      }
+    }
+    return calls;
+  }
+
+  std::vector<Call> Warm(const std::string& name) const {
+    return OfModels(name, 0, 30s);
+  }
+
+  // Sends requests for loaded models until `stop`; every one must be answered.
+  void ServeWarm(const bool& stop) {
+    for (int round = 0; !stop; ++round) {
+      const auto calls = Warm("warm-" + std::to_string(round));
+      const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+      EXPECT_EQ(tally.problems, "");
+      EXPECT_EQ(tally.answers, static_cast<int>(calls.size()));
+      warm_rounds_ += 1;
+      SleepMs(200);
+    }
+  }
+
+  // Sends requests for cold models; each is served or refused by its deadline.
+  Tally ServeCold(const std::string& name, std::chrono::milliseconds deadline) {
+    const auto calls = OfModels(name, 2, deadline);
+    const auto answers = cluster_.caller().SendAll(calls);
+    for (const auto& it : answers) {
+      EXPECT_LE(it.took, deadline + kLateLimit);
+    }
+    const auto tally = site_.Check(calls, answers);
+    EXPECT_EQ(tally.problems, "");
+    return tally;
+  }
+
+  // Calls that the platform answered or refused so far.
+  double Calls() {
+    const auto counters = cluster_.Read(cluster_.platform(), "/test/counters");
+    double calls = counters["refused"];
+    for (const auto* kind : {"reads", "writes", "watches", "vm_reads"}) {
+      calls += counters[kind]["total"].get<double>();
+    }
+    return calls;
+  }
+
+  // The calls of one window.
+  double CallsInWindow() {
+    const auto before = Calls();
+    SleepMs(kWindowMs);
+    return Calls() - before;
+  }
+
+  double LimitedCalls() {
+    const auto counters = cluster_.Read(cluster_.platform(), "/test/counters");
+    return counters["reads"]["limited"].get<double>() +
+           counters["writes"]["limited"].get<double>();
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+  int warm_rounds_ = 0;
+};
+
+TEST_F(PlatformOutageTest, LoadedModelsServeWhileThePlatformIsDown) {
+  bool stop = false;
+  const double usual = CallsInWindow();
+  boost::fibers::fiber load([&] { ServeWarm(stop); });
+  cluster_.Control("platform", {{"mode", "down"}});
+  const int rounds = warm_rounds_;
+  const double refused_before = Calls();
+  const auto start_ms = NowMs();
+  for (int i = 0; NowMs() < start_ms + kOutageMs; ++i) {
+    const auto tally = ServeCold("cold-down-" + std::to_string(i), 3s);
+    // A read of the record may have been answered just before the outage.
+    EXPECT_GT(tally.not_run, 0);
+    EXPECT_EQ(tally.may_have_run, 0);
+  }
+  const double in_outage = Calls() - refused_before;
+  const double windows = static_cast<double>(NowMs() - start_ms) / kWindowMs;
+  // Retries to a platform that is down are slower than its usual use, or at
+  // least not a storm.
+  EXPECT_LE(in_outage / windows, 3 * usual + 300);
+  EXPECT_GT(warm_rounds_, rounds);
+  cluster_.Control("platform", {{"mode", "up"}});
+  const double after = CallsInWindow();
+  EXPECT_LE(after, 5 * usual + 300);
+  EXPECT_EQ(LimitedCalls(), 0);
+  const auto tally = ServeCold("cold-after", 60s);
+  EXPECT_EQ(tally.answers, 32);
+  stop = true;
+  load.join();
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+TEST_F(PlatformOutageTest, LoadedModelsServeWhileThePlatformIsSlow) {
+  bool stop = false;
+  boost::fibers::fiber load([&] { ServeWarm(stop); });
+  cluster_.Control("platform", {{"mode", "slow"}, {"slow_ms", 2000}});
+  const int rounds = warm_rounds_;
+  (void)ServeCold("cold-slow", 20s);
+  EXPECT_TRUE(WaitUntil([&] { return warm_rounds_ > rounds + 3; }));
+  cluster_.Control("platform", {{"mode", "up"}});
+  const auto tally = ServeCold("cold-after", 60s);
+  EXPECT_EQ(tally.answers, 32);
+  stop = true;
+  load.join();
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/rolling_replacement_test.cc
@@ -0,0 +1,95 @@
+// Replacement of every node under load: guards against requests that are lost
+// with the node, and state that only a node held.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+class RollingReplacementTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.models_per_pool = 5;
+    return options;
+  }
+
+  // As the platform's load balancer: no new requests for the node that stops.
+  std::vector<Call> Round(int round) const {
+    std::vector<Call> calls;
+    const auto models = site_.Models();
+    for (int node = 0; node < site_.options().nodes; ++node) {
+      if (Site::Node(node) == stopping_) {
+        continue;
+      }
+      for (int i = 0; i < 3; ++i) {
+        const auto n = static_cast<std::size_t>(round * 3 + node + i);
+        const auto name = "roll-" + std::to_string(round) + "-" +
+                          std::to_string(node) + "-" + std::to_string(i);
+        calls.push_back(site_.Complete(Site::Node(node),
+                                       models[n % models.size()], name, 60s,
+                                       i == 0, 40));
+      }
+      const auto key =
+          "roll-" + std::to_string(round) + "-" + std::to_string(node);
+      calls.push_back(site_.Book(Site::Node(node), key, key));
+    }
+    return calls;
+  }
+
+  void Load(const bool& stop) {
+    std::vector<boost::fibers::fiber> rounds;
+    for (int round = 0; !stop; ++round) {
+      rounds.emplace_back([this, calls = Round(round)] {
+        const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+        EXPECT_EQ(tally.problems, "");
+        EXPECT_EQ(tally.answers, static_cast<int>(calls.size()));
+        answers_ += tally.answers;
+      });
+      SleepMs(100);
+    }
+    for (auto& it : rounds) {
+      it.join();
+    }
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+  std::string stopping_;
+  int answers_ = 0;
+};
+
+TEST_F(RollingReplacementTest, EveryNodeIsReplacedUnderLoad) {
+  ASSERT_EQ(site_.Start(), "");
+  bool stop = false;
+  boost::fibers::fiber load([&] { Load(stop); });
+  for (int i = 0; i < site_.options().nodes; ++i) {
+    const int before = answers_;
+    EXPECT_TRUE(WaitUntil([&] { return answers_ > before + 20; }));
+    stopping_ = Site::Node(i);
+    // Requests on their way to the node arrive before the signal.
+    SleepMs(300);
+    auto& process = cluster_.process(Site::Node(i));
+    process.Signal(SIGTERM);
+    EXPECT_EQ(process.WaitForExit(90s), 0);
+    cluster_.RemoveVm(Site::Node(i));
+    EXPECT_TRUE(cluster_.ReplaceNode(Site::Node(i)));
+    EXPECT_TRUE(
+        WaitUntil([&] { return site_.ServesConfiguration(Site::Node(i)); }));
+    stopping_.clear();
+  }
+  stop = true;
+  load.join();
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/service_calls_test.cc
@@ -0,0 +1,150 @@
+// Service calls that may not be repeated: guards against a call that runs twice
+// and against a refusal that says "not run" of a call that ran.
+#include <gtest/gtest.h>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "testing/harness/ledgers.h"
+#include "testing/harness/site.h"
+#include "testing/harness/wait.h"
+#include "testing/support/standin.h"
+
+namespace tanagerloom::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ServiceCallsTest : public testing::Test {
+ protected:
+  static SiteOptions Options() {
+    SiteOptions options;
+    options.nodes = 4;
+    options.models_per_pool = 1;
+    options.services = 2;
+    return options;
+  }
+
+  void SetUp() override { ASSERT_EQ(site_.Start(), ""); }
+
+  // `keys` calls, each sent to three nodes.
+  std::vector<Call> ThreeTimes(const std::string& name, int keys) const {
+    std::vector<Call> calls;
+    for (int i = 0; i < keys; ++i) {
+      const auto key = name + "-" + std::to_string(i);
+      for (int node = 0; node < 3; ++node) {
+        calls.push_back(site_.Book(Site::Node((i + node) % 4), key, key, 15s));
+      }
+    }
+    return calls;
+  }
+
+  void SetFaults(const nlohmann::json& faults) {
+    for (const auto& id : site_.service_ids()) {
+      cluster_.Control(id, faults);
+    }
+  }
+
+  Site site_{Options()};
+  Cluster& cluster_ = site_.cluster();
+};
+
+TEST_F(ServiceCallsTest, SameKeyAtThreeNodesAtOnceRunsOnce) {
+  SetFaults({{"delay_ms", 50}});
+  const auto calls = ThreeTimes("at-once", 30);
+  const auto answers = cluster_.caller().SendAll(calls);
+  const auto tally = site_.Check(calls, answers);
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(site_.Violations(), "");
+  // No fault excuses a refusal; the three get the answer of the one run.
+  EXPECT_EQ(tally.answers, static_cast<int>(calls.size()));
+  EXPECT_EQ(site_.RunsByKey().size(), 30U);
+}
+
+TEST_F(ServiceCallsTest, LostAnswersAndConditionalUpdatesRunNothingTwice) {
+  cluster_.Control("platform", {{"lose_probability", 0.3}});
+  SetFaults({{"lose_answers", 10}, {"not_run", 5}, {"crash_before", 5}});
+  const auto calls = ThreeTimes("lost", 30);
+  const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// The resend must learn that the call may have run, and must not run it again.
+TEST_F(ServiceCallsTest, ResendAfterTheFirstNodeDied) {
+  SetFaults({{"delay_ms", 1500}});
+  std::vector<Call> first;
+  for (int i = 0; i < 10; ++i) {
+    const auto key = "dies-" + std::to_string(i);
+    first.push_back(site_.Book(Site::Node(0), key, key));
+  }
+  std::vector<Answer> broken;
+  boost::fibers::fiber sender(
+      [&] { broken = cluster_.caller().SendAll(first); });
+  ASSERT_TRUE(WaitUntil([&] { return site_.RunsByKey().size() == 10; }));
+  cluster_.process(Site::Node(0)).Kill();
+  cluster_.RemoveVm(Site::Node(0));
+  sender.join();
+  std::vector<Call> again;
+  for (int i = 0; i < 10; ++i) {
+    const auto key = "dies-" + std::to_string(i);
+    for (int node = 1; node < 4; ++node) {
+      again.push_back(site_.Book(Site::Node(node), key, key, 15s));
+    }
+  }
+  const auto tally = site_.Check(again, cluster_.caller().SendAll(again));
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(tally.not_run, 0);
+  EXPECT_EQ(site_.Violations({Site::Node(0)}), "");
+}
+
+// A connection that is silent towards the service lets nothing run; one that is
+// silent towards the node hides the answer of a call that ran.
+TEST_F(ServiceCallsTest, SilentConnectionsAreRefusedTruthfully) {
+  for (const std::string direction : {"to_target", "to_client", "both"}) {
+    for (const auto& id : site_.service_ids()) {
+      cluster_.Fault(id, {{"silent_new", direction}});
+    }
+    std::vector<Call> calls;
+    for (int i = 0; i < 8; ++i) {
+      const auto key = "silent-" + direction + "-" + std::to_string(i);
+      calls.push_back(site_.Book(Site::Node(i % 4), key, key, 3s));
+    }
+    const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+    EXPECT_EQ(tally.problems, "") << direction;
+    EXPECT_EQ(tally.answers, 0) << direction;
+  }
+  for (const auto& id : site_.service_ids()) {
+    cluster_.Fault(id, {{"silent_new", ""}, {"silence_existing", "both"}});
+  }
+  // Connections that were usable before went silent; new ones work.
+  std::vector<Call> calls;
+  for (int i = 0; i < 8; ++i) {
+    const auto key = "after-silence-" + std::to_string(i);
+    calls.push_back(site_.Book(Site::Node(i % 4), key, key, 30s));
+  }
+  const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(tally.answers, 8);
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+// Without the platform no claim can be stored, so nothing may run.
+TEST_F(ServiceCallsTest, PlatformDownRefusesWithoutRunning) {
+  cluster_.Control("platform", {{"mode", "down"}});
+  std::vector<Call> calls;
+  for (int i = 0; i < 8; ++i) {
+    const auto key = "outage-" + std::to_string(i);
+    calls.push_back(site_.Book(Site::Node(i % 4), key, key, 2s));
+  }
+  const auto tally = site_.Check(calls, cluster_.caller().SendAll(calls));
+  EXPECT_EQ(tally.problems, "");
+  EXPECT_EQ(tally.not_run, 8);
+  EXPECT_EQ(site_.RunsByKey().size(), 0U);
+  cluster_.Control("platform", {{"mode", "up"}});
+  const auto again = site_.Check(calls, cluster_.caller().SendAll(calls));
+  EXPECT_EQ(again.problems, "");
+  EXPECT_EQ(site_.Violations(), "");
+}
+
+}  // namespace
+}  // namespace tanagerloom::testing_support
