--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -22,11 +22,13 @@
   tanagerctl status --node=ADDRESS [--json]
   tanagerctl drain --node=ADDRESS [--token=TOKEN] [--json]
   tanagerctl timeline (--node=ADDRESS)... [--request=ID] [--model=NAME] [--server=NAME] [--at=NODE] [--format=FORMAT] [--json]
+  tanagerctl load WORKLOAD (--node=ADDRESS)... [--seed=SEED] [--json]
   tanagerctl hash [--salt=SALT] [--json]
   tanagerctl (-h | --help)
 
 Options:
-  --node=ADDRESS    IP:PORT of a node's admin listener.
+  --node=ADDRESS    IP:PORT of a node's admin listener; for load, of its caller
+                    listener.
   --token=TOKEN     Operator token; by default from the environment variable
                     TANAGERLOOM_TOKEN, which other users can't see.
   --expect=VERSION  Refuse if the file's version in force is another one; 0 if
@@ -39,6 +41,7 @@
   --server=NAME     Only events of this server.
   --at=NODE         Only events of this node.
   --format=FORMAT   text, json or trace (trace-event JSON) [default: text].
+  --seed=SEED       Seed of the arrivals; by default the workload's own.
   --salt=SALT       Salt of the digest of a token; without it, a plain digest
                     as for caller keys. The secret is read from standard input.
   --json            Write JSON.
@@ -52,6 +55,7 @@
     {"apply", RunApply}, {"validate", RunValidate}, {"show", RunShow},
     {"diff", RunDiff},   {"history", RunHistory},   {"status", RunStatus},
     {"drain", RunDrain}, {"hash", RunHash},         {"timeline", RunTimeline},
+    {"load", RunLoad},
 };
 
 ExitStatus Dispatch(const CtlContext& ctl) {
@@ -69,10 +73,9 @@
            const std::vector<std::string>& args,
            std::ostream& out,
            std::ostream& err) {
+  std::map<std::string, docopt::value> parsed;
   try {
-    const auto parsed = docopt::docopt_parse(kUsage, args, true, false);
-    HttpClient http(io);
-    return static_cast<int>(Dispatch({parsed, http, out, err}));
+    parsed = docopt::docopt_parse(kUsage, args, true, false);
   } catch (const docopt::DocoptExitHelp&) {
     out << kUsage;
     return static_cast<int>(ExitStatus::kDone);
@@ -80,6 +83,15 @@
     err << "tanagerctl: " << e.what() << "\n" << kUsage;
     return static_cast<int>(ExitStatus::kUsage);
   }
+  HttpClient http(io);
+  const CtlContext ctl{parsed, http, out, err};
+  try {
+    return static_cast<int>(Dispatch(ctl));
+  } catch (const nlohmann::json::exception&) {
+    return static_cast<int>(ctl.Fail(
+        {ExitStatus::kUnreachable,
+         "a node's answer does not have the form of the operator API"}));
+  }
 }
 
 }  // namespace tanagerloom
--- a/packages/routing/caller_api.cc
+++ b/packages/routing/caller_api.cc
@@ -18,7 +18,9 @@
 #include "routing/cancel_source.h"
 #include "routing/claim_store.h"
 #include "routing/claimed_calls.h"
+#include "routing/crash_quarantine.h"
 #include "routing/endpoint_table.h"
+#include "routing/engine_monitor.h"
 #include "routing/model_dispatcher.h"
 #include "routing/request_scheduler.h"
 #include "routing/service_dispatcher.h"
@@ -63,9 +65,11 @@
   explicit Impl(const RoutingDependencies& dependencies)
       : deps(dependencies),
         endpoints(deps),
+        monitor(deps, endpoints),
         scheduler(deps, endpoints),
-        models(deps, scheduler, endpoints, budget),
-        services(deps, scheduler, endpoints, budget),
+        quarantine(deps),
+        models(deps, scheduler, endpoints, budget, quarantine),
+        services(deps, scheduler, endpoints, budget, quarantine),
         claims(deps),
         claimed_calls(deps, claims, services) {}
 
@@ -80,8 +84,10 @@
 
   RoutingDependencies deps;
   EndpointTable endpoints;
+  EngineMonitor monitor;
   RequestScheduler scheduler;
   RetryBudget budget;
+  CrashQuarantine quarantine;
   ModelDispatcher models;
   ServiceDispatcher services;
   ClaimStore claims;
@@ -99,12 +105,15 @@
 void CallerApi::Start() {
   impl_->deps.peers.OnMessage([impl = impl_.get()](const std::string& from,
                                                    const PeerMessage& message) {
+    impl->quarantine.OnPeerMessage(message);
     if (impl->endpoints.OnPeerMessage(from, message)) {
       impl->scheduler.PumpAll();
     }
   });
   impl_->scheduler.Start();
+  impl_->monitor.Start();
   impl_->claims.Start();
+  impl_->quarantine.Start();
 }
 
 void CallerApi::Handle(const HttpRequest& request, HttpResponder& responder) {
@@ -119,6 +128,11 @@
     impl_->RefuseUnread(id, std::move(*refusal), responder);
     return;
   }
+  const auto& accepted = std::get<CallerRequest>(read);
+  if (auto refusal = impl_->quarantine.Check(accepted.crash_fingerprint)) {
+    impl_->RefuseUnread(id, std::move(*refusal), responder);
+    return;
+  }
   ++impl_->in_progress;
   ++impl_->accepted;
   impl_->Serve(std::move(std::get<CallerRequest>(read)), responder);
@@ -188,11 +202,15 @@
   if (call > 1) {
     impl_->scheduler.RefuseWaiting(ShuttingDown());
   }
+  const auto refuse_at = end - impl_->deps.settings.shutdown_bound / 10;
   const auto claims_end = impl_->deps.clock.Now() + kClaimDrainTime;
   while (impl_->deps.clock.Now() < end &&
          (impl_->in_progress > 0 || (impl_->claims.pending() > 0 &&
                                      impl_->deps.clock.Now() < claims_end))) {
     impl_->deps.clock.SleepFor(kDrainCheck);
+    if (impl_->deps.clock.Now() >= refuse_at) {
+      impl_->scheduler.RefuseWaiting(ShuttingDown());
+    }
   }
   return impl_->in_progress;
 }
@@ -207,6 +225,7 @@
           {"in_progress", impl_->in_progress},
           {"retries_left", impl_->budget.saved()},
           {"claims_pending", impl_->claims.pending()},
+          {"crashes", impl_->quarantine.Status()},
           {"scheduler", impl_->scheduler.Status()},
           {"endpoints", impl_->endpoints.Status()}};
 }
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -48,7 +48,8 @@
                 std::string queue,
                 std::string endpoint,
                 Address address,
-                std::string request);
+                std::string request,
+                bool alone);
   ~EndpointLease();
   EndpointLease(const EndpointLease&) = delete;
   EndpointLease& operator=(const EndpointLease&) = delete;
@@ -57,6 +58,8 @@
   const Address& address() const { return address_; }
   const std::string& queue() const { return queue_; }
   const std::string& request() const { return request_; }
+  /// Whether nothing else is sent to the endpoint meanwhile.
+  bool alone() const { return alone_; }
 
  private:
   RequestScheduler& scheduler_;
@@ -64,6 +67,7 @@
   std::string endpoint_;
   Address address_;
   std::string request_;
+  bool alone_;
 };
 
 /// What a waiting request needs; lives on the stack of the request's fiber.
@@ -102,7 +106,8 @@
   /// Records how long a request held its slot, for the estimates.
   void CountServiceTime(const QueueTarget& target, Duration time);
 
-  /// Refuses all waiting requests, with the verdict that nothing ran.
+  /// Refuses all waiting requests, and from now on every request that no
+  /// endpoint can take at once.
   void RefuseWaiting(const Refusal& refusal);
 
   /// Assigns what can be assigned in all queues.
@@ -163,6 +168,7 @@
   std::map<std::string, Queue> queues_;
   std::uint64_t next_id_ = 0;
   std::size_t waiting_ = 0;
+  std::optional<Refusal> refuse_waiting_;
   bool pumping_ = false;
 };
 
--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -34,6 +34,11 @@
   /// The version that the node's heartbeats carry.
   std::function<std::uint64_t()> version = [] { return std::uint64_t{0}; };
 
+  /// Size of the last configuration that was broadcast.
+  std::size_t last_announced_bytes = 0;
+  /// Where the node's operator API listens.
+  Address admin;
+
   const std::string& self() const override { return self_; }
   const std::string& node_id() const override { return id_; }
 
@@ -44,6 +49,8 @@
       Member member;
       member.vm.id = it.first;
       member.vm.data_centre = it.second->data_centre_;
+      member.vm.address.ip = it.second->admin.ip;
+      member.vm.admin_port = it.second->admin.port;
       member.reachable = heard;
       member.config_version = heard ? it.second->version() : 0;
       out.push_back(std::move(member));
@@ -64,6 +71,9 @@
   bool MayStillRun(std::string_view) const override { return true; }
 
   void Broadcast(const PeerMessage& message) override {
+    if (const auto* update = std::get_if<ConfigUpdate>(&message)) {
+      last_announced_bytes = update->root.size();
+    }
     for (const auto& it : cluster_.nodes) {
       Send(it.first, message);
     }
