Check the verdict of each send of a service call by its request id

A call that is resent under one Idempotency-Key has one body; a send that was refused as not run must be absent by its own id, not by the body.

--- a/testing/harness/site.cc
+++ b/testing/harness/site.cc
@@ -274,7 +274,7 @@
   }
   for (const auto& id : service_ids_) {
     for (const auto& it : EventsOfKind(cluster_.Ledger(id), "run")) {
-      ran.insert(it.value("body", ""));
+      ran.insert(it.value("request_id", ""));
     }
   }
   std::set<Address> gone;
@@ -300,7 +300,13 @@
       const auto& own = expected.text.empty() ? expected.key : expected.text;
       problem = got == own ? "" : "not its own whole answer";
     } else {
-      problem = CheckRefusal(expected.key, answer, ran);
+      // A call may be sent several times with one body, so that the verdict of
+      // each send is checked by the request id.
+      problem = CheckRefusal(
+          expected.text.empty()
+              ? std::string(answer.headers.Find("X-Request-Id").value_or(""))
+              : expected.key,
+          answer, ran);
       ++(answer.RefusalVerdict() == "not_run" ? tally.not_run
                                               : tally.may_have_run);
     }
