Refuse models whose loads fail on every server of a small cell, with the cause

A cell of one or two servers never reached three failed servers, so callers waited until their deadline and got not_loaded_in_time or deadline_exceeded without a cause. Three failures on all servers of such a cell now count. Seen before: ExecutorFaultsTest.LoadThatAlwaysFailsIsRefusedWithItsCause fails in both pools. Not run with the change yet.

--- a/packages/decision/load_failures.cc
+++ b/packages/decision/load_failures.cc
@@ -8,8 +8,9 @@
 
 constexpr std::uint64_t kFirstBackoffMs = 1000;
 constexpr std::uint64_t kLongestBackoffMs = 60000;
-// Failures on this many different servers are taken as a fault of the model.
-constexpr std::size_t kServersOfABadModel = 3;
+// This many failures on as many different servers, or on all servers of a
+// smaller cell, are taken as a fault of the model.
+constexpr std::uint32_t kFailuresOfABadModel = 3;
 
 std::uint64_t BackoffMs(std::uint32_t failures) {
   const auto doublings = std::min(failures - 1, 6U);
@@ -33,17 +34,17 @@
                              : it->second.last_ms + BackoffMs(it->second.count);
 }
 
-std::uint64_t LoadFailures::KeyRetryMs() const {
-  if (servers.size() < kServersOfABadModel) {
-    return 0;
-  }
+std::uint64_t LoadFailures::KeyRetryMs(std::size_t cell_servers) const {
   std::uint32_t failures = 0;
   for (const auto& [server, it] : servers) {
     failures += it.count;
   }
-  const auto further =
-      failures - static_cast<std::uint32_t>(kServersOfABadModel);
-  return LastMs() + BackoffMs(further + 1);
+  if (failures < kFailuresOfABadModel ||
+      servers.size() <
+          std::min<std::size_t>(cell_servers, kFailuresOfABadModel)) {
+    return 0;
+  }
+  return LastMs() + BackoffMs(failures - kFailuresOfABadModel + 1);
 }
 
 std::uint64_t LoadFailures::LastMs() const {
--- a/packages/decision/load_failures.h
+++ b/packages/decision/load_failures.h
@@ -4,6 +4,7 @@
 #ifndef DECISION_LOAD_FAILURES_H_
 #define DECISION_LOAD_FAILURES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -30,9 +31,10 @@
   /// failure, doubling to 60 s.
   std::uint64_t ServerRetryMs(std::string_view server) const;
 
-  /// Until when no server may load the key: 0 before 3 servers failed, then 1 s
-  /// after the last failure, doubling with each further one to 60 s.
-  std::uint64_t KeyRetryMs() const;
+  /// Until when no server may load the key: 0 before 3 failures on 3 servers,
+  /// or on all of a cell with fewer `cell_servers`, then 1 s after the last
+  /// failure, doubling with each further one to 60 s.
+  std::uint64_t KeyRetryMs(std::size_t cell_servers) const;
 
   /// When the last failure happened.
   std::uint64_t LastMs() const;
--- a/packages/decision/planner.cc
+++ b/packages/decision/planner.cc
@@ -103,7 +103,8 @@
                 std::vector<Want>& wants) const {
     const auto failures = input_.record.failures.find(key);
     if (failures != input_.record.failures.end() &&
-        input_.wall_ms < failures->second.KeyRetryMs()) {
+        input_.wall_ms <
+            failures->second.KeyRetryMs(input_.record.servers.size())) {
       return;
     }
     const auto allowance = AllowanceOf(input_.estate, key);
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -858,7 +858,8 @@
   LoadForecast forecast;
   const auto failures = view_->record.failures.find(key);
   if (failures != view_->record.failures.end() &&
-      Self().now_ms < failures->second.KeyRetryMs()) {
+      Self().now_ms <
+          failures->second.KeyRetryMs(view_->record.servers.size())) {
     forecast.failing = true;
     forecast.cause = failures->second.cause;
     return forecast;
