--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -139,6 +139,9 @@
   parts.AddMetrics();
   BOOST_OUTCOME_TRYV(parts.admin.Listen(parts.settings.admin_listen));
   BOOST_OUTCOME_TRYV(parts.peers.Start());
+  parts.config.OnChange([&parts] {
+    parts.peers.SetConfigVersion(parts.config.Current()->version);
+  });
   parts.config.Start();
   parts.placement.Start();
   parts.callers.Start();
