--- a/packages/decision/arrival_history.cc
+++ b/packages/decision/arrival_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace tanagerloom {
 
@@ -22,13 +23,14 @@
 }  // namespace
 
 void ArrivalHistory::NoteUse(std::uint64_t now_ms) {
-  if (last_use_ms_ != 0 && now_ms > last_use_ms_) {
+  const auto now = static_cast<std::int64_t>(now_ms);
+  if (last_use_ms_ && now > *last_use_ms_) {
     const auto gap = IdleSeconds(now_ms);
     if (gap >= kShortestGapS) {
       AddGap(gap);
     }
   }
-  last_use_ms_ = std::max(last_use_ms_, now_ms);
+  last_use_ms_ = std::max(last_use_ms_.value_or(now), now);
 }
 
 void ArrivalHistory::AddGap(double gap_s) {
@@ -46,9 +48,9 @@
 }
 
 double ArrivalHistory::IdleSeconds(std::uint64_t now_ms) const {
-  return now_ms > last_use_ms_
-             ? static_cast<double>(now_ms - last_use_ms_) / 1000
-             : 0;
+  const auto now = static_cast<std::int64_t>(now_ms);
+  const auto last = last_use_ms_.value_or(0);
+  return now > last ? static_cast<double>(now - last) / 1000 : 0;
 }
 
 ArrivalChance ArrivalHistory::Chance(double from_s, double window_s) const {
@@ -93,4 +95,62 @@
                     std::max(widest, kNarrowestShare * mean));
 }
 
+nlohmann::json ArrivalHistory::ToJson(std::int64_t wall_offset_ms) const {
+  auto bands = nlohmann::json::array();
+  for (const auto& [length, band] : bands_) {
+    bands.push_back({{"count", band.count}, {"gaps_s", band.gaps_s}});
+  }
+  return {{"last_use_ms", last_use_ms_.value_or(0) + wall_offset_ms},
+          {"bands", std::move(bands)}};
+}
+
+ArrivalHistory ArrivalHistory::FromJson(const nlohmann::json& json,
+                                        std::int64_t wall_offset_ms) {
+  ArrivalHistory history;
+  history.last_use_ms_ =
+      json.at("last_use_ms").get<std::int64_t>() - wall_offset_ms;
+  for (const auto& it : json.at("bands")) {
+    for (const auto gap : it.at("gaps_s").get<std::vector<double>>()) {
+      if (gap >= kShortestGapS) {
+        auto& band = history.bands_[std::ilogb(gap)];
+        band.gaps_s.push_back(gap);
+        band.count = it.at("count").get<double>();
+      }
+    }
+  }
+  return history;
+}
+
+std::string WriteHistories(const std::map<ModelKey, ArrivalHistory>& histories,
+                           std::int64_t wall_offset_ms) {
+  auto list = nlohmann::json::array();
+  for (const auto& [key, it] : histories) {
+    auto json = it.ToJson(wall_offset_ms);
+    json["model"] = key.model;
+    json["version"] = key.version;
+    json["adapter"] = key.adapter;
+    list.push_back(std::move(json));
+  }
+  return nlohmann::json{{"histories", std::move(list)}}.dump();
+}
+
+Result<std::map<ModelKey, ArrivalHistory>> ParseHistories(
+    std::string_view text,
+    std::int64_t wall_offset_ms) {
+  try {
+    std::map<ModelKey, ArrivalHistory> histories;
+    const auto json = nlohmann::json::parse(text);
+    for (const auto& it : json.at("histories")) {
+      histories.emplace(ModelKey{it.at("model").get<std::string>(),
+                                 it.at("version").get<std::string>(),
+                                 it.at("adapter").get<std::string>()},
+                        ArrivalHistory::FromJson(it, wall_offset_ms));
+    }
+    return histories;
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kInternal,
+                     std::string("arrival histories: ") + error.what());
+  }
+}
+
 }  // namespace tanagerloom
--- a/packages/decision/arrival_history.h
+++ b/packages/decision/arrival_history.h
@@ -7,6 +7,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "config/model_key.h"
 
 namespace tanagerloom {
 
@@ -25,7 +32,19 @@
   /// The time without use so far.
   double IdleSeconds(std::uint64_t now_ms) const;
 
-  bool used() const { return last_use_ms_ != 0; }
+  bool used() const { return last_use_ms_.has_value(); }
+
+  /// Whether this history ends later than another one.
+  bool IsNewerThan(const ArrivalHistory& other) const {
+    return last_use_ms_ > other.last_use_ms_;
+  }
+
+  /// The stored form. `wall_offset_ms` is wall time minus local time.
+  nlohmann::json ToJson(std::int64_t wall_offset_ms) const;
+
+  /// Reads the stored form; throws nlohmann::json::exception if it is none.
+  static ArrivalHistory FromJson(const nlohmann::json& json,
+                                 std::int64_t wall_offset_ms);
 
   /// The chance that the gap ends within (`from_s`, `from_s` + `window_s`],
   /// given that it is longer than `from_s`.
@@ -58,10 +77,18 @@
     }
   }
 
-  std::uint64_t last_use_ms_ = 0;
+  /// Local time; negative if it was before this VM started.
+  std::optional<std::int64_t> last_use_ms_;
   std::map<int, Band> bands_;
 };
 
+/// The stored form of the histories of a cell.
+std::string WriteHistories(const std::map<ModelKey, ArrivalHistory>& histories,
+                           std::int64_t wall_offset_ms);
+Result<std::map<ModelKey, ArrivalHistory>> ParseHistories(
+    std::string_view text,
+    std::int64_t wall_offset_ms);
+
 }  // namespace tanagerloom
 
 #endif  // DECISION_ARRIVAL_HISTORY_H_
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -70,6 +70,7 @@
       vms_(vms),
       on_change_(std::move(on_change)),
       view_(std::make_shared<StoredRecord>()),
+      history_store_(deps.store, deps.clock, cell_),
       monitor_(deps.engines, deps.clock, tasks, [this] { Wake(); }),
       executor_(deps.engines,
                 deps.clock,
@@ -128,6 +129,7 @@
   const auto now = deps_.clock.Now();
   if (!IsCoordinator()) {
     coordinator_since_.reset();
+    histories_loaded_ = false;
   } else if (!coordinator_since_) {
     coordinator_since_ = now;
   }
@@ -140,6 +142,9 @@
   if (!Drives()) {
     return HasOwnOrders() ? kSlowestOpenPoll : kIdlePoll;
   }
+  if (IsCoordinator() && !KeepHistories()) {
+    return kFirstPlatformRetry;
+  }
   monitor_.SetLoadWanted(ServersToReadLoadOf());
   monitor_.PollDue(PollIntervals());
   if (!Decide()) {
@@ -167,6 +172,7 @@
   const auto now_ms = LocalMs(deps_.clock);
   book_.Expire(now_ms);
   for (const auto& key : book_.TakeUsed()) {
+    histories_changed_ = true;
     histories_[key].NoteUse(now_ms);
     if (!key.adapter.empty()) {
       histories_[key.Base()].NoteUse(now_ms);
@@ -174,6 +180,22 @@
   }
 }
 
+bool CellController::KeepHistories() {
+  Result<void> kept = BOOST_OUTCOME_V2_NAMESPACE::success();
+  if (!histories_loaded_) {
+    kept = history_store_.Load(histories_);
+    histories_loaded_ =
+        kept || kept.assume_error().kind == ErrorKind::kInternal;
+  } else if (histories_changed_) {
+    kept = history_store_.SaveIfDue(histories_);
+  }
+  if (kept || kept.assume_error().kind == ErrorKind::kInternal) {
+    return true;
+  }
+  backoff_.NoteFailure(deps_.peers.Members().size());
+  return false;
+}
+
 Duration CellController::RefreshInterval() const {
   if (Drives()) {
     return kRefreshInterval;
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -20,6 +20,7 @@
 #include "decision/planner.h"
 #include "decision/reconcile.h"
 #include "placement/engine_monitor.h"
+#include "placement/history_store.h"
 #include "placement/order_executor.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
@@ -104,6 +105,9 @@
   std::set<std::string> ServersToReadLoadOf() const;
   Duration RefreshInterval() const;
   bool Refresh();
+  /// Loads the arrival histories as a new coordinator, then saves them now and
+  /// then. False if the platform failed.
+  bool KeepHistories();
   void NoteWriteFailure();
   void SetView(StoredRecord stored);
   /// Reconciles and plans from the current view and stores the result. False
@@ -176,6 +180,9 @@
   std::vector<LoadDuration> durations_;
   std::map<std::pair<std::string, ModelKey>, TimePoint> missing_;
   std::map<ModelKey, ArrivalHistory> histories_;
+  HistoryStore history_store_;
+  bool histories_loaded_ = false;  ///< Since this node became coordinator.
+  bool histories_changed_ = false;
   DemandBook book_;
   EngineMonitor monitor_;
   OrderExecutor executor_;
--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -375,5 +375,22 @@
   EXPECT_EQ(Loaded("n1", other), 1U);
 }
 
+// Guards against a new coordinator that knows nothing of earlier requests and
+// keeps or drops models blindly.
+TEST_F(PlacementTest, NewCoordinatorKnowsTheArrivalHistory) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto model = AddModel("m", 9000, 1);
+  estate_.estate->pools["pool"].idle_cost_per_hour = 1000;
+  RunFor(2s);
+  const auto first = Coordinator();
+  const auto second = OtherNode();
+  Demand(first, model, 1);
+  RunFor(70s, 100ms);
+  hub_.gone.insert(first);
+  RunFor(40s, 100ms);  // Only its history shows that the model is idle.
+  EXPECT_EQ(engines_.Replicas(model), 0);
+}
+
 }  // namespace
 }  // namespace tanagerloom::testing_placement
