--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -181,19 +181,26 @@
 }
 
 bool CellController::KeepHistories() {
-  Result<void> kept = BOOST_OUTCOME_V2_NAMESPACE::success();
   if (!histories_loaded_) {
-    kept = history_store_.Load(histories_);
+    const auto loaded = history_store_.Load(histories_);
+    // Histories that can't be parsed are replaced by new ones.
     histories_loaded_ =
-        kept || kept.assume_error().kind == ErrorKind::kInternal;
-  } else if (histories_changed_) {
-    kept = history_store_.SaveIfDue(histories_);
+        loaded || loaded.assume_error().kind == ErrorKind::kInternal;
+    if (!histories_loaded_) {
+      backoff_.NoteFailure(deps_.peers.Members().size());
+    }
+    return histories_loaded_;
   }
-  if (kept || kept.assume_error().kind == ErrorKind::kInternal) {
+  if (!histories_changed_) {
     return true;
   }
-  backoff_.NoteFailure(deps_.peers.Members().size());
-  return false;
+  const auto saved = history_store_.SaveIfDue(histories_);
+  if (!saved) {
+    backoff_.NoteFailure(deps_.peers.Members().size());
+    return false;
+  }
+  histories_changed_ = !saved.assume_value();
+  return true;
 }
 
 Duration CellController::RefreshInterval() const {
--- a/packages/placement/history_store.cc
+++ b/packages/placement/history_store.cc
@@ -44,21 +44,21 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> HistoryStore::SaveIfDue(
+Result<bool> HistoryStore::SaveIfDue(
     const std::map<ModelKey, ArrivalHistory>& histories) {
   const auto now = clock_.Now();
   if (!next_save_) {
     next_save_ = now + kSaveInterval;
   }
   if (now < *next_save_) {
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+    return false;
   }
   next_save_ = now + kSaveInterval;
   auto version =
       store_.Put(key_, WriteHistories(histories, WallOffsetMs()), version_);
   if (version) {
     version_ = version.assume_value();
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+    return true;
   }
   // The version is unknown after a conflict or a lost answer.
   auto current = store_.Get(key_);
@@ -66,7 +66,7 @@
     return std::move(current).assume_error();
   }
   version_ = current.assume_value().version;
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return false;
 }
 
 }  // namespace tanagerloom
--- a/packages/placement/history_store.h
+++ b/packages/placement/history_store.h
@@ -24,9 +24,10 @@
   /// Adds the stored histories that are newer than those in `histories`.
   Result<void> Load(std::map<ModelKey, ArrivalHistory>& histories);
 
-  /// Stores the histories if the last time was over a minute ago. A lost race
-  /// with another node is not retried: the next time is soon enough.
-  Result<void> SaveIfDue(const std::map<ModelKey, ArrivalHistory>& histories);
+  /// Stores the histories if the last time was over a minute ago; returns
+  /// whether it did. A lost race with another node is not retried: the next
+  /// time is soon enough.
+  Result<bool> SaveIfDue(const std::map<ModelKey, ArrivalHistory>& histories);
 
  private:
   std::int64_t WallOffsetMs() const;
