--- a/tests/correctness/placement_test.cc
+++ b/tests/correctness/placement_test.cc
@@ -43,6 +43,23 @@
   EXPECT_EQ(Loaded("n0", other), 1U);
 }
 
+// Guards against a stored write being taken as lost, or a lost one as stored.
+TEST_F(PlacementTest, RecordStoreReadsBackAfterALostAnswer) {
+  EventLog log("n0", 10, MakeNullLogger());
+  RecordStore records(store_, log);
+  const auto base = records.Load("pool").assume_value();
+  store_.lose_answers = 1;
+  const auto stored = records.Replace(base, base.record, *estate_.estate);
+  ASSERT_TRUE(stored.has_value());
+  EXPECT_EQ(stored.assume_value().record.sequence, 1U);
+  store_.lose_requests = 1;
+  const auto lost =
+      records.Replace(stored.assume_value(), base.record, *estate_.estate);
+  ASSERT_FALSE(lost.has_value());
+  EXPECT_EQ(lost.assume_error().kind, ErrorKind::kUnknown);
+  EXPECT_EQ(records.Load("pool").assume_value().record.sequence, 1U);
+}
+
 // Guards against overcommitted memory when models don't all fit.
 TEST_F(PlacementTest, ModelsThatDoNotFitAreNotLoaded) {
   AddEngines(1, true);
@@ -179,8 +196,13 @@
   paused_.clear();
   hub_.cut.clear();
   hub_.messages.clear();
-  RunFor(1s);
+  engine.Restart();  // It would obey a repeated order now.
+  store_.down = true;
+  RunFor(100ms);
   EXPECT_EQ(engine.loads, 1);
+  store_.down = false;
+  RunFor(5s);
+  EXPECT_EQ(engine.loads, 2);
   EXPECT_EQ(Loaded(sleeper, model), 1U);
 }
 
@@ -269,6 +291,31 @@
   EXPECT_EQ(Loaded("n0", busy), 1U);
 }
 
+// Guards against an unload that interrupts requests which were dispatched
+// before their node learned of it.
+TEST_F(PlacementTest, UnloadWaitsForRequestsInProgress) {
+  AddEngines(1, false);
+  AddNodes(2);
+  const auto old = AddModel("old", 50000, 1);
+  const auto wanted = AddModel("wanted", 50000, 1);
+  RunFor(2s);
+  Demand("n1", old, 1);
+  RunFor(500ms);
+  Demand("n1", old, 0);
+  RunFor(50ms);
+  Demand("n0", wanted, 1);
+  RunFor(30ms);
+  ASSERT_EQ(Loaded("n1", old), 0U);  // The unload is decided.
+  nodes_["n1"]->service.SetDemand("pool", old, {0, 1, 0, {}});
+  engines_.engines.begin()->second.running = 1;
+  RunFor(2s);
+  EXPECT_EQ(engines_.Replicas(old), 1);
+  nodes_["n1"]->service.SetDemand("pool", old, {0, 0, 0, {}});
+  engines_.engines.begin()->second.running = 0;
+  RunFor(1s);
+  EXPECT_EQ(Loaded("n0", wanted), 1U);
+}
+
 // Guards against an adapter without its base, and against a base that is
 // evicted under its adapters.
 TEST_F(PlacementTest, AdapterIsLoadedAfterItsBase) {
