Bound the keep-alive interval by the peer timeout

A heartbeat interval close to the peer timeout passed the settings check and made every link look silent between two keep-alives.

--- a/packages/membership/link_set.cc
+++ b/packages/membership/link_set.cc
@@ -17,6 +17,9 @@
 // A mesh link sends a keep-alive after this part of the peer timeout without
 // other traffic, so that two may be late before the link looks silent.
 constexpr double kKeepAlivePart = 0.3;
+// Longest interval, whatever the heartbeat interval is: a link must not look
+// silent between two keep-alives.
+constexpr double kLongestKeepAlivePart = 0.45;
 // Keep-alives due within this part are sent now, because the next check is
 // that much later.
 constexpr double kKeepAliveMargin = 0.025;
@@ -160,8 +163,9 @@
 // bytes: 0.27 * 8 * 150 B = 320 B/s each way. Sum: 2.6 KB/s in both directions.
 void LinkSet::SendKeepAlives(TimePoint now) {
   const auto interval =
-      std::max<Duration>(context_.settings.heartbeat_interval,
-                         context_.PartOfTimeout(kKeepAlivePart)) -
+      std::min(std::max<Duration>(context_.settings.heartbeat_interval,
+                                  context_.PartOfTimeout(kKeepAlivePart)),
+               context_.PartOfTimeout(kLongestKeepAlivePart)) -
       context_.PartOfTimeout(kKeepAliveMargin);
   std::optional<OutboundMessage> message;
   for (const auto& it : connections_) {
