--- a/testing/harness/site.cc
+++ b/testing/harness/site.cc
@@ -56,7 +56,7 @@
 
 ClusterOptions Site::ClusterOf(const SiteOptions& options) {
   ClusterOptions out;
-  out.with_proxy = true;
+  out.with_proxy = options.with_proxy;
   out.platform_flags = options.platform_flags;
   out.weight_store_flags = {"--ms-per-gb", "20", "--loads-per-s",
                             std::to_string(static_cast<int>(kLoadsPerS))};
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -29,6 +29,7 @@
 
 /// The size of a site and the flags of its programs.
 struct SiteOptions {
+  bool with_proxy = true;
   int nodes = 8;
   int engines_per_pool = 2;
   int services = 1;
--- a/tests/integration/configuration_race_test.cc
+++ b/tests/integration/configuration_race_test.cc
@@ -158,7 +158,10 @@
   ASSERT_TRUE(WaitUntil([&] { return AllAgree(); }));
   const auto before = Version(Site::Node(0));
   auto file = File("cliffline", 1);
-  file["models"]["broken"] = {{"version", "1"}, {"pool", "no-such-pool"}};
+  file["models"]["broken"] = {{"version", "1"},
+                              {"pool", "no-such-pool"},
+                              {"memory_mb", 1000},
+                              {"sources", {"remote"}}};
   std::string output;
   EXPECT_EQ(cluster_.Apply(file, Site::Node(1), kOperatorToken, &output), 1);
   EXPECT_NE(output.find("no-such-pool"), std::string::npos) << output;
--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -17,6 +17,9 @@
  protected:
   static SiteOptions Options() {
     SiteOptions options;
+    // The proxy accepts connections for an engine that is down; a refused
+    // connection is the sign of a crash that the nodes look for.
+    options.with_proxy = false;
     options.nodes = 4;
     options.engines_per_pool = 3;
     options.models_per_pool = 2;
