--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -50,12 +50,19 @@
                  record.ToJson(process_).dump(
                      -1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
+  if (observer_) {
+    observer_(record);
+  }
   ring_.push_back(std::move(record));
   if (ring_.size() > capacity_) {
     ring_.pop_front();
   }
 }
 
+void EventLog::SetObserver(std::function<void(const EventRecord&)> observer) {
+  observer_ = std::move(observer);
+}
+
 std::vector<EventRecord> EventLog::Since(std::uint64_t after) const {
   std::vector<EventRecord> out;
   for (const auto& it : ring_) {
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -45,6 +46,10 @@
   /// Records an event. `fields` is a JSON object.
   void Record(EventId id, nlohmann::json fields);
 
+  /// Calls `observer` with every event recorded from now on; replaces an
+  /// earlier one.
+  void SetObserver(std::function<void(const EventRecord&)> observer);
+
   /// Events with a sequence number above `after`, oldest first.
   std::vector<EventRecord> Since(std::uint64_t after) const;
 
@@ -58,6 +63,7 @@
   HybridClock clock_;
   std::uint64_t sequence_ = 0;
   std::deque<EventRecord> ring_;
+  std::function<void(const EventRecord&)> observer_;
 };
 
 /// Makes a logger that writes one line an event to standard error: JSON, or
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -12,7 +12,9 @@
 #include "control/metrics.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "membership/peer_counters.h"
 #include "membership/peer_service.h"
+#include "node/event_metrics.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_service.h"
 #include "platform/http_engine_control.h"
@@ -74,6 +76,7 @@
   CallerApi callers;
   HttpServer caller_server;
   Metrics metrics;
+  EventMetrics event_metrics{metrics};
   AdminServer admin;
 
   std::function<void()> request_stop;
@@ -118,6 +121,17 @@
   add_calls("write", calls.writes);
   add_calls("watch", calls.watches);
   add_calls("failure", calls.failures);
+  log.SetObserver(
+      [this](const EventRecord& record) { event_metrics.Observe(record); });
+  const auto& traffic = peers.counters();
+  metrics.AddCounterReader(
+      "tanagerloom_peer_bytes_total", "Bytes between nodes.",
+      [&traffic] { return static_cast<double>(traffic.bytes_sent); },
+      {{"direction", "sent"}});
+  metrics.AddCounterReader(
+      "tanagerloom_peer_bytes_total", "Bytes between nodes.",
+      [&traffic] { return static_cast<double>(traffic.bytes_received); },
+      {{"direction", "received"}});
   metrics.AddCounterReader(
       "tanagerloom_invariants_checked_total", "Checked invariants.",
       [] { return static_cast<double>(InvariantsChecked()); });
