--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -22,6 +22,11 @@
                                          "replica_removed"};
 inline constexpr EventId kPlatformUnavailable{306, Severity::kWarning,
                                               "platform_unavailable"};
+inline constexpr EventId kOrdersAdopted{307, Severity::kInfo, "orders_adopted"};
+inline constexpr EventId kReplicasFound{308, Severity::kWarning,
+                                        "replicas_found"};
+inline constexpr EventId kPauseNoticed{309, Severity::kWarning,
+                                       "pause_noticed"};
 inline constexpr EventId kRequestAccepted{400, Severity::kInfo,
                                           "request_accepted"};
 inline constexpr EventId kRequestDispatched{401, Severity::kInfo,
--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -160,6 +160,11 @@
   const auto now = deps_.clock.Now();
   if (last_pass_ &&
       now > *last_pass_ + kIdlePoll + deps_.settings.order_progress) {
+    deps_.log.Record(
+        events::kPauseNoticed,
+        {{"cell", cell_},
+         {"ms", std::chrono::duration_cast<milliseconds>(now - *last_pass_)
+                    .count()}});
     have_view_ = false;
     coordinator_since_.reset();
     acting_until_.reset();
@@ -667,6 +672,14 @@
                       {"model", it.key.ToString()},
                       {"load_ms", wall - std::min(wall, it.decided_ms)}});
   }
+  if (outcome.adopted > 0) {
+    deps_.log.Record(events::kOrdersAdopted,
+                     {{"cell", cell_}, {"count", outcome.adopted}});
+  }
+  if (outcome.found > 0) {
+    deps_.log.Record(events::kReplicasFound,
+                     {{"cell", cell_}, {"count", outcome.found}});
+  }
   for (const auto& it : outcome.removed) {
     deps_.log.Record(events::kReplicaRemoved, {{"server", it.server},
                                                {"model", it.key.ToString()},
--- a/packages/placement/placement_service.cc
+++ b/packages/placement/placement_service.cc
@@ -227,27 +227,34 @@
   }
 }
 
+const CellController* PlacementService::CellOf(const ModelKey& key) const {
+  const auto estate = deps_.estate.Current();
+  const auto model = estate->models.find(key.model);
+  if (model == estate->models.end()) {
+    return nullptr;
+  }
+  const auto cell = cells_.find(model->second.pool);
+  return cell == cells_.end() ? nullptr : cell->second.get();
+}
+
 std::vector<ReplicaLocation> PlacementService::Replicas(
     const ModelKey& key) const {
+  const auto* cell = CellOf(key);
+  if (cell == nullptr) {
+    return {};
+  }
   std::vector<ReplicaLocation> locations;
-  for (const auto& [name, cell] : cells_) {
-    for (const auto& id : cell->ServersOf(key)) {
-      if (const auto address = cell->monitor().AddressOf(id)) {
-        locations.push_back({id, *address, cell->monitor().DataCentreOf(id)});
-      }
+  for (const auto& id : cell->ServersOf(key)) {
+    if (const auto address = cell->monitor().AddressOf(id)) {
+      locations.push_back({id, *address, cell->monitor().DataCentreOf(id)});
     }
   }
   return locations;
 }
 
 LoadForecast PlacementService::Forecast(const ModelKey& key) const {
-  const auto estate = deps_.estate.Current();
-  const auto model = estate->models.find(key.model);
-  if (model == estate->models.end()) {
-    return {};
-  }
-  const auto cell = cells_.find(model->second.pool);
-  return cell == cells_.end() ? LoadForecast{} : cell->second->Forecast(key);
+  const auto* cell = CellOf(key);
+  return cell == nullptr ? LoadForecast{} : cell->Forecast(key);
 }
 
 void PlacementService::ReportMissing(const std::string& server,
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -72,6 +72,8 @@
   void OnMessage(const std::string& from, const PeerMessage& message);
   void OnDemand(const std::string& from, const Demand& demand);
   CellController& Cell(const std::string& cell);
+  /// The cell of a model's pool; null if the model is not offered.
+  const CellController* CellOf(const ModelKey& key) const;
   void AddCells();
   void SendDemandLoop();
   void SendDemand(const std::string& cell, CellDemand& demand);
