Renew an unload order that a later order's fence has overtaken

In pools that check fencing numbers, an unload order counted as delivered once the engine had seen any higher fence of the same server.

--- a/packages/decision/reconcile.cc
+++ b/packages/decision/reconcile.cc
@@ -152,10 +152,14 @@
       }
       return;
     }
+    // Without an answer, a later order's fence shows that this order cannot
+    // take effect any more: the engine would refuse it, and nobody sends it
+    // again.
     const auto it = input_.orders.find(replica.order);
-    if (it != input_.orders.end() && it->second.answered &&
-        report_->read_started_ms >
-            it->second.answered_ms + input_.order_progress_ms) {
+    const bool answered = it != input_.orders.end() && it->second.answered;
+    const auto since_ms =
+        answered ? it->second.answered_ms : input_.seen_ms(replica);
+    if (report_->read_started_ms > since_ms + input_.order_progress_ms) {
       (void)RenewUnload(record_, server_, replica.key, input_.self);
     }
   }
