--- a/packages/decision/arrival_history.cc
+++ b/packages/decision/arrival_history.cc
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace tanagerloom {
 
 namespace {
 
-constexpr std::size_t kKeptGaps = 64;
+constexpr std::size_t kKeptGapsPerBand = 16;
+// Counts are halved above this, so that a changed pattern shows.
+constexpr double kLargestCount = 10000;
 // Shorter gaps are within one burst and say nothing about keeping a model.
 constexpr double kShortestGapS = 1.0;
 // Without known gaps, the chance of an arrival falls with the time without one:
@@ -20,22 +23,34 @@
 }  // namespace
 
 void ArrivalHistory::NoteUse(std::uint64_t now_ms) {
-  if (last_use_ms_ != 0 && now_ms > last_use_ms_) {
+  const auto now = static_cast<std::int64_t>(now_ms);
+  if (last_use_ms_ && now > *last_use_ms_) {
     const auto gap = IdleSeconds(now_ms);
     if (gap >= kShortestGapS) {
-      gaps_s_.push_back(gap);
-      if (gaps_s_.size() > kKeptGaps) {
-        gaps_s_.pop_front();
-      }
+      AddGap(gap);
+    }
+  }
+  last_use_ms_ = std::max(last_use_ms_.value_or(now), now);
+}
+
+void ArrivalHistory::AddGap(double gap_s) {
+  // A band spans a factor of two.
+  auto& band = bands_[std::ilogb(gap_s)];
+  band.gaps_s.push_back(gap_s);
+  if (band.gaps_s.size() > kKeptGapsPerBand) {
+    band.gaps_s.pop_front();
+  }
+  if (++band.count > kLargestCount) {
+    for (auto& [length, it] : bands_) {
+      it.count /= 2;
     }
   }
-  last_use_ms_ = std::max(last_use_ms_, now_ms);
 }
 
 double ArrivalHistory::IdleSeconds(std::uint64_t now_ms) const {
-  return now_ms > last_use_ms_
-             ? static_cast<double>(now_ms - last_use_ms_) / 1000
-             : 0;
+  const auto now = static_cast<std::int64_t>(now_ms);
+  const auto last = last_use_ms_.value_or(0);
+  return now > last ? static_cast<double>(now - last) / 1000 : 0;
 }
 
 ArrivalChance ArrivalHistory::Chance(double from_s, double window_s) const {
@@ -45,14 +60,14 @@
   double longer = kPriorGaps;
   double ended = kPriorGaps * prior_end;
   double idle = kPriorGaps * offset * std::log1p(window_s / offset);
-  for (const auto gap : gaps_s_) {
+  VisitGaps([&](double gap, double weight) {
     if (gap <= from_s) {
-      continue;
+      return;
     }
-    longer += 1;
-    ended += gap <= from_s + window_s ? 1 : 0;
-    idle += std::min(gap - from_s, window_s);
-  }
+    longer += weight;
+    ended += gap <= from_s + window_s ? weight : 0;
+    idle += weight * std::min(gap - from_s, window_s);
+  });
   return {ended / longer, idle / longer};
 }
 
@@ -60,13 +75,13 @@
   double count = 0;
   double sum = 0;
   double squares = 0;
-  for (const auto gap : gaps_s_) {
+  VisitGaps([&](double gap, double weight) {
     if (gap > from_s) {
-      count += 1;
-      sum += gap;
-      squares += gap * gap;
+      count += weight;
+      sum += weight * gap;
+      squares += weight * gap * gap;
     }
-  }
+  });
   const double widest = std::max(1.0, kWidestShare * from_s);
   if (count < 3) {
     return widest;
@@ -80,4 +95,62 @@
                     std::max(widest, kNarrowestShare * mean));
 }
 
+nlohmann::json ArrivalHistory::ToJson(std::int64_t wall_offset_ms) const {
+  auto bands = nlohmann::json::array();
+  for (const auto& [length, band] : bands_) {
+    bands.push_back({{"count", band.count}, {"gaps_s", band.gaps_s}});
+  }
+  return {{"last_use_ms", last_use_ms_.value_or(0) + wall_offset_ms},
+          {"bands", std::move(bands)}};
+}
+
+ArrivalHistory ArrivalHistory::FromJson(const nlohmann::json& json,
+                                        std::int64_t wall_offset_ms) {
+  ArrivalHistory history;
+  history.last_use_ms_ =
+      json.at("last_use_ms").get<std::int64_t>() - wall_offset_ms;
+  for (const auto& it : json.at("bands")) {
+    for (const auto gap : it.at("gaps_s").get<std::vector<double>>()) {
+      if (gap >= kShortestGapS) {
+        auto& band = history.bands_[std::ilogb(gap)];
+        band.gaps_s.push_back(gap);
+        band.count = it.at("count").get<double>();
+      }
+    }
+  }
+  return history;
+}
+
+std::string WriteHistories(const std::map<ModelKey, ArrivalHistory>& histories,
+                           std::int64_t wall_offset_ms) {
+  auto list = nlohmann::json::array();
+  for (const auto& [key, it] : histories) {
+    auto json = it.ToJson(wall_offset_ms);
+    json["model"] = key.model;
+    json["version"] = key.version;
+    json["adapter"] = key.adapter;
+    list.push_back(std::move(json));
+  }
+  return nlohmann::json{{"histories", std::move(list)}}.dump();
+}
+
+Result<std::map<ModelKey, ArrivalHistory>> ParseHistories(
+    std::string_view text,
+    std::int64_t wall_offset_ms) {
+  try {
+    std::map<ModelKey, ArrivalHistory> histories;
+    const auto json = nlohmann::json::parse(text);
+    for (const auto& it : json.at("histories")) {
+      histories.emplace(ModelKey{it.at("model").get<std::string>(),
+                                 it.at("version").get<std::string>(),
+                                 it.at("adapter").get<std::string>()},
+                        ArrivalHistory::FromJson(it, wall_offset_ms));
+    }
+    return histories;
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kInternal,
+                     std::string("arrival histories: ") + error.what());
+  }
+}
+
 }  // namespace tanagerloom
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -20,6 +20,7 @@
 #include "decision/planner.h"
 #include "decision/reconcile.h"
 #include "placement/engine_monitor.h"
+#include "placement/history_store.h"
 #include "placement/order_executor.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
@@ -104,6 +105,9 @@
   std::set<std::string> ServersToReadLoadOf() const;
   Duration RefreshInterval() const;
   bool Refresh();
+  /// Loads the arrival histories as a new coordinator, then saves them now and
+  /// then. False if the platform failed.
+  bool KeepHistories();
   void NoteWriteFailure();
   void SetView(StoredRecord stored);
   /// Reconciles and plans from the current view and stores the result. False
@@ -118,7 +122,9 @@
   /// Takes slots for the loads of a plan that need them, and drops those that
   /// got none.
   bool TakeSlots(const CellRecord& next, Plan& plan);
-  bool ExchangeSlots(const CellRecord& next, std::uint32_t wanted);
+  bool ExchangeSlots(const CellRecord& next,
+                     std::uint32_t wanted,
+                     std::vector<std::string> orders);
   void ApplyPlan(CellRecord& next, const Plan& plan);
   void FreeSlots();
   void NoteLoaded(const ReplicaChange& change);
@@ -135,6 +141,15 @@
   bool DemandIsComplete() const;
   bool IsExecutorPresent(std::string_view process) const;
   bool HasOpenOrders() const;
+  /// Whether this process is to start a standby load and has not.
+  bool IsDormant(const ReplicaRecord& replica) const;
+  bool MayStartStandby(const ReplicaRecord& replica) const;
+  bool IsReportedLoaded(const std::string& server,
+                        const ReplicaRecord& replica) const;
+  bool HasSlot(const ReplicaRecord& replica) const;
+  std::set<std::string> DormantOrders(const CellRecord& record) const;
+  std::vector<std::string> StandbyOrdersToStart() const;
+  Duration PollDuringOutage(Duration wait);
   Decider Self() const;
 
   std::string cell_;
@@ -165,6 +180,9 @@
   std::vector<LoadDuration> durations_;
   std::map<std::pair<std::string, ModelKey>, TimePoint> missing_;
   std::map<ModelKey, ArrivalHistory> histories_;
+  HistoryStore history_store_;
+  bool histories_loaded_ = false;  ///< Since this node became coordinator.
+  bool histories_changed_ = false;
   DemandBook book_;
   EngineMonitor monitor_;
   OrderExecutor executor_;
--- a/packages/placement/placement_service.h
+++ b/packages/placement/placement_service.h
@@ -65,12 +65,15 @@
     std::uint64_t number = 0;
     std::uint64_t acknowledged = 0;
     std::optional<TimePoint> unacknowledged_since;
+    std::string sent_to;  ///< The coordinator that the last one went to.
     TimePoint last_sent{};
   };
 
   void OnMessage(const std::string& from, const PeerMessage& message);
   void OnDemand(const std::string& from, const Demand& demand);
   CellController& Cell(const std::string& cell);
+  /// The cell of a model's pool; null if the model is not offered.
+  const CellController* CellOf(const ModelKey& key) const;
   void AddCells();
   void SendDemandLoop();
   void SendDemand(const std::string& cell, CellDemand& demand);
