Decide suspects of several nodes in turn and refuse waiting ones at once

Cause, from the event logs of integration.suspects: nodes that reserved the same endpoint at once kept each other away; a suspect that waited learned of its quarantine only once it had an endpoint alone; and requests that failed at one instant doubled the breaker's pause each, up to 4 s at once. Now the node with the lowest id keeps a reservation, waiting suspects are reviewed against the quarantine, and only a failed probe lengthens the pause.

--- a/packages/decision/endpoint_breaker.h
+++ b/packages/decision/endpoint_breaker.h
@@ -49,6 +49,11 @@
 
   /// True if the breaker opens, or stays open after a probe, by this failure.
   bool OnFailure(TimePoint now) {
+    if (open_ && now < retry_at_) {
+      // Requests sent before it opened fail together; only a failed probe shows
+      // that the endpoint needs a longer pause.
+      return false;
+    }
     ++failures_;
     if (!open_ && failures_ < kFailureLimit) {
       return false;
--- a/packages/routing/endpoint_table.cc
+++ b/packages/routing/endpoint_table.cc
@@ -189,6 +189,20 @@
       EndpointNotice{endpoint, condition, Milliseconds(valid)});
 }
 
+// Nodes that reserve the same endpoint at once would keep each other away for
+// good; the one with the lowest id keeps its reservation, unless another runs.
+bool EndpointTable::KeepsReservation(EndpointState& state,
+                                     const std::string& other) const {
+  if (state.reserved_by.empty()) {
+    return false;
+  }
+  if (state.own > 0 || deps_.peers.self() < other) {
+    return true;
+  }
+  state.reserved_by.clear();
+  return false;
+}
+
 bool EndpointTable::OnPeerMessage(const std::string& from,
                                   const PeerMessage& message) {
   const auto now = deps_.clock.Now();
@@ -215,6 +229,9 @@
                                      now + std::max(valid, kLeavingNoticeLife));
       return false;
     case EndpointCondition::kOverloaded:
+      if (valid > Duration::zero() && KeepsReservation(state, from)) {
+        return false;
+      }
       // Zero ends a reservation. Backpressure of the endpoint itself is met
       // again by the next request.
       state.exclusive_until =
--- a/packages/routing/endpoint_table.h
+++ b/packages/routing/endpoint_table.h
@@ -99,6 +99,8 @@
   void Notify(const std::string& endpoint,
               EndpointCondition condition,
               Duration valid);
+  /// Whether this node keeps its reservation against that of another node.
+  bool KeepsReservation(EndpointState& state, const std::string& other) const;
   std::uint32_t PeerUseOf(const EndpointState& state) const;
 
   const RoutingDependencies& deps_;
--- a/packages/routing/request_scheduler.cc
+++ b/packages/routing/request_scheduler.cc
@@ -386,7 +386,12 @@
       if (ticket->refusal || ticket->cancelled) {
         continue;
       }
-      if (auto refusal = Review(queue, review, ticket->deadline, 0)) {
+      auto refusal = ticket->quarantined ? ticket->quarantined()
+                                         : std::optional<Refusal>();
+      if (!refusal) {
+        refusal = Review(queue, review, ticket->deadline, 0);
+      }
+      if (refusal) {
         ticket->refusal = std::move(refusal);
         ticket->changed.Signal();
       }
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -4,6 +4,7 @@
 #define ROUTING_REQUEST_SCHEDULER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -83,6 +84,8 @@
   const std::vector<std::uint64_t>* prefix = nullptr;
   std::set<std::string> avoid;  ///< Endpoints where it failed already.
   bool alone = false;           ///< Suspected of crashing endpoints.
+  /// For a suspect: the refusal that its quarantine demands meanwhile.
+  std::function<std::optional<Refusal>()> quarantined;
 
   /// Signalled when `lease`, `refusal` or `cancelled` is set.
   EventFlag changed;
--- a/tests/correctness/scheduling_choices_test.cc
+++ b/tests/correctness/scheduling_choices_test.cc
@@ -157,6 +157,20 @@
   EXPECT_NE(ChooseEndpoint(candidates, First), 2U);
 }
 
+// Guards against an endpoint that stays away for seconds because many requests
+// failed at the same instant.
+TEST(EndpointBreakerTest, FailuresTogetherDoNotLengthenThePause) {
+  const EndpointBreaker::TimePoint start{std::chrono::hours(1)};
+  EndpointBreaker breaker;
+  for (int i = 0; i < 20; ++i) {
+    breaker.OnFailure(start);
+  }
+  EXPECT_TRUE(breaker.Allows(start + EndpointBreaker::kFirstPause));
+  breaker.OnSend(start + EndpointBreaker::kFirstPause);
+  EXPECT_TRUE(breaker.OnFailure(start + EndpointBreaker::kFirstPause));
+  EXPECT_FALSE(breaker.Allows(start + 2 * EndpointBreaker::kFirstPause));
+}
+
 TEST(EndpointBreakerTest, OpensAfterFailuresAndLetsOneProbeThrough) {
   const EndpointBreaker::TimePoint start(100s);
   EndpointBreaker breaker;
