--- a/examples/generate.py
+++ b/examples/generate.py
@@ -21,7 +21,7 @@
         "checks_fence": True,
         # Idle accelerators cost more here: much work is deferred.
         "cold_start_cost_per_s": 0.5,
-        "idle_cost_per_hour": 3.0,
+        "idle_cost_per_hour": 30.0,
         "classes": {
             "reminder": {"rank": 0, "default_deadline_ms": 3_600_000},
             "desk": {"rank": 1, "default_deadline_ms": 10_000},
@@ -51,7 +51,7 @@
         "checks_fence": False,
         # Cold starts cost more here: a setter waits on a ladder for a check.
         "cold_start_cost_per_s": 2.0,
-        "idle_cost_per_hour": 1.0,
+        "idle_cost_per_hour": 20.0,
         "classes": {
             "grade-check": {"rank": 0, "default_deadline_ms": 20_000},
             "desk": {"rank": 1, "default_deadline_ms": 10_000},
--- a/testing/run/experiment.py
+++ b/tools/run/experiment.py
@@ -63,7 +63,7 @@
             common = {"caller_key": f"example-key-{caller}", "class": spec["classes"][0],
                       "shared_prefix_bytes": 400, "prompt_bytes": 600, "max_tokens": 16}
             traffic.append({**common, "name": f"{owner}-rare", "models": names, "skew": 1.2,
-                            "requests_per_s": 1.5, "end_s": seconds, "deadline_ms": 20000})
+                            "requests_per_s": 0.6, "end_s": seconds, "deadline_ms": 20000})
             traffic.append({**common, "name": f"{owner}-dawn", "models": names[:10],
                             "skew": 0.5, "requests_per_s": 20, "start_s": seconds * 0.3,
                             "end_s": seconds * 0.4, "deadline_ms": 20000})
@@ -104,10 +104,12 @@
 def idle_hours(ledgers: list[dict]) -> float:
     """Idle accelerator hours of the site from the engines' own ledgers."""
     total = 0.0
+    # All ledgers use the machine's clock. An engine without late events is idle
+    # until the end of the run too.
+    last = max(it["at_ms"] for ledger in ledgers for it in ledger["events"])
     for ledger in ledgers:
         loaded, running, busy_since, requests = {}, {}, {}, {}
         idle_ms = {}
-        last = ledger["events"][-1]["at_ms"] if ledger["events"] else 0
 
         def settle(order, at):
             since, memory = loaded[order]
