--- a/apps/tanagerloomd/main.cc
+++ b/apps/tanagerloomd/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "apps/tanagerloomd/fleet_daemon.h"
 #include "base/event_log.h"
 #include "base/invariant.h"
 #include "config/settings.h"
@@ -17,11 +18,15 @@
 
 Usage:
   tanagerloomd --settings FILE [--check-settings]
+  tanagerloomd --platform-settings FILE [--check-settings]
   tanagerloomd --help
   tanagerloomd --version
 
 Options:
   --settings FILE   Settings, JSON with comments (docs/settings.md).
+  --platform-settings FILE  Settings as the users' platform writes them, for a
+                    node that serves the endpoints registered there
+                    (docs/platform.md).
   --check-settings  Print every problem of the settings and exit.
   -h --help         Print this text.
   --version         Print the version.
@@ -68,6 +73,10 @@
 int main(int argc, char** argv) {
   const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc},
                                         /*help=*/true, kVersion);
+  if (arguments.at("--platform-settings")) {
+    tanagerloom::RunFleetDaemon(arguments.at("--platform-settings").asString(),
+                                arguments.at("--check-settings").asBool());
+  }
   auto settings = LoadSettings(arguments.at("--settings").asString(),
                                arguments.at("--check-settings").asBool());
   auto& runtime = tanagerloom::Runtime::Get();
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -18,6 +18,7 @@
   kUnavailable,  ///< The outside system refused, and nothing took effect.
   kUnknown,      ///< The answer was lost; it may have taken effect.
   kTimeout,      ///< The deadline passed; it may have taken effect.
+  kHistoryGone,  ///< The changes asked for are no longer kept.
   kCancelled,    ///< The operation was stopped by this process.
   kInternal,     ///< A fault of this program.
 };
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -1,6 +1,6 @@
 // Lists the numbered events. The number's hundreds name the package group:
 // 1xx process, 2xx membership, 3xx placement, 4xx requests, 5xx configuration,
-// 9xx invariants.
+// 6xx the fleet that the platform registers, 9xx invariants.
 #ifndef BASE_EVENTS_H_
 #define BASE_EVENTS_H_
 
@@ -11,6 +11,16 @@
 inline constexpr EventId kNodeStarted{100, Severity::kInfo, "node_started"};
 inline constexpr EventId kNodeStopping{101, Severity::kInfo, "node_stopping"};
 inline constexpr EventId kNodeStopped{102, Severity::kInfo, "node_stopped"};
+inline constexpr EventId kSettingsReloaded{103, Severity::kInfo,
+                                           "settings_reloaded"};
+inline constexpr EventId kDependencyLost{104, Severity::kWarning,
+                                         "dependency_lost"};
+inline constexpr EventId kDependencyRegained{105, Severity::kInfo,
+                                             "dependency_regained"};
+inline constexpr EventId kEventsOmitted{106, Severity::kWarning,
+                                        "events_omitted"};
+inline constexpr EventId kReadinessChanged{107, Severity::kInfo,
+                                           "readiness_changed"};
 inline constexpr EventId kPeerConnected{200, Severity::kInfo, "peer_connected"};
 inline constexpr EventId kPeerDisconnected{201, Severity::kInfo,
                                            "peer_disconnected"};
@@ -96,6 +106,37 @@
                                                "configuration_retried"};
 inline constexpr EventId kDrainRequested{507, Severity::kInfo,
                                          "drain_requested"};
+inline constexpr EventId kFleetConfigInForce{600, Severity::kInfo,
+                                             "fleet_config_in_force"};
+inline constexpr EventId kEntryIgnored{601, Severity::kWarning,
+                                       "entry_ignored"};
+inline constexpr EventId kEndpointListed{602, Severity::kInfo,
+                                         "endpoint_listed"};
+inline constexpr EventId kEndpointDraining{603, Severity::kInfo,
+                                           "endpoint_draining"};
+inline constexpr EventId kEndpointGone{604, Severity::kInfo, "endpoint_gone"};
+inline constexpr EventId kLeaseTaken{610, Severity::kInfo, "lease_taken"};
+inline constexpr EventId kLeaseLost{611, Severity::kWarning, "lease_lost"};
+inline constexpr EventId kLeaseReleased{612, Severity::kInfo, "lease_released"};
+inline constexpr EventId kEngineOrderSent{620, Severity::kInfo,
+                                          "engine_order_sent"};
+inline constexpr EventId kEngineOrderFailed{621, Severity::kWarning,
+                                            "engine_order_failed"};
+inline constexpr EventId kEngineOrderDone{622, Severity::kInfo,
+                                          "engine_order_done"};
+inline constexpr EventId kEngineStateAdopted{623, Severity::kInfo,
+                                             "engine_state_adopted"};
+inline constexpr EventId kForwardFinished{630, Severity::kInfo,
+                                          "forward_finished"};
+inline constexpr EventId kForwardRejected{631, Severity::kInfo,
+                                          "forward_rejected"};
+inline constexpr EventId kForwardAttemptFailed{632, Severity::kWarning,
+                                               "forward_attempt_failed"};
+inline constexpr EventId kForwardResumed{633, Severity::kWarning,
+                                         "forward_resumed"};
+inline constexpr EventId kForwardSent{634, Severity::kInfo, "forward_sent"};
+inline constexpr EventId kForwardClientGone{635, Severity::kInfo,
+                                            "forward_client_gone"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
                                             "invariant_violated"};
 
--- a/packages/control/admin_server.cc
+++ b/packages/control/admin_server.cc
@@ -53,6 +53,7 @@
     case ErrorKind::kUnknown:
     case ErrorKind::kTimeout:
       return Failure(504, "unknown", error.message);
+    case ErrorKind::kHistoryGone:
     case ErrorKind::kUnavailable:
     case ErrorKind::kCancelled:
       return Failure(503, "unavailable", error.message);
--- /dev/null
+++ b/packages/fleet/crash_suspects.h
@@ -0,0 +1,69 @@
+// Defines CrashSuspects, which counts over all nodes how often a request was
+// followed by the crash of the endpoint that ran it.
+#ifndef FLEET_CRASH_SUSPECTS_H_
+#define FLEET_CRASH_SUSPECTS_H_
+
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// Crash counts by request fingerprint. Answers a request that crashes each
+/// endpoint and comes again at any node: it is refused after the limit.
+class CrashSuspects {
+ public:
+  /// Crashes after which a request is refused; fewer could be a coincidence
+  /// with an endpoint that crashed for another reason.
+  static constexpr std::uint32_t kLimit = 3;
+  /// A request that did not come again for this long is forgotten.
+  static constexpr Duration kMemory = std::chrono::minutes(5);
+  /// Fingerprints kept, so that memory stays bounded.
+  static constexpr std::size_t kMost = 4096;
+
+  /// Counts a crash. Returns the new count, to tell the other nodes.
+  std::uint32_t OnCrash(std::uint64_t fingerprint, TimePoint now) {
+    Forget(now);
+    auto& entry = entries_[fingerprint];
+    entry.expires = now + kMemory;
+    return ++entry.crashes;
+  }
+
+  /// Takes the count of another node.
+  void OnNotice(std::uint64_t fingerprint,
+                std::uint32_t crashes,
+                TimePoint now) {
+    Forget(now);
+    auto& entry = entries_[fingerprint];
+    entry.crashes = entry.crashes < crashes ? crashes : entry.crashes;
+    entry.expires = now + kMemory;
+  }
+
+  /// Whether the request is refused.
+  bool Refused(std::uint64_t fingerprint) const {
+    const auto it = entries_.find(fingerprint);
+    return it != entries_.end() && it->second.crashes >= kLimit;
+  }
+
+ private:
+  struct Entry {
+    std::uint32_t crashes = 0;
+    TimePoint expires{};
+  };
+
+  void Forget(TimePoint now) {
+    if (entries_.size() >= kMost) {
+      std::erase_if(entries_, [&](const auto& it) {
+        return it.second.expires <= now || entries_.size() >= kMost;
+      });
+    }
+  }
+
+  std::map<std::uint64_t, Entry> entries_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_CRASH_SUSPECTS_H_
--- /dev/null
+++ b/packages/fleet/endpoint_directory.cc
@@ -0,0 +1,131 @@
+#include "fleet/endpoint_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace tanagerloom {
+
+bool EndpointDirectory::InGrace(TimePoint now) const {
+  return away_ || (back_since_ && now < *back_since_ + kLapseGrace);
+}
+
+void EndpointDirectory::OnListBack(TimePoint now) {
+  if (std::exchange(away_, false)) {
+    back_since_ = now;
+  }
+}
+
+void EndpointDirectory::Insert(EndpointRecord record,
+                               TimePoint now,
+                               DirectoryChange& change) {
+  lapsed_.erase(record.id);
+  const auto it = records_.find(record.id);
+  if (it == records_.end()) {
+    change.listed.push_back(record.id);
+    if (record.draining) {
+      change.draining.push_back(record.id);
+    }
+    changed_at_[record.id] = now;
+    records_.emplace(record.id, std::move(record));
+    return;
+  }
+  auto& known = it->second;
+  if (record.boot < known.boot ||
+      (record.boot == known.boot && record.entry < known.entry)) {
+    // Entries are written late at times. An older one says nothing new of what
+    // is held, but a notice that the endpoint leaves is never taken back.
+    if (record.boot == known.boot && record.draining && !known.draining) {
+      known.draining = true;
+      change.draining.push_back(known.id);
+    }
+    return;
+  }
+  const bool same_boot = record.boot == known.boot;
+  const bool was_draining = same_boot && known.draining;
+  record.draining = record.draining || was_draining;
+  if (record.draining && !was_draining) {
+    change.draining.push_back(record.id);
+  } else if (!(record == known)) {
+    change.listed.push_back(record.id);
+  }
+  changed_at_[record.id] = now;
+  known = std::move(record);
+}
+
+DirectoryChange EndpointDirectory::Replace(std::vector<EndpointRecord> records,
+                                           TimePoint now) {
+  DirectoryChange change;
+  std::set<std::string, std::less<>> present;
+  for (auto& it : records) {
+    present.insert(it.id);
+    Insert(std::move(it), now, change);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, record] : records_) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& it : missing) {
+    auto removed = Remove(it, now);
+    change.gone.insert(change.gone.end(), removed.gone.begin(),
+                       removed.gone.end());
+  }
+  return change;
+}
+
+DirectoryChange EndpointDirectory::Update(EndpointRecord record,
+                                          TimePoint now) {
+  DirectoryChange change;
+  Insert(std::move(record), now, change);
+  return change;
+}
+
+DirectoryChange EndpointDirectory::Remove(const std::string& id,
+                                          TimePoint now) {
+  DirectoryChange change;
+  const auto it = records_.find(id);
+  if (it == records_.end()) {
+    return change;
+  }
+  if (InGrace(now) && !it->second.draining) {
+    const auto since = away_ ? now : *back_since_;
+    lapsed_.emplace(id, since + kLapseGrace);
+    return change;
+  }
+  records_.erase(it);
+  changed_at_.erase(id);
+  lapsed_.erase(id);
+  change.gone.push_back(id);
+  return change;
+}
+
+DirectoryChange EndpointDirectory::Expire(TimePoint now) {
+  DirectoryChange change;
+  if (away_) {
+    return change;
+  }
+  for (auto it = lapsed_.begin(); it != lapsed_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    records_.erase(it->first);
+    changed_at_.erase(it->first);
+    change.gone.push_back(it->first);
+    it = lapsed_.erase(it);
+  }
+  return change;
+}
+
+TimePoint EndpointDirectory::ChangedAt(std::string_view id) const {
+  const auto it = changed_at_.find(id);
+  return it == changed_at_.end() ? TimePoint{} : it->second;
+}
+
+const EndpointRecord* EndpointDirectory::Find(std::string_view id) const {
+  const auto it = records_.find(id);
+  return it == records_.end() ? nullptr : &it->second;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/fleet/endpoint_selection.h
@@ -0,0 +1,39 @@
+// Defines the choice of the endpoint for one request.
+#ifndef FLEET_ENDPOINT_SELECTION_H_
+#define FLEET_ENDPOINT_SELECTION_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace tanagerloom {
+
+struct EndpointRecord;
+
+/// One endpoint that can run a request.
+struct EndpointCandidate {
+  const EndpointRecord* record = nullptr;
+  std::uint32_t in_flight = 0;  ///< Of all nodes, as far as known.
+  double failure_rate = 0;      ///< Recent, from 0 to 1.
+  bool same_data_centre = false;
+};
+
+/// What the choice knows of the request.
+struct SelectionRequest {
+  std::string_view shared_key;      ///< Names the shared prompt parts.
+  std::uint32_t shared_tokens = 0;  ///< Their size.
+};
+
+/// The best endpoint; null if there is none. Answers the load of uneven
+/// endpoints: the least loaded one is taken, less reliable and more distant
+/// ones stand back, and requests that share a prompt stay together while the
+/// endpoint that keeps it is not busier than reading the prompt again would
+/// cost.
+const EndpointCandidate* SelectEndpoint(
+    std::span<const EndpointCandidate> candidates,
+    const SelectionRequest& request);
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_ENDPOINT_SELECTION_H_
--- /dev/null
+++ b/packages/fleet/fleet_view.cc
@@ -0,0 +1,137 @@
+#include "fleet/fleet_view.h"
+
+#include <tuple>
+#include <utility>
+
+namespace tanagerloom {
+
+FleetView::FleetView(std::string data_centre, const Clock& clock)
+    : data_centre_(std::move(data_centre)), clock_(clock) {}
+
+void FleetView::OnHoldings(const HoldingsNotice& notice) {
+  auto& known = notices_[notice.endpoint];
+  const auto age = [](const HoldingsNotice& it) {
+    return std::tuple(it.boot, it.fence, it.number);
+  };
+  if (age(notice) < age(known.notice)) {
+    return;
+  }
+  known.notice = notice;
+  known.received = clock_.Now();
+  known.models.clear();
+  for (const auto& it : notice.models) {
+    known.models[it.model] = {it.adapters.begin(), it.adapters.end()};
+  }
+  changed_.Signal();
+}
+
+void FleetView::OnPeerUse(const std::string& peer, const EndpointUse& use) {
+  auto& known = peer_use_[peer];
+  known.received = clock_.Now();
+  known.in_flight.clear();
+  for (std::size_t i = 0; i < use.endpoints.size(); ++i) {
+    known.in_flight[use.endpoints[i]] = use.in_progress[i];
+  }
+}
+
+const HeldModels& FleetView::Held(const EndpointRecord& record) const {
+  const auto it = notices_.find(record.id);
+  const bool newer =
+      it != notices_.end() && it->second.notice.boot == record.boot &&
+      directory_.ChangedAt(record.id) < it->second.received + kNoticeLead;
+  return newer ? it->second.models : record.models;
+}
+
+void FleetView::OnDenied(const std::string& id, const ModelRef& model) {
+  denials_[{id, model}] = clock_.Now() + kDenialValid;
+}
+
+bool FleetView::Denied(const std::string& id, const ModelRef& model) const {
+  const auto it = denials_.find({id, model});
+  return it != denials_.end() && clock_.Now() < it->second;
+}
+
+void FleetView::BeginUse(const std::string& id) {
+  ++own_use_[id];
+}
+
+void FleetView::EndUse(const std::string& id) {
+  const auto it = own_use_.find(id);
+  if (it != own_use_.end() && --it->second == 0) {
+    own_use_.erase(it);
+  }
+}
+
+EndpointUse FleetView::OwnUse() const {
+  EndpointUse use;
+  for (const auto& [id, n] : own_use_) {
+    use.endpoints.push_back(id);
+    use.in_progress.push_back(n);
+  }
+  return use;
+}
+
+std::uint32_t FleetView::InFlight(const std::string& id) const {
+  const auto own = own_use_.find(id);
+  std::uint32_t n = own == own_use_.end() ? 0 : own->second;
+  const auto now = clock_.Now();
+  for (const auto& [peer, use] : peer_use_) {
+    const auto it = use.in_flight.find(id);
+    if (it != use.in_flight.end() && now - use.received < kPeerUseValid) {
+      n += it->second;
+    }
+  }
+  return n;
+}
+
+bool FleetView::Holds(const EndpointRecord& record,
+                      const ModelRef& model) const {
+  if (model.model.empty()) {
+    return true;
+  }
+  const auto& held = Held(record);
+  const auto it = held.find(model.model);
+  return it != held.end() &&
+         (model.adapter.empty() || it->second.contains(model.adapter)) &&
+         !Denied(record.id, model);
+}
+
+std::vector<EndpointCandidate> FleetView::Candidates(
+    std::string_view service,
+    const ModelRef& model,
+    const std::set<std::string>& excluded) const {
+  const auto now = clock_.Now();
+  std::vector<EndpointCandidate> out;
+  for (const auto& [id, record] : directory_.records()) {
+    if (record.service != service || record.draining || excluded.contains(id) ||
+        !Holds(record, model)) {
+      continue;
+    }
+    EndpointCandidate candidate{&record, InFlight(id), 0,
+                                record.data_centre == data_centre_};
+    const auto health = health_.find(id);
+    if (health != health_.end()) {
+      if (!health->second.Allows(now)) {
+        continue;
+      }
+      candidate.failure_rate = health->second.FailureRate(now);
+    }
+    out.push_back(candidate);
+  }
+  return out;
+}
+
+void FleetView::Prune() {
+  const auto now = clock_.Now();
+  const auto unknown = [this](const auto& it) {
+    return directory_.Find(it.first) == nullptr;
+  };
+  std::erase_if(notices_, unknown);
+  std::erase_if(health_, unknown);
+  std::erase_if(denials_, [&](const auto& it) { return it.second <= now; });
+  std::erase_if(peer_use_, [&](const auto& it) {
+    return now - it.second.received >= kPeerUseValid;
+  });
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/fleet/fleet_view.h
@@ -0,0 +1,104 @@
+// Defines FleetView, what a node believes of the endpoints: who is registered,
+// what each holds, what runs there, and how reliable it is.
+#ifndef FLEET_FLEET_VIEW_H_
+#define FLEET_FLEET_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/endpoint_directory.h"
+#include "fleet/endpoint_health.h"
+#include "fleet/endpoint_selection.h"
+#include "fleet/model_ref.h"
+#include "ports/peer_message.h"
+#include "runtime/clock.h"
+#include "runtime/event_flag.h"
+
+namespace tanagerloom {
+
+/// The node's view of the fleet.
+class FleetView {
+ public:
+  /// Counts of a peer are used for this long after they came.
+  static constexpr Duration kPeerUseValid = std::chrono::seconds(2);
+  /// An endpoint that denied holding a model is not asked for it again for this
+  /// long, in which newer news of it arrive.
+  static constexpr Duration kDenialValid = std::chrono::milliseconds(500);
+
+  /// A description of an endpoint's own is believed against its orderer's
+  /// notice only if it came this much later: it may have been written before,
+  /// and descriptions are written and read in intervals of a second or so.
+  static constexpr Duration kNoticeLead = std::chrono::milliseconds(2500);
+
+  FleetView(std::string data_centre, const Clock& clock);
+
+  EndpointDirectory& directory() { return directory_; }
+  const EndpointDirectory& directory() const { return directory_; }
+
+  /// Signalled when a request that found no endpoint may find one.
+  EventFlag& changed() { return changed_; }
+
+  /// Takes news of what an engine holds; older ones are ignored.
+  void OnHoldings(const HoldingsNotice& notice);
+
+  /// Takes a peer's counts of requests in flight.
+  void OnPeerUse(const std::string& peer, const EndpointUse& use);
+
+  /// What an endpoint holds, by the newest source.
+  const HeldModels& Held(const EndpointRecord& record) const;
+
+  /// The endpoint refused a request because it does not hold the model.
+  void OnDenied(const std::string& id, const ModelRef& model);
+
+  /// Counts a request of this node at an endpoint.
+  void BeginUse(const std::string& id);
+  void EndUse(const std::string& id);
+
+  /// Requests of this node in flight, by endpoint.
+  EndpointUse OwnUse() const;
+
+  EndpointHealth& Health(const std::string& id) { return health_[id]; }
+
+  /// Endpoints of `service` that can take a request for `model` now, without
+  /// those in `excluded`.
+  std::vector<EndpointCandidate> Candidates(
+      std::string_view service,
+      const ModelRef& model,
+      const std::set<std::string>& excluded) const;
+
+  /// Forgets what is known of endpoints that are gone.
+  void Prune();
+
+ private:
+  struct PeerUse {
+    std::map<std::string, std::uint32_t, std::less<>> in_flight;
+    TimePoint received{};
+  };
+  struct Notice {
+    HoldingsNotice notice;
+    HeldModels models;
+    TimePoint received{};
+  };
+
+  bool Holds(const EndpointRecord& record, const ModelRef& model) const;
+  std::uint32_t InFlight(const std::string& id) const;
+  bool Denied(const std::string& id, const ModelRef& model) const;
+
+  std::string data_centre_;
+  const Clock& clock_;
+  EndpointDirectory directory_;
+  EventFlag changed_;
+  std::map<std::string, Notice, std::less<>> notices_;
+  std::map<std::string, PeerUse> peer_use_;
+  std::map<std::string, std::uint32_t, std::less<>> own_use_;
+  std::map<std::string, EndpointHealth, std::less<>> health_;
+  std::map<std::pair<std::string, ModelRef>, TimePoint> denials_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_FLEET_VIEW_H_
--- /dev/null
+++ b/packages/fleet/placement_plan.h
@@ -0,0 +1,69 @@
+// Defines PlanPlacement, which decides the next orders to the engines of one
+// service from what they hold and what is asked for.
+#ifndef FLEET_PLACEMENT_PLAN_H_
+#define FLEET_PLACEMENT_PLAN_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/demand_table.h"
+#include "fleet/endpoint_record.h"
+#include "fleet/fleet_config.h"
+#include "fleet/model_ref.h"
+#include "ports/engine_control.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// One engine as the plan sees it.
+struct EnginePlace {
+  std::string id;
+  bool usable = true;   ///< Not leaving, and it takes orders.
+  bool busy = false;    ///< An order is in progress.
+  Duration free_in{};   ///< Until that order is done, as expected.
+  HeldModels models;    ///< Loaded, with adapters loaded or on their way.
+  std::string loading;  ///< The model of a load in progress.
+  WeightCopies copies;
+  std::uint32_t adapters_on_the_way = 0;
+};
+
+/// What the plan is made from.
+struct PlacementInput {
+  const EngineSpec* spec = nullptr;
+  std::vector<EnginePlace> engines;
+  std::map<ModelRef, ModelDemand> demand;
+  TimePoint now{};
+  std::uint32_t store_loads_allowed = 0;
+};
+
+/// One order to send.
+struct PlannedOrder {
+  std::string engine;
+  OrderAction action = OrderAction::kLoad;
+  ModelRef target;
+  CheckpointSource source = CheckpointSource::kRemote;
+  Duration expected{};  ///< Until it is done.
+};
+
+/// The orders to send now, at most one to an engine. Answers the load of many
+/// rarely used models that are asked for one at a time, beside a few busy ones
+/// whose set changes: a missing model goes where it can run soonest, idle ones
+/// make way, the one idle for longest first, and busy ones get replicas by the
+/// number of requests that run at once.
+std::vector<PlannedOrder> PlanPlacement(const PlacementInput& input);
+
+/// Replicas that a model should have for its demand.
+std::uint32_t DesiredReplicas(const ModelDemand& demand);
+
+/// Time to load a model on an engine, by its nearest copy.
+CheckpointSource NearestCopy(const WeightCopies& copies,
+                             const std::string& model);
+Duration LoadTime(const ModelSpec& model, CheckpointSource source);
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_PLACEMENT_PLAN_H_
--- /dev/null
+++ b/packages/fleet/repeat_budget.h
@@ -0,0 +1,62 @@
+// Defines RepeatBudget, this node's part of the repeats that all nodes together
+// may send to a service.
+#ifndef FLEET_REPEAT_BUDGET_H_
+#define FLEET_REPEAT_BUDGET_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// What all nodes together may repeat in one window: `ratio` of the requests
+/// for the service, and `slack` more.
+struct RepeatLimits {
+  double ratio = 0.2;
+  Duration window = std::chrono::seconds(10);
+  double slack = 50;
+};
+
+/// Repeats of one node to one service. Each node follows the limit from its own
+/// requests and the number of live nodes, without a call. Answers the load of
+/// failing endpoints, whose requests would multiply.
+class RepeatBudget {
+ public:
+  /// Part of the limit that is used; the rest is for what nodes count
+  /// differently, such as a number of live nodes that just fell.
+  static constexpr double kUsedPart = 0.7;
+
+  /// A request of a client for the service arrived.
+  void OnRequest(TimePoint now) { requests_.push_back(now); }
+
+  /// Takes one repeat; false if none is left.
+  bool Take(const RepeatLimits& limits, std::size_t live_nodes, TimePoint now) {
+    Forget(requests_, now - limits.window);
+    Forget(repeats_, now - limits.window);
+    const double share =
+        limits.slack / static_cast<double>(live_nodes == 0 ? 1 : live_nodes);
+    const double allowed =
+        kUsedPart *
+        (limits.ratio * static_cast<double>(requests_.size()) + share);
+    if (static_cast<double>(repeats_.size()) + 1 > allowed) {
+      return false;
+    }
+    repeats_.push_back(now);
+    return true;
+  }
+
+ private:
+  static void Forget(std::deque<TimePoint>& times, TimePoint before) {
+    while (!times.empty() && times.front() < before) {
+      times.pop_front();
+    }
+  }
+
+  std::deque<TimePoint> requests_;
+  std::deque<TimePoint> repeats_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_REPEAT_BUDGET_H_
--- /dev/null
+++ b/packages/forwarding/forwarded_request.cc
@@ -0,0 +1,552 @@
+#include "forwarding/forwarded_request.h"
+
+#include <algorithm>
+#include <boost/fiber/fiber.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "fleet/crash_suspects.h"
+#include "fleet/demand_tracker.h"
+#include "fleet/fleet_view.h"
+#include "http/http_responder.h"
+#include "registry/fleet_registry.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A client that says nothing of its time waits for the route's timeout.
+constexpr milliseconds kNoTimeout{60000};
+// The answer at the end of the time leaves this much before it.
+constexpr milliseconds kAnswerMargin{15};
+// Part of its time that a request may spend waiting for an endpoint; the rest
+// is what an endpoint needs to run it.
+constexpr double kWaitPart = 0.7;
+// A waiting request looks again this often for an endpoint whose pause ended.
+constexpr milliseconds kWaitStep{50};
+// Sends of one request to endpoints that did not run it.
+constexpr std::uint32_t kMostSends = 4;
+// An endpoint that did not run a request is not asked again for this long.
+constexpr milliseconds kExcludeNotRun{100};
+constexpr milliseconds kExcludeFailed{1500};
+// A repeatable request goes on elsewhere after a silence of so many objectives,
+// but not before the shortest patience, in which an endpoint reads long
+// prompts.
+constexpr int kPatienceObjectives = 3;
+constexpr milliseconds kShortestPatience{350};
+constexpr milliseconds kShortestEventPatience{1000};
+constexpr int kPatienceGaps = 3;
+// Requests of one endpoint in flight, in parts of its slots, above which a
+// request waits at its node, where it can still go elsewhere.
+constexpr double kFullPart = 2.0;
+// When a rejected client may come again: about the time of a load from disk,
+// and of a short overload.
+constexpr milliseconds kRetryAfterModel{1000};
+constexpr milliseconds kRetryAfterBusy{300};
+// A crashed endpoint refuses connections within this time.
+constexpr milliseconds kCrashProbe{300};
+// The least urgent rank that endpoints know.
+constexpr std::uint32_t kLeastUrgent = 9;
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+
+// Whether a status promises that the request did not run.
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(const ForwardingDependencies& deps,
+                                   RepeatBudgets& budgets,
+                                   const HttpRequest& request,
+                                   HttpResponder& responder)
+    : deps_(deps),
+      budgets_(budgets),
+      request_(request),
+      responder_(responder),
+      client_(std::make_shared<ClientState>()),
+      arrival_(deps.clock.Now()),
+      config_(deps.registry.config()),
+      profile_(deps.protocol.ReadRequest(request)) {}
+
+ForwardedRequest::~ForwardedRequest() {
+  client_->attempt = nullptr;
+}
+
+// ---- before the first attempt
+
+void ForwardedRequest::Run() {
+  if (!FindRoute() || !CheckServable()) {
+    return;
+  }
+  WatchClient();
+  deps_.demand.OnArrival(service_, profile_.model);
+  budgets_[service_].OnRequest(arrival_);
+  while (true) {
+    const auto target = AwaitEndpoint();
+    if (!target || Attempt(*target) == Next::kDone) {
+      return;
+    }
+  }
+}
+
+bool ForwardedRequest::FindRoute() {
+  if (config_ == nullptr) {
+    Reject(kUnavailable, "no_configuration", kRetryAfterBusy);
+    return false;
+  }
+  const auto host = request_.headers.Find("Host").value_or("");
+  route_ = config_->routes.Match(host, request_.Path());
+  if (route_ == nullptr) {
+    Reject(kNotFound, "no_route", milliseconds(0));
+    return false;
+  }
+  const auto* target = ChooseTarget(*route_, RandomUnit());
+  if (target == nullptr) {
+    Reject(kUnavailable, "no_service", kRetryAfterBusy);
+    return false;
+  }
+  service_ = target->service;
+  auto time = profile_.time_left.value_or(kNoTimeout);
+  if (route_->timeout.count() > 0) {
+    time = std::min(time, route_->timeout);
+  }
+  deadline_ = arrival_ + time - kAnswerMargin;
+  return true;
+}
+
+bool ForwardedRequest::CheckServable() {
+  const auto* service = config_->config.FindService(service_);
+  if (service == nullptr) {
+    Reject(kUnavailable, "unknown_service", kRetryAfterModel);
+    return false;
+  }
+  if (service->engine && !profile_.model.model.empty() &&
+      config_->config.FindModel(service_, profile_.model.model) == nullptr) {
+    Reject(kUnavailable, "unknown_model", kRetryAfterModel);
+    return false;
+  }
+  if (!request_.body.empty() && deps_.suspects.Refused(StableHash(
+                                    request_.target + "\n" + request_.body))) {
+    Reject(kUnavailable, "crashes_endpoints", milliseconds(0));
+    return false;
+  }
+  return true;
+}
+
+void ForwardedRequest::WatchClient() {
+  responder_.OnClientGone([client = client_, &view = deps_.view] {
+    client->gone = true;
+    if (client->attempt != nullptr) {
+      client->attempt->Abort();
+    }
+    view.changed().Signal();
+  });
+}
+
+bool ForwardedRequest::ClientGone() {
+  return client_->gone || responder_.client_gone();
+}
+
+// ---- choice of the endpoint
+
+std::set<std::string> ForwardedRequest::Excluded() const {
+  std::set<std::string> out;
+  const auto now = deps_.clock.Now();
+  for (const auto& [id, until] : excluded_until_) {
+    if (now < until) {
+      out.insert(id);
+    }
+  }
+  return out;
+}
+
+std::optional<ForwardedRequest::Target> ForwardedRequest::ChooseEndpoint() {
+  auto candidates = deps_.view.Candidates(service_, profile_.model, Excluded());
+  std::erase_if(candidates, [](const EndpointCandidate& it) {
+    return it.in_flight >= kFullPart * it.record->slots;
+  });
+  const auto key = profile_.SharedKey();
+  const auto* chosen =
+      SelectEndpoint(candidates, {key, profile_.SharedTokens()});
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  return Target{chosen->record->id, chosen->record->address};
+}
+
+TimePoint ForwardedRequest::GiveUpTime() const {
+  const auto time = deadline_ - arrival_;
+  return arrival_ + std::chrono::duration_cast<Duration>(time * kWaitPart);
+}
+
+std::optional<ForwardedRequest::Target> ForwardedRequest::AwaitEndpoint() {
+  auto target = ChooseEndpoint();
+  if (target) {
+    return target;
+  }
+  const auto began = deps_.clock.Now();
+  const auto give_up = GiveUpTime();
+  auto& changed = deps_.view.changed();
+  deps_.demand.BeginWait(service_, profile_.model, give_up);
+  while (!target && !ClientGone() && deps_.clock.Now() < give_up) {
+    const auto seen = changed.count();
+    target = ChooseEndpoint();
+    if (!target) {
+      changed.WaitUntil(seen, std::min(give_up, deps_.clock.Now() + kWaitStep));
+    }
+  }
+  deps_.demand.EndWait(service_, profile_.model, give_up);
+  waited_ms_ +=
+      std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - began)
+          .count();
+  if (ClientGone()) {
+    deps_.log.Record(events::kForwardClientGone,
+                     {{"request", profile_.attempt}, {"age_ms", AgeMs()}});
+    responder_.Abort();
+    return std::nullopt;
+  }
+  if (!target) {
+    GiveUp(/*timed_out=*/false);
+  }
+  return target;
+}
+
+// ---- one attempt
+
+HttpRequest ForwardedRequest::MakeAttempt(const Target& target) const {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline_ - deps_.clock.Now());
+  AttemptParameters with;
+  with.endpoint = target.id;
+  with.time_left = std::max(milliseconds(1), left);
+  with.urgency = std::min(route_->priority, kLeastUrgent);
+  if (passed_events_) {
+    with.resume_after = cutter_.last_id();
+  }
+  return deps_.protocol.MakeAttempt(request_, with);
+}
+
+ForwardedRequest::Next ForwardedRequest::Attempt(const Target& target) {
+  EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock,
+                          target.address);
+  client_->attempt = &attempt;
+  deps_.view.BeginUse(target.id);
+  deps_.demand.BeginRun(service_, profile_.model);
+  const auto next = Exchange(attempt, target);
+  deps_.demand.EndRun(service_, profile_.model);
+  deps_.view.EndUse(target.id);
+  deps_.view.changed().Signal();
+  client_->attempt = nullptr;
+  return next;
+}
+
+ForwardedRequest::Next ForwardedRequest::Exchange(EndpointAttempt& attempt,
+                                                  const Target& target) {
+  const auto connected = attempt.Connect(deadline_);
+  if (!connected) {
+    return OnFailed(target, connected.assume_error());
+  }
+  ++sends_;
+  deps_.log.Record(events::kForwardSent, {{"request", profile_.attempt},
+                                          {"endpoint", target.id},
+                                          {"send", sends_},
+                                          {"age_ms", AgeMs()}});
+  const auto sent =
+      attempt.Send(MakeAttempt(target), profile_.attempt, AnswerDeadline());
+  if (!sent) {
+    return OnFailed(target, sent.assume_error());
+  }
+  if (attempt.traits().not_run) {
+    return OnNotRun(attempt, target);
+  }
+  ++history_.runs;
+  history_.last = Verdict::kRan;
+  if (route_->kind == RequestKind::kStreaming && attempt.status() == kOk) {
+    return RelayStream(attempt, target);
+  }
+  return DeliverWhole(attempt, target);
+}
+
+bool ForwardedRequest::MayStillRepeat() const {
+  // The attempt in progress counts as a run even before its answer begins.
+  const auto runs = history_.runs + (history_.last == Verdict::kRan ? 0 : 1);
+  return route_->repeatable() && runs < route_->max_attempts;
+}
+
+// An endpoint that is silent for longer than this is given up if the request
+// may go on elsewhere; otherwise its silence is no reason to end the request.
+TimePoint ForwardedRequest::AnswerDeadline() const {
+  if (!MayStillRepeat()) {
+    return deadline_;
+  }
+  const auto now = deps_.clock.Now();
+  const auto shortest = route_->kind == RequestKind::kStreaming
+                            ? kShortestEventPatience
+                            : kShortestPatience;
+  const auto patience =
+      std::max<Duration>(route_->goal * kPatienceObjectives, shortest);
+  return std::min(now + std::min<Duration>(patience, (deadline_ - now) / 2),
+                  deadline_);
+}
+
+TimePoint ForwardedRequest::EventDeadline() const {
+  if (!route_->repeatable() || history_.runs >= route_->max_attempts) {
+    return deadline_;
+  }
+  const auto patience = std::max<Duration>(route_->event_gap * kPatienceGaps,
+                                           kShortestEventPatience);
+  return std::min(deps_.clock.Now() + patience, deadline_);
+}
+
+// ---- whole answers
+
+ForwardedRequest::Next ForwardedRequest::DeliverWhole(EndpointAttempt& attempt,
+                                                      const Target& target) {
+  HttpResponse response;
+  response.status = attempt.status();
+  response.headers = deps_.protocol.PassedHeaders(attempt.headers());
+  while (true) {
+    const auto n = attempt.Read(response.body, AnswerDeadline());
+    if (!n) {
+      return OnFailed(target, n.assume_error());
+    }
+    if (n.assume_value() == 0) {
+      break;
+    }
+  }
+  auto& health = deps_.view.Health(target.id);
+  if (response.status < kFirstServerError) {
+    health.OnSuccess(deps_.clock.Now());
+  } else {
+    health.OnFailure(deps_.clock.Now());
+    fallback_ = response;
+    if (!passed_events_ && MayRepeat(*route_, history_)) {
+      return Repeat(target, /*reached_endpoint=*/true);
+    }
+  }
+  if (passed_events_) {
+    return GiveUp(/*timed_out=*/false);  // The stream cannot go on with this.
+  }
+  if (PromisesNotRun(response.status)) {
+    // The endpoint ran the request, so its status would promise too much.
+    fallback_.reset();
+    return GiveUp(/*timed_out=*/false);
+  }
+  const int status = response.status;
+  (void)responder_.Send(std::move(response));
+  Finish(status, "answered");
+  return Next::kDone;
+}
+
+// ---- streams
+
+ForwardedRequest::Next ForwardedRequest::RelayStream(EndpointAttempt& attempt,
+                                                     const Target& target) {
+  while (true) {
+    const bool first = first_event_ms_ < 0;
+    const auto n = attempt.Read(cutter_.input(),
+                                first ? AnswerDeadline() : EventDeadline());
+    if (!n) {
+      return OnFailed(target, n.assume_error());
+    }
+    if (n.assume_value() == 0) {
+      return FinishStream(attempt, target);
+    }
+    const auto events = cutter_.TakeEvents();
+    if (!events.empty() && !PassOn(attempt, events)) {
+      attempt.Abort();
+      Finish(attempt.status(), "client_gone");
+      return Next::kDone;
+    }
+  }
+}
+
+bool ForwardedRequest::PassOn(const EndpointAttempt& attempt,
+                              const std::string& events) {
+  if (!responder_.started() &&
+      !responder_.StartStream(
+          attempt.status(), deps_.protocol.PassedHeaders(attempt.headers()))) {
+    return false;
+  }
+  if (first_event_ms_ < 0) {
+    first_event_ms_ = AgeMs();
+  }
+  passed_events_ = true;
+  return static_cast<bool>(responder_.Write(events));
+}
+
+ForwardedRequest::Next ForwardedRequest::FinishStream(EndpointAttempt& attempt,
+                                                      const Target& target) {
+  const auto rest = cutter_.TakeRest();
+  if ((!rest.empty() || !responder_.started()) && !PassOn(attempt, rest)) {
+    Finish(attempt.status(), "client_gone");
+    return Next::kDone;
+  }
+  (void)responder_.Finish();
+  deps_.view.Health(target.id).OnSuccess(deps_.clock.Now());
+  Finish(attempt.status(), "streamed");
+  return Next::kDone;
+}
+
+// ---- after an attempt that did not serve
+
+ForwardedRequest::Next ForwardedRequest::OnNotRun(
+    const EndpointAttempt& attempt,
+    const Target& target) {
+  history_.last = Verdict::kNotRun;
+  deps_.log.Record(events::kForwardAttemptFailed,
+                   {{"request", profile_.attempt},
+                    {"endpoint", target.id},
+                    {"status", attempt.status()},
+                    {"verdict", VerdictName(Verdict::kNotRun)},
+                    {"age_ms", AgeMs()}});
+  if (attempt.traits().wrong_endpoint) {
+    deps_.view.OnDenied(target.id, profile_.model);
+  }
+  excluded_until_[target.id] = deps_.clock.Now() + kExcludeNotRun;
+  return Repeat(target, /*reached_endpoint=*/true);
+}
+
+ForwardedRequest::Next ForwardedRequest::OnFailed(const Target& target,
+                                                  const AttemptError& error) {
+  const auto now = deps_.clock.Now();
+  if (error.failure == AttemptFailure::kAborted || ClientGone()) {
+    deps_.log.Record(events::kForwardClientGone, {{"request", profile_.attempt},
+                                                  {"endpoint", target.id},
+                                                  {"age_ms", AgeMs()}});
+    responder_.Abort();
+    return Next::kDone;
+  }
+  deps_.log.Record(events::kForwardAttemptFailed,
+                   {{"request", profile_.attempt},
+                    {"endpoint", target.id},
+                    {"failure", AttemptFailureName(error.failure)},
+                    {"verdict", VerdictName(error.verdict)},
+                    {"age_ms", AgeMs()},
+                    {"detail", error.detail}});
+  const bool already_counted = history_.last == Verdict::kRan;
+  history_.last = error.verdict;
+  if (error.verdict != Verdict::kNotRun && !already_counted) {
+    ++history_.runs;
+  }
+  auto& health = deps_.view.Health(target.id);
+  if (error.failure == AttemptFailure::kUnreachable) {
+    health.OnUnreachable(now);
+  } else {
+    health.OnFailure(now);
+  }
+  if (error.failure == AttemptFailure::kBroken && !request_.body.empty()) {
+    Suspect(target);
+  }
+  if (now >= deadline_) {
+    return GiveUp(/*timed_out=*/true);
+  }
+  excluded_until_[target.id] = now + kExcludeFailed;
+  cutter_.Restart();
+  return Repeat(target, error.failure != AttemptFailure::kUnreachable);
+}
+
+ForwardedRequest::Next ForwardedRequest::Repeat(const Target& target,
+                                                bool reached_endpoint) {
+  const auto now = deps_.clock.Now();
+  if (!MayRepeat(*route_, history_) || sends_ >= kMostSends) {
+    return GiveUp(/*timed_out=*/false);
+  }
+  if (reached_endpoint &&
+      !budgets_[service_].Take(deps_.repeat_limits, deps_.live_nodes(), now)) {
+    return GiveUp(/*timed_out=*/false);
+  }
+  if (passed_events_) {
+    deps_.log.Record(events::kForwardResumed, {{"request", profile_.attempt},
+                                               {"left", target.id},
+                                               {"after", cutter_.last_id()},
+                                               {"age_ms", AgeMs()}});
+  }
+  history_.last = Verdict::kNotRun;
+  return Next::kAgain;
+}
+
+ForwardedRequest::Next ForwardedRequest::GiveUp(bool timed_out) {
+  if (responder_.started()) {
+    responder_.Abort();
+    Finish(0, "broken_off");
+    return Next::kDone;
+  }
+  if (fallback_ && !PromisesNotRun(fallback_->status)) {
+    const int status = fallback_->status;
+    (void)responder_.Send(std::move(*fallback_));
+    Finish(status, "answered");
+    return Next::kDone;
+  }
+  const bool waits_for_model = !profile_.model.model.empty();
+  Reject(FinalStatus(history_, timed_out),
+         history_.runs == 0 ? "no_endpoint" : "failed_at_endpoint",
+         waits_for_model ? kRetryAfterModel : kRetryAfterBusy);
+  return Next::kDone;
+}
+
+void ForwardedRequest::Suspect(const Target& target) {
+  const auto fingerprint = StableHash(request_.target + "\n" + request_.body);
+  boost::fibers::fiber([&deps = deps_, target, fingerprint] {
+    EndpointAttempt probe(deps.io, deps.protocol, deps.clock, target.address);
+    const auto now = deps.clock.Now();
+    if (!probe.Connect(now + kCrashProbe)) {
+      deps.on_crash(fingerprint);
+    }
+  }).detach();
+}
+
+// ---- answers of this node
+
+void ForwardedRequest::Reject(int status,
+                              std::string_view reason,
+                              milliseconds retry_after) {
+  if (status != kUnavailable) {
+    retry_after = milliseconds(0);
+  }
+  deps_.log.Record(
+      events::kForwardRejected,
+      {{"request", profile_.attempt},
+       {"status", status},
+       {"reason", reason},
+       {"route", route_ == nullptr ? "" : route_->name},
+       {"service", service_},
+       {"model", profile_.model.ToString()},
+       {"config", config_ == nullptr ? 0 : config_->config.version},
+       {"runs", history_.runs},
+       {"sends", sends_},
+       {"waited_ms", waited_ms_},
+       {"age_ms", AgeMs()}});
+  (void)responder_.Send(
+      deps_.protocol.MakeOwnAnswer(status, profile_, retry_after));
+}
+
+void ForwardedRequest::Finish(int status, std::string_view outcome) {
+  deps_.log.Record(events::kForwardFinished,
+                   {{"request", profile_.attempt},
+                    {"status", status},
+                    {"outcome", outcome},
+                    {"route", route_->name},
+                    {"model", profile_.model.ToString()},
+                    {"sends", sends_},
+                    {"runs", history_.runs},
+                    {"waited_ms", waited_ms_},
+                    {"first_event_ms", first_event_ms_},
+                    {"age_ms", AgeMs()}});
+}
+
+std::int64_t ForwardedRequest::AgeMs() const {
+  return std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - arrival_)
+      .count();
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -0,0 +1,47 @@
+// Defines what the parts of forwarding work with.
+#ifndef FORWARDING_FORWARDING_DEPENDENCIES_H_
+#define FORWARDING_FORWARDING_DEPENDENCIES_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "fleet/repeat_budget.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace tanagerloom {
+
+class Clock;
+class CrashSuspects;
+class DemandTracker;
+class EventLog;
+class FleetRegistry;
+class FleetView;
+class RequestProtocol;
+
+/// Repeats of this node by service.
+using RepeatBudgets = std::map<std::string, RepeatBudget, std::less<>>;
+
+/// The parts that forwarding uses; they outlive it.
+struct ForwardingDependencies {
+  boost::asio::io_context& io;
+  FleetRegistry& registry;
+  FleetView& view;
+  DemandTracker& demand;
+  const RequestProtocol& protocol;
+  CrashSuspects& suspects;
+  Clock& clock;
+  EventLog& log;
+  RepeatLimits repeat_limits;
+  std::function<std::size_t()> live_nodes;  ///< With this one.
+  /// A request with this fingerprint was followed by an endpoint's crash.
+  std::function<void(std::uint64_t fingerprint)> on_crash;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_FORWARDING_DEPENDENCIES_H_
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -102,9 +102,11 @@
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
-  message.set(bhttp::field::host, address_.ToString());
+  if (!request.headers.Find("Host")) {
+    message.set(bhttp::field::host, address_.ToString());
+  }
   for (const auto& it : request.headers.fields()) {
-    message.set(it.name, it.value);
+    message.insert(it.name, it.value);
   }
   message.body() = request.body;
   message.prepare_payload();
@@ -118,6 +120,8 @@
   impl_->parser.emplace();
   impl_->parser->header_limit(kMaxHeaderBytes);
   impl_->parser->body_limit(options.max_body_bytes);
+  // The length in the answer to HEAD is that of a body which does not come.
+  impl_->parser->skip(request.method == "HEAD");
   result = AwaitIo([&](auto done) {
     bhttp::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
                              done);
--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -1,4 +1,5 @@
-// Defines HttpConnection, one client connection; used only by HttpClient.
+// Defines HttpConnection, one client connection, for HttpClient and for callers
+// that must be able to abort a request before its response begins.
 #ifndef HTTP_HTTP_CONNECTION_H_
 #define HTTP_HTTP_CONNECTION_H_
 
@@ -16,10 +17,14 @@
   HttpConnection(boost::asio::io_context& io, Address address);
   ~HttpConnection();
 
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
   HttpResult<void> Connect(TimePoint deadline);
   /// Writes the request and reads the response's head.
   HttpResult<void> Send(const HttpRequest& request,
                         const HttpCallOptions& options);
+  /// Appends the next bytes of the body to `out`; 0 is the proper end.
   HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
 
   /// Whether an idle connection is still open and has no stray input.
@@ -27,6 +32,7 @@
   /// Whether the response is complete and the connection may be used again.
   bool Reusable() const;
   bool complete() const;
+  /// Closes the connection; a pending operation fails.
   void Close();
 
   int status() const { return status_; }
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -43,6 +43,7 @@
   std::string target;  ///< Path and query, as sent.
   HttpHeaders headers;
   std::string body;
+  std::string client_ip = {};  ///< Of a received request; empty if unknown.
 
   /// The target without its query.
   std::string_view Path() const;
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -266,6 +266,7 @@
   Handler handler;
   asio::ip::tcp::acceptor acceptor;
   bool stopping = false;
+  bool closing = false;  ///< Responses announce the end of the connection.
   std::size_t requests = 0;
   std::set<beast::tcp_stream*> connections;
   std::set<beast::tcp_stream*> idle;
@@ -337,15 +338,17 @@
     return false;
   }
   const auto message = parser.release();
-  const HttpRequest request = ToRequest(message);
+  HttpRequest request = ToRequest(message);
+  boost::system::error_code ec;
+  request.client_ip = stream.socket().remote_endpoint(ec).address().to_string();
   ++requests;
   bool reuse = false;
   {
-    ConnectionResponder responder(io, stream, limits,
-                                  message.keep_alive() && !stopping);
+    const bool keep_alive = message.keep_alive() && !stopping && !closing;
+    ConnectionResponder responder(io, stream, limits, keep_alive);
     stream.expires_never();
     handler(request, responder);
-    reuse = responder.finished() && message.keep_alive();
+    reuse = responder.finished() && keep_alive;
   }
   --requests;
   return reuse;
@@ -416,6 +419,14 @@
   return Address{address.ip, state_->acceptor.local_endpoint().port()};
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  state_->limits = limits;
+}
+
+void HttpServer::AnnounceClose() {
+  state_->closing = true;
+}
+
 void HttpServer::StopAccepting() {
   state_->stopping = true;
   boost::system::error_code ec;
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -46,6 +46,13 @@
   /// Listens and starts accepting. Port 0 takes any free port.
   Result<Address> Listen(const Address& address);
 
+  /// Changes the limits for the requests that follow.
+  void SetLimits(const HttpServerLimits& limits);
+
+  /// Tells each client with its next response that the connection closes; new
+  /// connections are still accepted.
+  void AnnounceClose();
+
   /// Stops accepting and closes idle connections; requests in progress go on
   /// and their connections close after the response.
   void StopAccepting();
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -166,6 +166,27 @@
     return {wire::Body::Done,
             wire::CreateDone(builder, cell, server, order).Union()};
   }
+  Encoded operator()(const LeaseNotice& body) const {
+    const auto holder = Put(builder, body.holder);
+    return {wire::Body::LeaseNotice,
+            wire::CreateLeaseNotice(builder, holder, body.fence, body.revision)
+                .Union()};
+  }
+  Encoded operator()(const HoldingsNotice& body) const {
+    std::vector<flatbuffers::Offset<wire::HeldModel>> models;
+    models.reserve(body.models.size());
+    for (const auto& it : body.models) {
+      const auto model = Put(builder, it.model);
+      const auto adapters = PutTexts(builder, it.adapters);
+      models.push_back(wire::CreateHeldModel(builder, model, adapters));
+    }
+    const auto endpoint = Put(builder, body.endpoint);
+    const auto list = builder.CreateVector(models);
+    return {wire::Body::HoldingsNotice,
+            wire::CreateHoldingsNotice(builder, endpoint, body.boot, body.fence,
+                                       body.number, list)
+                .Union()};
+  }
 };
 
 Digest DecodeDigest(const wire::Digest& body) {
@@ -194,6 +215,17 @@
   return out;
 }
 
+HoldingsNotice DecodeHoldings(const wire::HoldingsNotice& body) {
+  HoldingsNotice out{
+      Text(body.endpoint()), body.boot(), body.fence(), body.number(), {}};
+  if (body.models() != nullptr) {
+    for (const auto* it : *body.models()) {
+      out.models.push_back({Text(it->model()), Texts(it->adapters())});
+    }
+  }
+  return out;
+}
+
 Result<EnvelopeBody> DecodeEndpointNotice(const wire::EndpointNotice& body) {
   if (body.condition() >
       static_cast<std::uint8_t>(EndpointCondition::kProbing)) {
@@ -277,6 +309,14 @@
       return EnvelopeBody(PeerMessage(OrderDone{
           Text(body.cell()), Text(body.server()), Text(body.order())}));
     }
+    case wire::Body::LeaseNotice: {
+      const auto& body = *envelope.body_as_LeaseNotice();
+      return EnvelopeBody(PeerMessage(
+          LeaseNotice{Text(body.holder()), body.fence(), body.revision()}));
+    }
+    case wire::Body::HoldingsNotice:
+      return EnvelopeBody(
+          PeerMessage(DecodeHoldings(*envelope.body_as_HoldingsNotice())));
   }
   return MakeError(ErrorKind::kInvalid,
                    "envelope body type " +
--- a/packages/membership/outbound_queue.cc
+++ b/packages/membership/outbound_queue.cc
@@ -33,6 +33,10 @@
                 envelope.incarnation,
             it->number};
   }
+  if (const auto* it = std::get_if<HoldingsNotice>(message)) {
+    return {"holdings " + it->endpoint + " " + std::to_string(it->fence),
+            it->number};
+  }
   if (std::holds_alternative<EndpointUse>(*message)) {
     return {"use " + envelope.sender + " " + envelope.incarnation,
             envelope.flood_number};
--- a/packages/platform/http_engine_control.cc
+++ b/packages/object_api/http_engine_control.cc
@@ -1,4 +1,4 @@
-#include "platform/http_engine_control.h"
+#include "object_api/http_engine_control.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/http_engine_control.h
+++ b/packages/object_api/http_engine_control.h
@@ -1,7 +1,7 @@
 // Defines HttpEngineControl, the adapter of the EngineControl port to the
 // engines' HTTP control API (docs/design.md, section 3.6).
-#ifndef PLATFORM_HTTP_ENGINE_CONTROL_H_
-#define PLATFORM_HTTP_ENGINE_CONTROL_H_
+#ifndef OBJECT_API_HTTP_ENGINE_CONTROL_H_
+#define OBJECT_API_HTTP_ENGINE_CONTROL_H_
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -36,4 +36,4 @@
 
 }  // namespace tanagerloom
 
-#endif  // PLATFORM_HTTP_ENGINE_CONTROL_H_
+#endif  // OBJECT_API_HTTP_ENGINE_CONTROL_H_
--- a/packages/platform/http_object_store.cc
+++ b/packages/object_api/http_object_store.cc
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "object_api/http_object_store.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/packages/platform/http_object_store.h
+++ b/packages/object_api/http_object_store.h
@@ -1,7 +1,7 @@
 // Defines HttpObjectStore, the adapter of the ObjectStore port to the
 // platform's HTTP object API (docs/design.md, section 3.4).
-#ifndef PLATFORM_HTTP_OBJECT_STORE_H_
-#define PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef OBJECT_API_HTTP_OBJECT_STORE_H_
+#define OBJECT_API_HTTP_OBJECT_STORE_H_
 
 #include "base/address.h"
 #include "ports/object_store.h"
@@ -53,4 +53,4 @@
 
 }  // namespace tanagerloom
 
-#endif  // PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // OBJECT_API_HTTP_OBJECT_STORE_H_
--- a/packages/platform/http_vm_list.cc
+++ b/packages/object_api/http_vm_list.cc
@@ -1,4 +1,4 @@
-#include "platform/http_vm_list.h"
+#include "object_api/http_vm_list.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/http_vm_list.h
+++ b/packages/object_api/http_vm_list.h
@@ -1,7 +1,7 @@
 // Defines HttpVmList, the adapter of the VmList port to the platform's HTTP
 // list of VMs (docs/design.md, section 3.5).
-#ifndef PLATFORM_HTTP_VM_LIST_H_
-#define PLATFORM_HTTP_VM_LIST_H_
+#ifndef OBJECT_API_HTTP_VM_LIST_H_
+#define OBJECT_API_HTTP_VM_LIST_H_
 
 #include "ports/vm_list.h"
 #include "runtime/clock.h"
@@ -29,4 +29,4 @@
 
 }  // namespace tanagerloom
 
-#endif  // PLATFORM_HTTP_VM_LIST_H_
+#endif  // OBJECT_API_HTTP_VM_LIST_H_
--- /dev/null
+++ b/packages/ordering/engine_book.cc
@@ -0,0 +1,132 @@
+#include "ordering/engine_book.h"
+
+#include <algorithm>
+
+#include "fleet/endpoint_directory.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// A description that came this long after the last change may be newer than it.
+constexpr auto kDescriptionLag = std::chrono::milliseconds(2500);
+
+// Whether what the engine says of itself casts doubt on the book.
+bool Doubtful(const BookedEngine& entry,
+              const EndpointRecord& record,
+              TimePoint described) {
+  return record.models != entry.record.models && !entry.order &&
+         entry.adapters_coming.empty() &&
+         described >= entry.changed_at + kDescriptionLag;
+}
+
+}  // namespace
+
+std::vector<std::string> EngineBook::Sync(const EndpointDirectory& directory,
+                                          std::string_view service,
+                                          TimePoint now) {
+  std::vector<std::string> to_read;
+  std::erase_if(engines_, [&](const auto& it) {
+    return directory.Find(it.first) == nullptr;
+  });
+  for (const auto& [id, record] : directory.records()) {
+    if (record.service != service) {
+      continue;
+    }
+    const auto [it, inserted] = engines_.try_emplace(id);
+    auto& entry = it->second;
+    if (inserted || record.boot > entry.record.boot) {
+      entry = BookedEngine{};
+      entry.record = record;
+      entry.changed_at = now;
+    } else if (record.boot == entry.record.boot) {
+      entry.record.copies = record.copies;
+      entry.record.draining = record.draining;
+      entry.doubtful = Doubtful(entry, record, directory.ChangedAt(id));
+    }
+    if ((!entry.sequence || entry.doubtful) && !entry.reading &&
+        now >= entry.blocked_until) {
+      to_read.push_back(id);
+    }
+  }
+  return to_read;
+}
+
+void EngineBook::Adopt(const std::string& id,
+                       const EngineState& state,
+                       TimePoint now) {
+  auto* entry = Find(id);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->sequence = state.sequence;
+  entry->changed_at = now;
+  entry->doubtful = false;
+  entry->record.models.clear();
+  entry->adapters_coming.clear();
+  for (const auto& it : state.entries) {
+    if (it.state != EngineEntryState::kLoaded) {
+      continue;
+    }
+    auto& adapters = entry->record.models[it.model];
+    if (!it.adapter.empty()) {
+      adapters.insert(it.adapter);
+    }
+  }
+}
+
+BookedEngine* EngineBook::Find(const std::string& id) {
+  const auto it = engines_.find(id);
+  return it == engines_.end() ? nullptr : &it->second;
+}
+
+std::vector<EnginePlace> EngineBook::Places(const EndpointDirectory& directory,
+                                            TimePoint now) const {
+  std::vector<EnginePlace> out;
+  for (const auto& [id, entry] : engines_) {
+    const auto* listed = directory.Find(id);
+    EnginePlace place;
+    place.id = id;
+    place.usable =
+        listed != nullptr && !listed->draining && entry.sequence.has_value();
+    place.models = entry.record.models;
+    place.copies = entry.record.copies;
+    place.busy = entry.order.has_value() || now < entry.blocked_until;
+    place.free_in = std::max(Duration(0), entry.blocked_until - now);
+    if (entry.order) {
+      place.free_in =
+          std::max<Duration>(place.free_in, entry.order->done_at - now);
+      if (entry.order->action == OrderAction::kLoad &&
+          entry.order->target.adapter.empty()) {
+        place.loading = entry.order->target.model;
+      }
+    }
+    place.adapters_on_the_way =
+        static_cast<std::uint32_t>(entry.adapters_coming.size());
+    for (const auto& [ref, at] : entry.adapters_coming) {
+      place.models[ref.model].insert(ref.adapter);
+    }
+    out.push_back(std::move(place));
+  }
+  return out;
+}
+
+HoldingsNotice EngineBook::Notice(BookedEngine& entry,
+                                  std::uint64_t fence) const {
+  HoldingsNotice notice;
+  notice.endpoint = entry.record.id;
+  notice.boot = entry.record.boot;
+  notice.fence = fence;
+  notice.number = ++entry.notices;
+  for (const auto& [model, adapters] : entry.record.models) {
+    const bool unloading = entry.order &&
+                           entry.order->action == OrderAction::kUnload &&
+                           entry.order->target == ModelRef{model, ""};
+    if (!unloading) {
+      notice.models.push_back({model, {adapters.begin(), adapters.end()}});
+    }
+  }
+  return notice;
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/ordering/engine_book.h
@@ -0,0 +1,77 @@
+// Defines EngineBook, what the orderer of engines knows of each engine of one
+// service: what it holds, the order in progress, and from when on it takes
+// more.
+#ifndef ORDERING_ENGINE_BOOK_H_
+#define ORDERING_ENGINE_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "fleet/endpoint_record.h"
+#include "fleet/model_ref.h"
+#include "fleet/placement_plan.h"
+#include "ports/engine_control.h"
+#include "ports/peer_message.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+class EndpointDirectory;
+
+/// An order that an engine has been given.
+struct OrderInProgress {
+  OrderAction action = OrderAction::kLoad;
+  ModelRef target;
+  TimePoint done_at{};  ///< As expected.
+};
+
+/// One engine in the book.
+struct BookedEngine {
+  EndpointRecord record;  ///< As last adopted, with what was ordered since.
+  /// Orders that the engine has accepted; unknown until its report was read.
+  std::optional<std::uint64_t> sequence;
+  bool reading = false;    ///< A report is on its way.
+  bool doubtful = false;   ///< The engine describes itself differently.
+  TimePoint changed_at{};  ///< Of what it holds, by this book.
+  std::optional<OrderInProgress> order;
+  std::map<ModelRef, TimePoint> adapters_coming;  ///< With the expected time.
+  TimePoint blocked_until{};  ///< After an order without a clear outcome.
+  std::uint64_t notices = 0;  ///< Sent under this fence.
+};
+
+/// The engines of one service. What the store says of an engine may be older
+/// than what was ordered; its report is what counts.
+class EngineBook {
+ public:
+  /// Starts anew, as after taking the lease.
+  void Clear() { engines_.clear(); }
+
+  /// Takes what the directory says. Returns the engines whose report must be
+  /// read: new ones, and those whose description does not match the book.
+  std::vector<std::string> Sync(const EndpointDirectory& directory,
+                                std::string_view service,
+                                TimePoint now);
+
+  /// Takes an engine's report.
+  void Adopt(const std::string& id, const EngineState& state, TimePoint now);
+
+  BookedEngine* Find(const std::string& id);
+
+  std::map<std::string, BookedEngine>& engines() { return engines_; }
+
+  /// The engines as the plan sees them.
+  std::vector<EnginePlace> Places(const EndpointDirectory& directory,
+                                  TimePoint now) const;
+
+  /// The notice of what an engine holds and may be asked for.
+  HoldingsNotice Notice(BookedEngine& entry, std::uint64_t fence) const;
+
+ private:
+  std::map<std::string, BookedEngine> engines_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ORDERING_ENGINE_BOOK_H_
--- /dev/null
+++ b/packages/ordering/order_coordinator.cc
@@ -0,0 +1,385 @@
+#include "ordering/order_coordinator.h"
+
+#include <algorithm>
+#include <boost/fiber/fiber.hpp>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "base/id.h"
+#include "fleet/demand_tracker.h"
+#include "fleet/fleet_view.h"
+#include "ordering/order_lease.h"
+#include "ports/peer_network.h"
+#include "registry/fleet_registry.h"
+
+namespace tanagerloom {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Demand that nobody waits for is reported this often.
+constexpr auto kDemandInterval = milliseconds(400);
+// Requests that arrive together are reported together.
+constexpr auto kDemandBatch = milliseconds(2);
+// The plan is made anew at least this often.
+constexpr auto kPlanInterval = milliseconds(100);
+// Between two looks at an engine that carries out an order; its report lags by
+// about as much.
+constexpr auto kReportInterval = milliseconds(70);
+// An order that takes longer than this beyond twice the expected time is given
+// up, and the engine's state is read anew.
+constexpr auto kOrderPatience = milliseconds(4000);
+// A report that still shows the state before the order is not believed earlier.
+constexpr auto kReportLag = milliseconds(400);
+// An adapter is there this long after its order was taken.
+constexpr auto kAdapterTime = milliseconds(20);
+// No order goes to an engine for this long after one was refused.
+constexpr auto kBlockAfterRefusal = milliseconds(150);
+
+}  // namespace
+
+OrderCoordinator::OrderCoordinator(OrderDependencies deps,
+                                   Duration ceiling_window)
+    : deps_(deps), ceiling_window_(ceiling_window) {}
+
+void OrderCoordinator::Start() {
+  boost::fibers::fiber([this] { DemandLoop(); }).detach();
+  boost::fibers::fiber([this] { PlanLoop(); }).detach();
+}
+
+// ---- demand
+
+void OrderCoordinator::DemandLoop() {
+  auto& urgent = deps_.demand.urgent();
+  std::uint64_t seen = urgent.count();
+  while (!stopping_) {
+    if (urgent.WaitUntil(seen, deps_.clock.Now() + kDemandInterval)) {
+      deps_.clock.SleepFor(kDemandBatch);
+    }
+    seen = urgent.count();
+    if (!deps_.lease.holder().empty()) {
+      ReportDemand();
+    }
+  }
+}
+
+void OrderCoordinator::ReportDemand() {
+  for (const auto& it : deps_.demand.Take()) {
+    if (deps_.lease.holding()) {
+      OnDemand(deps_.peers.node_id(), it);
+    } else {
+      deps_.peers.Send(deps_.lease.holder(), it);
+    }
+  }
+}
+
+void OrderCoordinator::OnDemand(const std::string& node, const Demand& demand) {
+  demand_.Update(node, demand, deps_.clock.Now());
+  replan_.Signal();
+}
+
+// ---- planning
+
+OrderCoordinator::ServiceOrders& OrderCoordinator::At(
+    const std::string& service) {
+  return services_.try_emplace(service, ceiling_window_).first->second;
+}
+
+void OrderCoordinator::PlanLoop() {
+  std::uint64_t seen = replan_.count();
+  while (!stopping_) {
+    replan_.WaitUntil(seen, deps_.clock.Now() + kPlanInterval);
+    seen = replan_.count();
+    if (deps_.lease.MayOrder()) {
+      PlanAll();
+    }
+  }
+}
+
+void OrderCoordinator::PlanAll() {
+  const auto current = deps_.registry.config();
+  if (current == nullptr) {
+    return;
+  }
+  if (std::exchange(fence_, deps_.lease.fence()) != deps_.lease.fence()) {
+    for (auto& [name, orders] : services_) {
+      orders.book.Clear();
+    }
+    services_.clear();
+  }
+  for (const auto& [name, service] : current->config.services) {
+    if (service.engine) {
+      PlanService(name, *service.engine);
+    }
+  }
+}
+
+void OrderCoordinator::PlanService(const std::string& service,
+                                   const EngineSpec& spec) {
+  const auto now = deps_.clock.Now();
+  const bool first = !services_.contains(service);
+  auto& orders = At(service);
+  if (first) {
+    orders.ceiling.OnTakeover(now);
+  }
+  const auto& directory = deps_.view.directory();
+  for (const auto& it : orders.book.Sync(directory, service, now)) {
+    orders.book.Find(it)->reading = true;
+    boost::fibers::fiber([this, service, it] { Resync(service, it); }).detach();
+  }
+  PlacementInput input;
+  input.spec = &spec;
+  input.engines = orders.book.Places(directory, now);
+  input.demand = demand_.Read(service, now);
+  input.now = now;
+  input.store_loads_allowed =
+      orders.ceiling.Allowed(spec.store_loads_per_s, now);
+  for (const auto& it : PlanPlacement(input)) {
+    Start(service, it);
+  }
+}
+
+// ---- orders
+
+void OrderCoordinator::Start(const std::string& service,
+                             const PlannedOrder& order) {
+  auto& orders = At(service);
+  auto* entry = orders.book.Find(order.engine);
+  if (entry == nullptr) {
+    return;
+  }
+  const auto now = deps_.clock.Now();
+  entry->order =
+      OrderInProgress{order.action, order.target, now + order.expected};
+  if (order.target.adapter.empty()) {
+    if (order.action == OrderAction::kUnload) {
+      Tell(*entry);  // Nodes stop sending before the engine starts refusing.
+    } else if (order.source == CheckpointSource::kRemote) {
+      orders.ceiling.OnStart(now);
+    }
+  }
+  boost::fibers::fiber([this, service, order] {
+    Execute(service, order);
+  }).detach();
+}
+
+void OrderCoordinator::Execute(const std::string& service, PlannedOrder order) {
+  if (!Send(service, order)) {
+    replan_.Signal();
+    return;
+  }
+  if (order.target.adapter.empty()) {
+    FollowModelOrder(service, order);
+  } else {
+    FinishAdapterOrder(service, order);
+  }
+  replan_.Signal();
+}
+
+EngineOrder OrderCoordinator::MakeOrder(const PlannedOrder& order,
+                                        const BookedEngine& entry) const {
+  EngineOrder out;
+  out.order = NewId("o");
+  out.fence = deps_.lease.fence();
+  out.action = order.action;
+  out.model = order.target.model;
+  out.adapter = order.target.adapter;
+  out.source = order.source;
+  out.endpoint = entry.record.id;
+  out.holder = deps_.peers.node_id();
+  out.expected_sequence = entry.sequence;
+  return out;
+}
+
+bool OrderCoordinator::Send(const std::string& service,
+                            const PlannedOrder& order) {
+  auto& book = At(service).book;
+  auto* entry = book.Find(order.engine);
+  if (entry == nullptr) {
+    return false;
+  }
+  const auto message = MakeOrder(order, *entry);
+  const Address address = entry->record.address;
+  const auto boot = entry->record.boot;
+  if (!deps_.lease.MayOrder()) {
+    Fail(service, order, "the lease is not certain");
+    return false;
+  }
+  deps_.log.Record(
+      events::kEngineOrderSent,
+      {{"engine", order.engine},
+       {"action", order.action == OrderAction::kLoad ? "load" : "unload"},
+       {"model", order.target.ToString()},
+       {"sequence", message.expected_sequence.value_or(0)},
+       {"fence", message.fence},
+       {"expected_ms",
+        std::chrono::duration_cast<milliseconds>(order.expected).count()}});
+  const auto answer = deps_.engines.Send(address, message);
+  entry = At(service).book.Find(order.engine);
+  if (entry == nullptr || entry->record.boot != boot || !entry->order) {
+    return false;  // The engine left or restarted meanwhile.
+  }
+  if (!answer) {
+    Fail(service, order, answer.assume_error().message);
+    Resync(service, order.engine);
+    return false;
+  }
+  if (const auto* refused = std::get_if<OrderRefused>(&answer.assume_value())) {
+    Fail(service, order, refused->reason);
+    Resync(service, order.engine);
+    return false;
+  }
+  const auto& accepted = std::get<OrderAccepted>(answer.assume_value());
+  if (!accepted.already_done) {
+    entry->sequence = message.expected_sequence.value_or(0) + 1;
+  }
+  return true;
+}
+
+void OrderCoordinator::FollowModelOrder(const std::string& service,
+                                        const PlannedOrder& order) {
+  const auto began = deps_.clock.Now();
+  const auto give_up = began + 2 * order.expected + kOrderPatience;
+  deps_.clock.SleepFor(std::max<Duration>(kReportInterval, order.expected));
+  while (!stopping_ && deps_.clock.Now() < give_up) {
+    auto* entry = At(service).book.Find(order.engine);
+    if (entry == nullptr || !entry->order) {
+      return;  // The engine left or restarted.
+    }
+    const auto sequence = entry->sequence.value_or(0);
+    const auto state = deps_.engines.ReadState(entry->record.address);
+    entry = At(service).book.Find(order.engine);
+    if (entry == nullptr || !entry->order) {
+      return;
+    }
+    if (state && state.assume_value().sequence >= sequence &&
+        !state.assume_value().busy) {
+      const auto& entries = state.assume_value().entries;
+      const bool present = std::ranges::any_of(entries, [&](const auto& it) {
+        return it.model == order.target.model && it.adapter.empty();
+      });
+      if (present == (order.action == OrderAction::kLoad)) {
+        FinishModelOrder(service, order);
+        return;
+      }
+      if (deps_.clock.Now() - began > order.expected + kReportLag) {
+        break;
+      }
+    }
+    deps_.clock.SleepFor(kReportInterval);
+  }
+  Fail(service, order, "not carried out in time");
+  Resync(service, order.engine);
+}
+
+void OrderCoordinator::FinishModelOrder(const std::string& service,
+                                        const PlannedOrder& order) {
+  auto* entry = At(service).book.Find(order.engine);
+  const auto& model = order.target.model;
+  if (order.action == OrderAction::kLoad) {
+    entry->record.models[model];
+    entry->record.copies.in_memory.insert(model);
+    entry->record.copies.on_disk.insert(model);
+  } else {
+    entry->record.models.erase(model);
+  }
+  entry->order.reset();
+  entry->changed_at = deps_.clock.Now();
+  deps_.log.Record(events::kEngineOrderDone,
+                   {{"engine", order.engine},
+                    {"model", model},
+                    {"sequence", entry->sequence.value_or(0)}});
+  Tell(*entry);
+}
+
+void OrderCoordinator::FinishAdapterOrder(const std::string& service,
+                                          const PlannedOrder& order) {
+  auto* entry = At(service).book.Find(order.engine);
+  entry->order.reset();
+  const auto held = entry->record.models.find(order.target.model);
+  if (held == entry->record.models.end()) {
+    return;
+  }
+  entry->changed_at = deps_.clock.Now();
+  if (order.action == OrderAction::kUnload) {
+    held->second.erase(order.target.adapter);
+    Tell(*entry);
+    return;
+  }
+  const auto boot = entry->record.boot;
+  entry->adapters_coming[order.target] = deps_.clock.Now() + kAdapterTime;
+  replan_.Signal();
+  deps_.clock.SleepFor(kAdapterTime);
+  entry = At(service).book.Find(order.engine);
+  if (entry == nullptr || entry->record.boot != boot ||
+      entry->adapters_coming.erase(order.target) == 0) {
+    return;
+  }
+  const auto model = entry->record.models.find(order.target.model);
+  if (model != entry->record.models.end()) {
+    model->second.insert(order.target.adapter);
+    entry->changed_at = deps_.clock.Now();
+    Tell(*entry);
+  }
+}
+
+void OrderCoordinator::Fail(const std::string& service,
+                            const PlannedOrder& order,
+                            const std::string& cause) {
+  deps_.log.Record(events::kEngineOrderFailed,
+                   {{"engine", order.engine},
+                    {"model", order.target.ToString()},
+                    {"cause", cause}});
+  auto* entry = At(service).book.Find(order.engine);
+  if (entry != nullptr) {
+    entry->order.reset();
+    entry->blocked_until = deps_.clock.Now() + kBlockAfterRefusal;
+  }
+}
+
+void OrderCoordinator::Resync(const std::string& service,
+                              const std::string& engine) {
+  auto* entry = At(service).book.Find(engine);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->reading = true;
+  const auto boot = entry->record.boot;
+  const auto sequence = entry->sequence;
+  const auto state = deps_.engines.ReadState(entry->record.address);
+  entry = At(service).book.Find(engine);
+  if (entry == nullptr || entry->record.boot != boot) {
+    return;
+  }
+  entry->reading = false;
+  if (entry->order || entry->sequence != sequence) {
+    return;  // The report is older than an order sent meanwhile.
+  }
+  const auto now = deps_.clock.Now();
+  if (!state) {
+    entry->blocked_until = now + kBlockAfterRefusal;
+    Tell(*entry);  // What was announced for a failed order does not hold.
+    return;
+  }
+  At(service).book.Adopt(engine, state.assume_value(), now);
+  deps_.log.Record(events::kEngineStateAdopted,
+                   {{"engine", engine},
+                    {"sequence", state.assume_value().sequence},
+                    {"busy", state.assume_value().busy}});
+  if (state.assume_value().busy) {
+    entry->blocked_until = now + kBlockAfterRefusal;
+    entry->doubtful = true;
+  }
+  Tell(*entry);
+  replan_.Signal();
+}
+
+void OrderCoordinator::Tell(BookedEngine& entry) {
+  const auto notice = At(entry.record.service).book.Notice(entry, fence_);
+  deps_.view.OnHoldings(notice);
+  deps_.peers.Broadcast(notice);
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/ordering/order_coordinator.h
@@ -0,0 +1,92 @@
+// Defines OrderCoordinator, which orders the engines while this node holds the
+// lease: it collects the demand of all nodes, plans, sends orders, follows them
+// to their end and tells all nodes what the engines hold.
+#ifndef ORDERING_ORDER_COORDINATOR_H_
+#define ORDERING_ORDER_COORDINATOR_H_
+
+#include <map>
+#include <string>
+
+#include "fleet/demand_table.h"
+#include "fleet/load_ceiling.h"
+#include "ordering/engine_book.h"
+#include "ports/engine_control.h"
+#include "runtime/event_flag.h"
+
+namespace tanagerloom {
+
+class DemandTracker;
+class EventLog;
+class FleetRegistry;
+class FleetView;
+class OrderLease;
+class PeerNetwork;
+
+/// What the coordinator works with.
+struct OrderDependencies {
+  OrderLease& lease;
+  EngineControl& engines;
+  PeerNetwork& peers;
+  FleetRegistry& registry;
+  FleetView& view;
+  DemandTracker& demand;
+  Clock& clock;
+  EventLog& log;
+};
+
+/// Orders engines, and on the other nodes reports demand to the node that does.
+class OrderCoordinator {
+ public:
+  /// `ceiling_window` is the span for which loads from the store are bounded.
+  OrderCoordinator(OrderDependencies deps, Duration ceiling_window);
+
+  /// Starts the fibers that report demand and send orders.
+  void Start();
+  void Stop() { stopping_ = true; }
+
+  /// Takes a node's demand.
+  void OnDemand(const std::string& node, const Demand& demand);
+
+ private:
+  /// One service's engines and its rate of loads.
+  struct ServiceOrders {
+    explicit ServiceOrders(Duration window) : ceiling(window) {}
+    EngineBook book;
+    LoadCeiling ceiling;
+  };
+
+  void DemandLoop();
+  void ReportDemand();
+  void PlanLoop();
+  void PlanAll();
+  void PlanService(const std::string& service, const EngineSpec& spec);
+  void Start(const std::string& service, const PlannedOrder& order);
+  void Execute(const std::string& service, PlannedOrder order);
+  /// Sends the order; true if the engine took it.
+  bool Send(const std::string& service, const PlannedOrder& order);
+  void FollowModelOrder(const std::string& service, const PlannedOrder& order);
+  void FinishModelOrder(const std::string& service, const PlannedOrder& order);
+  void FinishAdapterOrder(const std::string& service,
+                          const PlannedOrder& order);
+  void Fail(const std::string& service,
+            const PlannedOrder& order,
+            const std::string& cause);
+  /// Reads the engine's state after an order without a clear outcome.
+  void Resync(const std::string& service, const std::string& engine);
+  void Tell(BookedEngine& entry);
+  ServiceOrders& At(const std::string& service);
+  EngineOrder MakeOrder(const PlannedOrder& order,
+                        const BookedEngine& entry) const;
+
+  OrderDependencies deps_;
+  Duration ceiling_window_;
+  DemandTable demand_;
+  std::map<std::string, ServiceOrders> services_;
+  std::uint64_t fence_ = 0;  ///< Under which the books were begun.
+  EventFlag replan_;
+  bool stopping_ = false;
+};
+
+}  // namespace tanagerloom
+
+#endif  // ORDERING_ORDER_COORDINATOR_H_
--- a/packages/ports/engine_control.h
+++ b/packages/ports/engine_control.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,17 +30,25 @@
   std::string adapter;
   std::uint64_t memory_mb = 0;
   CheckpointSource source = CheckpointSource::kRemote;
+  /// The engine's identity, for engines that check it: an engine that took over
+  /// the address refuses the order.
+  std::string endpoint = {};
+  std::string holder = {};  ///< Who holds the right to order; one name a VM.
+  /// The order holds only while the engine's state has this sequence.
+  std::optional<std::uint64_t> expected_sequence = {};
 };
 
 /// The engine took the order. `sequence` is that of its state just after.
 struct OrderAccepted {
   std::uint64_t sequence = 0;
   std::string boot;
+  bool already_done = false;  ///< The order's outcome held before.
 };
 
 /// The engine refused the order; it has no effect.
 struct OrderRefused {
-  std::string reason;  ///< "old_fence", "leaving" or "no_memory".
+  std::string reason;  ///< "old_fence", "leaving", "no_memory", "busy",
+                       ///< "other_endpoint" or "invalid".
   std::uint64_t highest_fence = 0;
 };
 
@@ -66,6 +75,7 @@
   std::uint64_t memory_mb = 0;
   std::uint64_t used_mb = 0;
   bool leaving = false;
+  bool busy = false;  ///< An order is being carried out.
   std::map<std::string, CheckpointSource> cached;
   std::vector<EngineEntry> entries;
 };
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -85,6 +85,31 @@
   std::string order;
 };
 
+/// The sender holds the right to order engines.
+struct LeaseNotice {
+  std::string holder;
+  std::uint64_t fence = 0;     ///< Rises with each change of the holder.
+  std::uint64_t revision = 0;  ///< Version of the stored lease.
+};
+
+/// A model that an engine holds, with its adapters.
+struct HeldModel {
+  std::string model;
+  std::vector<std::string> adapters;
+
+  bool operator==(const HeldModel&) const = default;
+};
+
+/// What an engine holds, as its orderer knows. `fence` and `number` order the
+/// notices of one engine.
+struct HoldingsNotice {
+  std::string endpoint;
+  std::uint64_t boot = 0;
+  std::uint64_t fence = 0;
+  std::uint64_t number = 0;
+  std::vector<HeldModel> models;
+};
+
 using PeerMessage = std::variant<Demand,
                                  DemandAck,
                                  RecordUpdate,
@@ -92,7 +117,9 @@
                                  EndpointNotice,
                                  EndpointUse,
                                  CrashNotice,
-                                 OrderDone>;
+                                 OrderDone,
+                                 LeaseNotice,
+                                 HoldingsNotice>;
 
 }  // namespace tanagerloom
 
--- /dev/null
+++ b/packages/registry/node_registry.cc
@@ -0,0 +1,93 @@
+#include "registry/node_registry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr std::string_view kCollection = "fleet-nodes";
+constexpr auto kRetryPause = std::chrono::milliseconds(500);
+// The first reads are current, so that the nodes of a new fleet meet at once.
+constexpr int kCurrentReads = 3;
+
+std::string KeyOf(const std::string& node) {
+  return std::string(kCollection) + "/" + node;
+}
+
+std::string ValueOf(const Vm& vm) {
+  return nlohmann::json({{"ip", vm.address.ip},
+                         {"peer_port", vm.peer_port},
+                         {"data_centre", vm.data_centre}})
+      .dump();
+}
+
+Result<Vm> ParseNode(const CollectionItem& item) {
+  const auto json = nlohmann::json::parse(item.value, nullptr, false);
+  Vm vm;
+  vm.id = item.name;
+  vm.role = VmRole::kNode;
+  try {
+    vm.address.ip = json.at("ip").get<std::string>();
+    vm.peer_port = json.at("peer_port").get<std::uint16_t>();
+    vm.data_centre = json.value("data_centre", "");
+  } catch (const nlohmann::json::exception& error) {
+    return MakeError(ErrorKind::kInvalid, error.what());
+  }
+  return vm;
+}
+
+}  // namespace
+
+NodeRegistry::NodeRegistry(ObjectStore& store,
+                           ObjectCollection& collections,
+                           Clock& clock,
+                           Vm self)
+    : store_(store),
+      collections_(collections),
+      clock_(clock),
+      self_(std::move(self)) {}
+
+Result<void> NodeRegistry::StoreOnce() {
+  const auto value = ValueOf(self_);
+  const auto stored = store_.Get(KeyOf(self_.id));
+  std::uint64_t version = 0;
+  if (stored) {
+    const auto known = ParseNode({self_.id, stored.assume_value().value, 0});
+    if (known && ValueOf(known.assume_value()) == value) {
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    version = stored.assume_value().version;
+  } else if (stored.assume_error().kind != ErrorKind::kNotFound) {
+    return stored.assume_error();
+  }
+  BOOST_OUTCOME_TRYV(store_.Put(KeyOf(self_.id), value, version));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void NodeRegistry::Register() {
+  while (!stopping_ && !StoreOnce()) {
+    clock_.SleepFor(kRetryPause);
+  }
+}
+
+Result<std::vector<Vm>> NodeRegistry::Read() {
+  const auto freshness =
+      ++reads_ <= kCurrentReads ? Freshness::kCurrent : Freshness::kMayBeStale;
+  BOOST_OUTCOME_TRY(list, collections_.ReadAll(kCollection, freshness));
+  std::vector<Vm> out;
+  for (const auto& it : list.items) {
+    auto vm = ParseNode(it);
+    if (vm && it.name != self_.id) {
+      out.push_back(std::move(vm).assume_value());
+    }
+  }
+  out.push_back(self_);
+  return out;
+}
+
+}  // namespace tanagerloom
--- a/packages/runtime/clock.h
+++ b/packages/runtime/clock.h
@@ -17,6 +17,10 @@
 
   virtual TimePoint Now() const = 0;
 
+  /// A clock that also counts the time for which the VM was suspended. Leases
+  /// are judged by it, since others may have taken them over meanwhile.
+  virtual TimePoint SuspendAwareNow() const { return Now(); }
+
   /// Milliseconds since the Unix epoch; used only in stored records.
   virtual std::chrono::milliseconds WallNow() const = 0;
 
--- a/packages/runtime/runtime.cc
+++ b/packages/runtime/runtime.cc
@@ -49,6 +49,22 @@
   }).detach();
 }
 
+void Runtime::OnReloadSignal(std::function<void()> handler) {
+  boost::fibers::fiber([this, handler = std::move(handler)] {
+    boost::asio::signal_set signals(io_, SIGHUP);
+    while (true) {
+      const auto result = AwaitIo([&](auto done) {
+        signals.async_wait(
+            [done](boost::system::error_code ec, int) { done(ec, 0); });
+      });
+      if (result.ec) {
+        return;
+      }
+      handler();
+    }
+  }).detach();
+}
+
 void Runtime::Exit(int status) {
   std::fflush(nullptr);
   std::_Exit(status);
--- a/packages/runtime/runtime.h
+++ b/packages/runtime/runtime.h
@@ -23,6 +23,9 @@
   /// Calls `handler` in a fiber for each SIGTERM or SIGINT.
   void OnStopSignal(std::function<void(int count)> handler);
 
+  /// Calls `handler` in a fiber for each SIGHUP.
+  void OnReloadSignal(std::function<void()> handler);
+
   /// Ends the process. Returning from main would wait for every detached fiber,
   /// and the accepting and polling fibers never end.
   [[noreturn]] static void Exit(int status);
--- a/packages/runtime/steady_clock.h
+++ b/packages/runtime/steady_clock.h
@@ -10,6 +10,7 @@
 class SteadyClock final : public Clock {
  public:
   TimePoint Now() const override;
+  TimePoint SuspendAwareNow() const override;
   std::chrono::milliseconds WallNow() const override;
   void SleepUntil(TimePoint time) override;
 };
--- a/tests/correctness/engine_control_test.cc
+++ b/tests/correctness/engine_control_test.cc
@@ -4,7 +4,7 @@
 #include "http/http_client.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
-#include "platform/http_engine_control.h"
+#include "object_api/http_engine_control.h"
 #include "runtime/runtime.h"
 #include "runtime/steady_clock.h"
 
--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -4,8 +4,8 @@
 
 #include <boost/fiber/fiber.hpp>
 
-#include "platform/http_engine_control.h"
-#include "platform/http_object_store.h"
+#include "object_api/http_engine_control.h"
+#include "object_api/http_object_store.h"
 #include "runtime/runtime.h"
 #include "runtime/steady_clock.h"
 #include "testing/harness/cluster.h"
