--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -44,8 +44,8 @@
       entry.record.draining = record.draining;
       entry.doubtful = Doubtful(entry, record, directory.ChangedAt(id));
     }
-    if ((!entry.sequence || entry.doubtful) && !entry.reading &&
-        now >= entry.blocked_until) {
+    if ((!entry.sequence || entry.doubtful || entry.foreign_order) &&
+        !entry.reading && now >= entry.blocked_until) {
       to_read.push_back(id);
     }
   }
@@ -62,6 +62,7 @@
   entry->sequence = state.sequence;
   entry->changed_at = now;
   entry->doubtful = false;
+  entry->foreign_order = state.busy;
   entry->record.models.clear();
   entry->adapters_coming.clear();
   for (const auto& it : state.entries) {
@@ -91,7 +92,8 @@
         listed != nullptr && !listed->draining && entry.sequence.has_value();
     place.models = entry.record.models;
     place.copies = entry.record.copies;
-    place.busy = entry.order.has_value() || now < entry.blocked_until;
+    place.busy = entry.order.has_value() || entry.foreign_order ||
+                 now < entry.blocked_until;
     place.free_in = std::max(Duration(0), entry.blocked_until - now);
     if (entry.order) {
       place.free_in =
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -32,8 +32,11 @@
   EndpointRecord record;  ///< As last adopted, with what was ordered since.
   /// Orders that the engine has accepted; unknown until its report was read.
   std::optional<std::uint64_t> sequence;
-  bool reading = false;    ///< A report is on its way.
-  bool doubtful = false;   ///< The engine describes itself differently.
+  bool reading = false;   ///< A report is on its way.
+  bool doubtful = false;  ///< The engine describes itself differently.
+  /// The engine carries out an order that this book does not know, such as one
+  /// of an earlier holder: what it will hold is unknown.
+  bool foreign_order = false;
   TimePoint changed_at{};  ///< Of what it holds, by this book.
   std::optional<OrderInProgress> order;
   std::map<ModelRef, TimePoint> adapters_coming;  ///< With the expected time.
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -370,7 +370,6 @@
                     {"busy", state.assume_value().busy}});
   if (state.assume_value().busy) {
     entry->blocked_until = now + kBlockAfterRefusal;
-    entry->doubtful = true;
   }
   Tell(*entry);
   replan_.Signal();
