Bound loads from the weight store by what it serves at full speed; reject hopeless waits at once

Ruled out: lease gaps (5 s of 34), sizes. Now loads at once follow an estimate learnt from their times, models that wait for the store are announced with the time they can be ready, requests that cannot wait so long are rejected at once with that time, and models without a copy are staged while the store is idle.

--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -34,6 +34,33 @@
   }
 }
 
+void FleetView::OnOutlook(const LoadOutlook& outlook) {
+  auto& known = outlooks_[outlook.service];
+  if (std::tuple(outlook.fence, outlook.number) <
+      std::tuple(known.fence, known.number)) {
+    return;
+  }
+  const auto now = clock_.Now();
+  known = {outlook.fence, outlook.number, now, {}};
+  for (std::size_t i = 0; i < outlook.models.size(); ++i) {
+    known.ready_at[outlook.models[i]] =
+        now + std::chrono::milliseconds(outlook.ready_in_ms[i]);
+  }
+  changed_.Signal();
+}
+
+std::optional<TimePoint> FleetView::ReadyAt(const std::string& service,
+                                            const std::string& model) const {
+  const auto outlook = outlooks_.find(service);
+  if (outlook == outlooks_.end() ||
+      clock_.Now() - outlook->second.received >= kOutlookValid) {
+    return std::nullopt;
+  }
+  const auto it = outlook->second.ready_at.find(model);
+  return it == outlook->second.ready_at.end() ? std::nullopt
+                                              : std::optional(it->second);
+}
+
 const HeldModels& FleetView::Held(const EndpointRecord& record) const {
   const auto it = notices_.find(record.id);
   const bool newer =
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
   /// An endpoint that denied holding a model is not asked for it again for this
   /// long, in which newer news of it arrive.
   static constexpr Duration kDenialValid = std::chrono::milliseconds(500);
+  /// An outlook is told again while requests wait; an older one does not count.
+  static constexpr Duration kOutlookValid = std::chrono::milliseconds(1500);
 
   /// A description of an endpoint's own is believed against its orderer's
   /// notice only if it came this much later: it may have been written before,
@@ -48,6 +51,14 @@
   /// Takes a peer's counts of requests in flight.
   void OnPeerUse(const std::string& peer, const EndpointUse& use);
 
+  /// Takes the times at which missing models can be loaded.
+  void OnOutlook(const LoadOutlook& outlook);
+
+  /// The earliest time at which a missing model can be loaded, if that is known
+  /// to be later than soon.
+  std::optional<TimePoint> ReadyAt(const std::string& service,
+                                   const std::string& model) const;
+
   /// What an endpoint holds, by the newest source.
   const HeldModels& Held(const EndpointRecord& record) const;
 
@@ -92,6 +103,15 @@
   const Clock& clock_;
   EndpointDirectory directory_;
   EventFlag changed_;
+  /// The last outlook of a service.
+  struct Outlook {
+    std::uint64_t fence = 0;
+    std::uint64_t number = 0;
+    TimePoint received{};
+    std::map<std::string, TimePoint> ready_at;
+  };
+
+  std::map<std::string, Outlook> outlooks_;
   std::map<std::string, Notice, std::less<>> notices_;
   std::map<std::string, PeerUse> peer_use_;
   std::map<std::string, std::uint32_t, std::less<>> own_use_;
--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -21,6 +21,8 @@
 constexpr Duration kRunningUnloadTime = std::chrono::milliseconds(700);
 // A replica beyond the first is worth the place of a model idle for this long.
 constexpr Duration kIdleForReplica = std::chrono::seconds(4);
+// A long load on an engine delays the models that only it has a copy of.
+constexpr Duration kCostOfBlocking = std::chrono::milliseconds(300);
 // Adapters that an engine fetches at once.
 constexpr std::uint32_t kAdaptersAtOnce = 3;
 // Replicas of a busy model that make way for a model that is not loaded at all.
@@ -42,11 +44,12 @@
     }
   }
 
-  std::vector<PlannedOrder> Plan() {
+  PlacementPlan Plan() {
     PlaceMissing();
     PlaceReplicas();
     PlaceAdapters();
-    return std::move(orders_);
+    StageCopies();
+    return {std::move(orders_), std::move(store_queue_)};
   }
 
  private:
@@ -102,22 +105,59 @@
     return input_.spec->weights_mb - used;
   }
 
+  // Whether an engine that takes orders has a copy to load the model from.
+  bool HasCopy(const std::string& model) const {
+    return std::ranges::any_of(input_.engines, [&](const EnginePlace& it) {
+      return it.usable &&
+             NearestCopy(it.copies, model) != CheckpointSource::kRemote;
+    });
+  }
+
+  // Models with a copy come first, by the time left: each takes about a second.
+  // Those without one share the store, and the one that most requests wait for
+  // goes first.
   void PlaceMissing() {
-    std::vector<std::pair<TimePoint, std::string>> missing;
+    std::vector<std::pair<TimePoint, std::string>> with_copy;
+    std::vector<std::tuple<std::int64_t, TimePoint, std::string>> without_copy;
     for (const auto& [model, demand] : models_) {
-      if (demand.waiting > 0 && Replicas(model) == 0 && Spec(model)) {
-        missing.emplace_back(demand.earliest_deadline.value_or(input_.now),
-                             model);
+      if (demand.waiting == 0 || Replicas(model) > 0 || !Spec(model)) {
+        continue;
+      }
+      const auto deadline = demand.earliest_deadline.value_or(input_.now);
+      if (HasCopy(model)) {
+        with_copy.emplace_back(deadline, model);
+      } else {
+        without_copy.emplace_back(-std::int64_t{demand.waiting}, deadline,
+                                  model);
       }
     }
-    std::ranges::sort(missing);
-    for (const auto& [deadline, model] : missing) {
-      if (!Place(model, /*missing=*/true, /*spare_busy=*/true)) {
-        Place(model, /*missing=*/true, /*spare_busy=*/false);
+    std::ranges::sort(with_copy);
+    for (const auto& [deadline, model] : with_copy) {
+      PlaceMissingModel(model);
+    }
+    std::ranges::sort(without_copy);
+    for (const auto& [waiting, deadline, model] : without_copy) {
+      if (store_loads_ >= input_.store_loads_allowed ||
+          !PlaceMissingModel(model)) {
+        Queue(model);
       }
     }
   }
 
+  bool PlaceMissingModel(const std::string& model) {
+    return Place(model, /*missing=*/true, /*spare_busy=*/true) ||
+           Place(model, /*missing=*/true, /*spare_busy=*/false);
+  }
+
+  // The model waits for its turn at the store behind those that are loading and
+  // those already queued.
+  void Queue(const std::string& model) {
+    const auto at_once = std::max(1U, input_.store_concurrency);
+    const auto turns = store_queue_.size() / at_once + 2;
+    const Duration load = Spec(model)->load_from_store;
+    store_queue_.push_back({model, load * static_cast<Duration::rep>(turns)});
+  }
+
   void PlaceReplicas() {
     std::vector<std::pair<double, std::string>> wanted;
     for (const auto& [model, demand] : models_) {
@@ -192,12 +232,29 @@
       return std::nullopt;
     }
     option.ready_in += LoadTime(*Spec(model), option.source);
+    if (option.source == CheckpointSource::kRemote) {
+      option.ready_in += kCostOfBlocking * OnlyCopies(engine);
+    }
     if (engine.busy) {
       option.ready_in += engine.free_in;
     }
     return option;
   }
 
+  // Models that only this engine has a copy of and that are not loaded: a long
+  // load keeps their requests waiting.
+  std::int64_t OnlyCopies(const EnginePlace& engine) const {
+    return std::ranges::count_if(
+        engine.copies.on_disk, [&](const std::string& model) {
+          return Replicas(model) == 0 &&
+                 std::ranges::none_of(
+                     input_.engines, [&](const EnginePlace& it) {
+                       return it.usable && it.id != engine.id &&
+                              it.copies.on_disk.contains(model);
+                     });
+        });
+  }
+
   bool MayMakeWay(const std::string& victim,
                   bool missing,
                   bool spare_busy) const {
@@ -241,6 +298,23 @@
     return false;
   }
 
+  // Loads a model of which no copy is left while the store has nothing better
+  // to do, so that its next request does not wait for the store. Answers
+  // engines that leave with the only copy.
+  void StageCopies() {
+    if (!store_queue_.empty()) {
+      return;
+    }
+    for (const auto& [model, spec] : input_.spec->models) {
+      if (store_loads_ >= input_.store_loads_allowed) {
+        return;
+      }
+      if (Replicas(model) == 0 && !HasCopy(model)) {
+        Place(model, /*missing=*/false, /*spare_busy=*/true);
+      }
+    }
+  }
+
   void PlaceAdapters() {
     for (const auto& [ref, demand] : input_.demand) {
       if (!ref.adapter.empty() && demand.waiting > 0 && !AdapterPlaced(ref)) {
@@ -324,6 +398,7 @@
   std::set<std::string> taken_;
   std::uint32_t store_loads_ = 0;
   std::vector<PlannedOrder> orders_;
+  std::vector<ExpectedLoad> store_queue_;
 };
 
 }  // namespace
@@ -358,7 +433,7 @@
   return model.load_from_store;
 }
 
-std::vector<PlannedOrder> PlanPlacement(const PlacementInput& input) {
+PlacementPlan PlanPlacement(const PlacementInput& input) {
   return Planner(input).Plan();
 }
 
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -38,6 +38,7 @@
   std::map<ModelRef, ModelDemand> demand;
   TimePoint now{};
   std::uint32_t store_loads_allowed = 0;
+  std::uint32_t store_concurrency = 1;  ///< Loads at full speed at once.
 };
 
 /// One order to send.
@@ -49,12 +50,25 @@
   Duration expected{};  ///< Until it is done.
 };
 
+/// A model that requests wait for and when it can be loaded at the earliest.
+struct ExpectedLoad {
+  std::string model;
+  Duration ready_in{};
+};
+
+/// What is decided.
+struct PlacementPlan {
+  std::vector<PlannedOrder> orders;
+  /// Models that wait for the weight store, the next one first.
+  std::vector<ExpectedLoad> store_queue;
+};
+
 /// The orders to send now, at most one to an engine. Answers the load of many
 /// rarely used models that are asked for one at a time, beside a few busy ones
 /// whose set changes: a missing model goes where it can run soonest, idle ones
 /// make way, the one idle for longest first, and busy ones get replicas by the
 /// number of requests that run at once.
-std::vector<PlannedOrder> PlanPlacement(const PlacementInput& input);
+PlacementPlan PlanPlacement(const PlacementInput& input);
 
 /// Replicas that a model should have for its demand.
 std::uint32_t DesiredReplicas(const ModelDemand& demand);
--- /dev/null
+++ b/packages/fleet/store_concurrency.h
@@ -0,0 +1,54 @@
+// Defines StoreConcurrency, which learns how many loads from the weight store
+// run at full speed at once.
+#ifndef FLEET_STORE_CONCURRENCY_H_
+#define FLEET_STORE_CONCURRENCY_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+/// The number of loads from the store to run at once. More than the store
+/// serves at full speed bring nothing: each takes longer in proportion, and
+/// keeps its engine busy meanwhile. Answers many models that no engine has a
+/// copy of.
+class StoreConcurrency {
+ public:
+  /// Assumed until a load was seen.
+  static constexpr double kInitial = 4;
+  static constexpr double kMost = 64;
+  /// A load that takes at most this many times its stated time ran at full
+  /// speed.
+  static constexpr double kFullSpeed = 1.15;
+  /// Weight of the newest load in the estimate.
+  static constexpr double kNewestWeight = 0.5;
+
+  /// Loads that may run at once.
+  std::uint32_t limit() const {
+    return static_cast<std::uint32_t>(std::lround(std::max(1.0, limit_)));
+  }
+
+  /// A load from the store took `took` instead of `stated`, among `at_once`.
+  void OnLoaded(std::uint32_t at_once, Duration took, Duration stated) {
+    const double ratio = std::chrono::duration<double>(took) /
+                         std::chrono::duration<double>(stated);
+    if (ratio <= kFullSpeed) {
+      // Full speed at the limit: try one more.
+      limit_ = std::clamp(std::max(limit_, at_once + 0.5), 1.0, kMost);
+      return;
+    }
+    const double seen = at_once / ratio;
+    limit_ = std::clamp(limit_ * (1 - kNewestWeight) + seen * kNewestWeight,
+                        1.0, kMost);
+  }
+
+ private:
+  double limit_ = kInitial;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FLEET_STORE_CONCURRENCY_H_
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -47,6 +47,8 @@
 // and of a short overload.
 constexpr milliseconds kRetryAfterModel{1000};
 constexpr milliseconds kRetryAfterBusy{300};
+// A client is asked to wait for at most this part of the time that it has left.
+constexpr int kRetryPartOfTime = 3;
 // A crashed endpoint refuses connections within this time.
 constexpr milliseconds kCrashProbe{300};
 // The least urgent rank that endpoints know.
@@ -188,6 +190,12 @@
   return arrival_ + std::chrono::duration_cast<Duration>(time * kWaitPart);
 }
 
+// Whether the model cannot be loaded within the time that the request may wait.
+bool ForwardedRequest::Hopeless() const {
+  const auto ready_at = deps_.view.ReadyAt(service_, profile_.model.model);
+  return ready_at && *ready_at > GiveUpTime();
+}
+
 std::optional<ForwardedRequest::Target> ForwardedRequest::AwaitEndpoint() {
   auto target = ChooseEndpoint();
   if (target) {
@@ -197,9 +205,13 @@
   const auto give_up = GiveUpTime();
   auto& changed = deps_.view.changed();
   deps_.demand.BeginWait(service_, profile_.model, give_up);
-  while (!target && !ClientGone() && deps_.clock.Now() < give_up) {
+  while (!target && !ClientGone() && deps_.clock.Now() < give_up &&
+         deps_.clock.Now() < deps_.stop_waiting_at()) {
     const auto seen = changed.count();
     target = ChooseEndpoint();
+    if (!target && Hopeless()) {
+      break;
+    }
     if (!target) {
       changed.WaitUntil(seen, std::min(give_up, deps_.clock.Now() + kWaitStep));
     }
@@ -487,13 +499,26 @@
     Finish(status, "answered");
     return Next::kDone;
   }
-  const bool waits_for_model = !profile_.model.model.empty();
   Reject(FinalStatus(history_, timed_out),
          history_.runs == 0 ? "no_endpoint" : "failed_at_endpoint",
-         waits_for_model ? kRetryAfterModel : kRetryAfterBusy);
+         RetryAfter());
   return Next::kDone;
 }
 
+// When the client may come again: once its model can be loaded, but in time to
+// be served.
+milliseconds ForwardedRequest::RetryAfter() const {
+  const auto now = deps_.clock.Now();
+  const auto ready_at = deps_.view.ReadyAt(service_, profile_.model.model);
+  if (!ready_at) {
+    return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
+  }
+  const auto most = std::max<Duration>(kRetryAfterModel,
+                                       (deadline_ - now) / kRetryPartOfTime);
+  return std::chrono::duration_cast<milliseconds>(
+      std::clamp<Duration>(*ready_at - now, kRetryAfterModel, most));
+}
+
 void ForwardedRequest::Suspect(const Target& target) {
   const auto fingerprint = StableHash(request_.target + "\n" + request_.body);
   boost::fibers::fiber([&deps = deps_, target, fingerprint] {
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -63,6 +63,7 @@
   std::optional<Target> ChooseEndpoint();
   std::set<std::string> Excluded() const;
   TimePoint GiveUpTime() const;
+  bool Hopeless() const;
 
   Next Attempt(const Target& target);
   Next Exchange(EndpointAttempt& attempt, const Target& target);
@@ -79,6 +80,7 @@
   TimePoint AnswerDeadline() const;
   TimePoint EventDeadline() const;
   bool MayStillRepeat() const;
+  std::chrono::milliseconds RetryAfter() const;
   void Suspect(const Target& target);
 
   void Reject(int status,
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -38,6 +38,8 @@
   EventLog& log;
   RepeatLimits repeat_limits;
   std::function<std::size_t()> live_nodes;  ///< With this one.
+  /// From when on no request may wait, because the node stops.
+  std::function<TimePoint()> stop_waiting_at;
   /// A request with this fingerprint was followed by an endpoint's crash.
   std::function<void(std::uint64_t fingerprint)> on_crash;
 };
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -172,6 +172,15 @@
             wire::CreateLeaseNotice(builder, holder, body.fence, body.revision)
                 .Union()};
   }
+  Encoded operator()(const LoadOutlook& body) const {
+    const auto service = Put(builder, body.service);
+    const auto models = PutTexts(builder, body.models);
+    const auto ready = builder.CreateVector(body.ready_in_ms);
+    return {wire::Body::LoadOutlook,
+            wire::CreateLoadOutlook(builder, service, body.fence, body.number,
+                                    models, ready)
+                .Union()};
+  }
   Encoded operator()(const HoldingsNotice& body) const {
     std::vector<flatbuffers::Offset<wire::HeldModel>> models;
     models.reserve(body.models.size());
@@ -215,6 +224,25 @@
   return out;
 }
 
+Result<EnvelopeBody> DecodeLoadOutlook(const wire::LoadOutlook& body) {
+  LoadOutlook out{Text(body.service()),
+                  body.fence(),
+                  body.number(),
+                  Texts(body.models()),
+                  {}};
+  if (body.ready_in_ms() != nullptr) {
+    out.ready_in_ms.assign(body.ready_in_ms()->begin(),
+                           body.ready_in_ms()->end());
+  }
+  if (out.models.size() != out.ready_in_ms.size()) {
+    return MakeError(ErrorKind::kInvalid,
+                     "load outlook with " + std::to_string(out.models.size()) +
+                         " models and " +
+                         std::to_string(out.ready_in_ms.size()) + " times");
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
 HoldingsNotice DecodeHoldings(const wire::HoldingsNotice& body) {
   HoldingsNotice out{
       Text(body.endpoint()), body.boot(), body.fence(), body.number(), {}};
@@ -314,6 +342,8 @@
       return EnvelopeBody(PeerMessage(
           LeaseNotice{Text(body.holder()), body.fence(), body.revision()}));
     }
+    case wire::Body::LoadOutlook:
+      return DecodeLoadOutlook(*envelope.body_as_LoadOutlook());
     case wire::Body::HoldingsNotice:
       return EnvelopeBody(
           PeerMessage(DecodeHoldings(*envelope.body_as_HoldingsNotice())));
--- a/packages/membership/outbound_queue.cc
+++ b/packages/membership/outbound_queue.cc
@@ -37,6 +37,10 @@
     return {"holdings " + it->endpoint + " " + std::to_string(it->fence),
             it->number};
   }
+  if (const auto* it = std::get_if<LoadOutlook>(message)) {
+    return {"outlook " + it->service + " " + std::to_string(it->fence),
+            it->number};
+  }
   if (std::holds_alternative<EndpointUse>(*message)) {
     return {"use " + envelope.sender + " " + envelope.incarnation,
             envelope.flood_number};
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -40,6 +40,9 @@
 constexpr milliseconds kUnreadyLead{2300};
 // The shutdown is complete this long before the process is killed.
 constexpr milliseconds kGraceMargin{400};
+// A request that an endpoint gets later than this before the end of a shutdown
+// would be cut off; it is rejected instead, and its client tries another node.
+constexpr milliseconds kServeTime{2000};
 constexpr milliseconds kStopStep{20};
 // A stop signal that comes later than this before the end of a watch is noticed
 // by the watch's own end; see FollowTiming.
@@ -124,6 +127,7 @@
         forwarder({Runtime::Get().io(), registry, view, demand, ports.protocol,
                    suspects, clock, log, settings.bounds.repeats,
                    [this] { return peers.LiveIds().size(); },
+                   [this] { return stop_waiting_at; },
                    [this](std::uint64_t it) { OnCrash(it); }}),
         clients(Runtime::Get().io(),
                 HttpServerLimits{},
@@ -170,6 +174,7 @@
   EventMetrics event_metrics{metrics};
   bool said_ready = false;
   bool stopping = false;
+  TimePoint stop_waiting_at = TimePoint::max();
   bool stopped = false;
   EventFlag stop_changed;
 };
@@ -207,6 +212,7 @@
   void operator()(const Demand& it) const { orders.OnDemand(node, it); }
   void operator()(const LeaseNotice& it) const { lease.OnNotice(it); }
   void operator()(const HoldingsNotice& it) const { view.OnHoldings(it); }
+  void operator()(const LoadOutlook& it) const { view.OnOutlook(it); }
   void operator()(const EndpointUse& it) const { view.OnPeerUse(node, it); }
   void operator()(const ConfigUpdate& it) const {
     registry.OnPeerConfig(it.root);
@@ -297,6 +303,7 @@
 void FleetNode::Parts::Shutdown() {
   const auto began = clock.Now();
   const auto end = began + settings.bounds.grace - kGraceMargin;
+  stop_waiting_at = end - kServeTime;
   clients.AnnounceClose();
   peers.AnnounceLeaving();
   lease.Stop();
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -31,6 +31,8 @@
 // An order that takes longer than this beyond twice the expected time is given
 // up, and the engine's state is read anew.
 constexpr auto kOrderPatience = milliseconds(4000);
+// An outlook that did not change is told again this often.
+constexpr auto kOutlookInterval = milliseconds(500);
 // A report that still shows the state before the order is not believed earlier.
 constexpr auto kReportLag = milliseconds(400);
 // An adapter is there this long after its order was taken.
@@ -134,11 +136,16 @@
   input.engines = orders.book.Places(directory, now);
   input.demand = demand_.Read(service, now);
   input.now = now;
+  input.store_concurrency = orders.concurrency.limit();
+  const auto running = std::min(orders.store_loads, input.store_concurrency);
   input.store_loads_allowed =
-      orders.ceiling.Allowed(spec.store_loads_per_s, now);
-  for (const auto& it : PlanPlacement(input)) {
+      std::min(orders.ceiling.Allowed(spec.store_loads_per_s, now),
+               input.store_concurrency - running);
+  const auto plan = PlanPlacement(input);
+  for (const auto& it : plan.orders) {
     Start(service, it);
   }
+  TellOutlook(service, plan.store_queue);
 }
 
 // ---- orders
@@ -166,18 +173,36 @@
 }
 
 void OrderCoordinator::Execute(const std::string& service, PlannedOrder order) {
-  if (!Send(service, order)) {
-    replan_.Signal();
-    return;
-  }
-  if (order.target.adapter.empty()) {
+  if (!order.target.adapter.empty()) {
+    if (Send(service, order)) {
+      FinishAdapterOrder(service, order);
+    }
+  } else if (order.action == OrderAction::kLoad &&
+             order.source == CheckpointSource::kRemote) {
+    LoadFromStore(service, order);
+  } else if (Send(service, order)) {
     FollowModelOrder(service, order);
-  } else {
-    FinishAdapterOrder(service, order);
   }
   replan_.Signal();
 }
 
+void OrderCoordinator::LoadFromStore(const std::string& service,
+                                     const PlannedOrder& order) {
+  const auto fence = fence_;
+  const auto began = deps_.clock.Now();
+  const auto before = ++At(service).store_loads;
+  const bool loaded = Send(service, order) && FollowModelOrder(service, order);
+  if (fence != fence_) {
+    return;  // The counts were begun anew.
+  }
+  auto& orders = At(service);
+  const auto after = orders.store_loads--;
+  if (loaded) {
+    orders.concurrency.OnLoaded((before + after) / 2, deps_.clock.Now() - began,
+                                order.expected);
+  }
+}
+
 EngineOrder OrderCoordinator::MakeOrder(const PlannedOrder& order,
                                         const BookedEngine& entry) const {
   EngineOrder out;
@@ -238,7 +263,7 @@
   return true;
 }
 
-void OrderCoordinator::FollowModelOrder(const std::string& service,
+bool OrderCoordinator::FollowModelOrder(const std::string& service,
                                         const PlannedOrder& order) {
   const auto began = deps_.clock.Now();
   const auto give_up = began + 2 * order.expected + kOrderPatience;
@@ -246,13 +271,13 @@
   while (!stopping_ && deps_.clock.Now() < give_up) {
     auto* entry = At(service).book.Find(order.engine);
     if (entry == nullptr || !entry->order) {
-      return;  // The engine left or restarted.
+      return false;  // The engine left or restarted.
     }
     const auto sequence = entry->sequence.value_or(0);
     const auto state = deps_.engines.ReadState(entry->record.address);
     entry = At(service).book.Find(order.engine);
     if (entry == nullptr || !entry->order) {
-      return;
+      return false;
     }
     if (state && state.assume_value().sequence >= sequence &&
         !state.assume_value().busy) {
@@ -262,7 +287,7 @@
       });
       if (present == (order.action == OrderAction::kLoad)) {
         FinishModelOrder(service, order);
-        return;
+        return true;
       }
       if (deps_.clock.Now() - began > order.expected + kReportLag) {
         break;
@@ -272,6 +297,7 @@
   }
   Fail(service, order, "not carried out in time");
   Resync(service, order.engine);
+  return false;
 }
 
 void OrderCoordinator::FinishModelOrder(const std::string& service,
@@ -375,6 +401,29 @@
   replan_.Signal();
 }
 
+void OrderCoordinator::TellOutlook(const std::string& service,
+                                   const std::vector<ExpectedLoad>& queue) {
+  auto& orders = At(service);
+  const auto now = deps_.clock.Now();
+  if ((queue.empty() && orders.outlook_empty) ||
+      now - orders.outlook_told < kOutlookInterval) {
+    return;
+  }
+  LoadOutlook outlook;
+  outlook.service = service;
+  outlook.fence = fence_;
+  outlook.number = ++orders.outlooks;
+  for (const auto& it : queue) {
+    outlook.models.push_back(it.model);
+    outlook.ready_in_ms.push_back(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(it.ready_in).count()));
+  }
+  orders.outlook_empty = queue.empty();
+  orders.outlook_told = now;
+  deps_.view.OnOutlook(outlook);
+  deps_.peers.Broadcast(std::move(outlook));
+}
+
 void OrderCoordinator::Tell(BookedEngine& entry) {
   const auto notice = At(entry.record.service).book.Notice(entry, fence_);
   deps_.view.OnHoldings(notice);
--- a/packages/ordering/order_coordinator.h
+++ b/packages/ordering/order_coordinator.h
@@ -9,6 +9,8 @@
 
 #include "fleet/demand_table.h"
 #include "fleet/load_ceiling.h"
+#include "fleet/placement_plan.h"
+#include "fleet/store_concurrency.h"
 #include "ordering/engine_book.h"
 #include "ports/engine_control.h"
 #include "runtime/event_flag.h"
@@ -53,6 +55,11 @@
     explicit ServiceOrders(Duration window) : ceiling(window) {}
     EngineBook book;
     LoadCeiling ceiling;
+    StoreConcurrency concurrency;
+    std::uint32_t store_loads = 0;  ///< In progress.
+    std::uint64_t outlooks = 0;     ///< Told under this fence.
+    bool outlook_empty = true;      ///< Of the last one told.
+    TimePoint outlook_told{};
   };
 
   void DemandLoop();
@@ -64,7 +71,10 @@
   void Execute(const std::string& service, PlannedOrder order);
   /// Sends the order; true if the engine took it.
   bool Send(const std::string& service, const PlannedOrder& order);
-  void FollowModelOrder(const std::string& service, const PlannedOrder& order);
+  /// Loads from the weight store and learns from the time that it took.
+  void LoadFromStore(const std::string& service, const PlannedOrder& order);
+  /// Waits until the engine has carried out the order; false if it did not.
+  bool FollowModelOrder(const std::string& service, const PlannedOrder& order);
   void FinishModelOrder(const std::string& service, const PlannedOrder& order);
   void FinishAdapterOrder(const std::string& service,
                           const PlannedOrder& order);
@@ -74,6 +84,8 @@
   /// Reads the engine's state after an order without a clear outcome.
   void Resync(const std::string& service, const std::string& engine);
   void Tell(BookedEngine& entry);
+  void TellOutlook(const std::string& service,
+                   const std::vector<ExpectedLoad>& queue);
   ServiceOrders& At(const std::string& service);
   EngineOrder MakeOrder(const PlannedOrder& order,
                         const BookedEngine& entry) const;
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -110,6 +110,16 @@
   std::vector<HeldModel> models;
 };
 
+/// When models that requests wait for can be loaded at the earliest, as the
+/// orderer of engines expects. Models that are not listed come soon.
+struct LoadOutlook {
+  std::string service;
+  std::uint64_t fence = 0;
+  std::uint64_t number = 0;
+  std::vector<std::string> models;
+  std::vector<std::uint32_t> ready_in_ms;  ///< One for each model.
+};
+
 using PeerMessage = std::variant<Demand,
                                  DemandAck,
                                  RecordUpdate,
@@ -119,7 +129,8 @@
                                  CrashNotice,
                                  OrderDone,
                                  LeaseNotice,
-                                 HoldingsNotice>;
+                                 HoldingsNotice,
+                                 LoadOutlook>;
 
 }  // namespace tanagerloom
 
