--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -29,6 +29,7 @@
   std::uint64_t fence = 0;
   std::uint64_t renewal = 0;
   bool released = false;
+  bool ordering = false;  ///< The holder's wait for the last one was over.
 };
 
 StoredLease ParseLease(const std::string& text) {
@@ -41,6 +42,7 @@
   out.fence = json.value("fence", std::uint64_t{0});
   out.renewal = json.value("renewal", std::uint64_t{0});
   out.released = json.value("released", false);
+  out.ordering = json.value("ordering", false);
   return out;
 }
 
@@ -69,7 +71,9 @@
   return nlohmann::json({{"holder", peers_.node_id()},
                          {"fence", fence_},
                          {"renewal", renewals_},
-                         {"released", released}})
+                         {"released", released},
+                         {"ordering", holding_ && clock_.SuspendAwareNow() >=
+                                                      orders_from_}})
       .dump();
 }
 
@@ -194,7 +198,9 @@
   const auto lease = ParseLease(object.value);
   if (lease.holder == peers_.node_id()) {
     // Left by an earlier process of this VM, whose orders count as this one's.
-    Take(object.version, lease.fence + 1, Duration(0));
+    // If it was still waiting out the holder before it, so must this one.
+    Take(object.version, lease.fence + 1,
+         lease.ordering ? Duration(0) : timing_.handover_gap);
     return;
   }
   if (lease.released) {
--- /dev/null
+++ b/testing/fleet_standin/engine_standin.cc
@@ -0,0 +1,145 @@
+#include "testing/fleet_standin/engine_standin.h"
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <nlohmann/json.hpp>
+
+#include "runtime/runtime.h"
+#include "testing/fleet_standin/store_standin.h"
+
+namespace tanagerloom {
+
+namespace {
+
+constexpr int kEventsOfAStream = 4;
+
+HttpResponse NotExecuted(int status) {
+  return {status, {{"Not-Executed", "1"}}, ""};
+}
+
+}  // namespace
+
+FleetEngine::FleetEngine(StoreStandin& store,
+                         std::string id,
+                         std::string service)
+    : serve([](const HttpRequest& request, HttpResponder& responder) {
+        if (request.target.find("stream") == std::string::npos) {
+          (void)responder.Send({200, Sealed(request), "the answer"});
+          return;
+        }
+        (void)responder.StartStream(200, Sealed(request));
+        for (int i = 1; i <= kEventsOfAStream; ++i) {
+          (void)responder.Write(Event(i));
+        }
+        (void)responder.Finish();
+      }),
+      store_(store),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      server_(std::make_unique<HttpServer>(
+          Runtime::Get().io(),
+          HttpServerLimits{},
+          [this](const HttpRequest& request, HttpResponder& responder) {
+            Handle(request, responder);
+          })),
+      address_(server_->Listen({"127.0.0.1", 0}).value()) {}
+
+HttpHeaders FleetEngine::Sealed(const HttpRequest& request) {
+  return {{"Attempt-Id",
+           std::string(request.headers.Find("Attempt-Id").value_or(""))},
+          {"Response-Seal", "seal"}};
+}
+
+std::string FleetEngine::Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) +
+         "\n\n";
+}
+
+void FleetEngine::Register() {
+  auto models = nlohmann::json::array();
+  for (const auto& it : loaded) {
+    models.push_back(
+        {{"name", it}, {"version", 1}, {"adapters", nlohmann::json::array()}});
+  }
+  store_.Set("servers", id_,
+             {{"service", service_},
+              {"address", address_.ToString()},
+              {"zone", "z"},
+              {"version", "v1"},
+              {"slots", 8},
+              {"state", draining ? "draining" : "ready"},
+              {"coldLeftMs", 0},
+              {"born", 1700000000000},
+              {"models", models},
+              {"available",
+               {{"inMemory", nlohmann::json::array()}, {"onDisk", on_disk}}},
+              {"seq", ++entries_}});
+}
+
+void FleetEngine::Handle(const HttpRequest& request, HttpResponder& responder) {
+  const auto expected = request.headers.Find("Expect-Instance");
+  if (expected && *expected != id_) {
+    (void)responder.Send(NotExecuted(421));
+    return;
+  }
+  if (request.Path() == "/tanagerloom/report") {
+    Report(responder);
+    return;
+  }
+  if (request.Path() == "/tanagerloom/order") {
+    Order(request, responder);
+    return;
+  }
+  requests_.push_back(request);
+  const auto model = request.headers.Find("Model");
+  if (model && !loaded.contains(std::string(*model))) {
+    (void)responder.Send(NotExecuted(421));
+    return;
+  }
+  runs_.emplace_back(request.headers.Find("Attempt-Id").value_or(""));
+  serve(request, responder);
+}
+
+void FleetEngine::Report(HttpResponder& responder) const {
+  auto models = nlohmann::json::array();
+  for (const auto& it : loaded) {
+    models.push_back({{"name", it}, {"version", 1}});
+  }
+  (void)responder.Send(JsonResponse(
+      200,
+      nlohmann::json({{"models", models}, {"busy", busy_}, {"seq", accepted_}})
+          .dump()));
+}
+
+void FleetEngine::Order(const HttpRequest& request, HttpResponder& responder) {
+  const auto json = nlohmann::json::parse(request.body);
+  const auto operation = json.at("operation").get<std::string>();
+  const auto model = json.at("model").get<std::string>();
+  orders_.push_back({std::chrono::steady_clock::now(), operation, model,
+                     json.at("holder").get<std::string>(),
+                     json.at("fence").get<std::uint64_t>()});
+  if (busy_ || json.value("expect", accepted_) != accepted_) {
+    (void)responder.Send({409, {}, ""});
+    return;
+  }
+  ++accepted_;
+  busy_ = true;
+  (void)responder.Send({202, {}, ""});
+  boost::fibers::fiber([this, load = operation == "load", model] {
+    CarryOut(load, model);
+  }).detach();
+}
+
+void FleetEngine::CarryOut(bool load, std::string model) {
+  boost::this_fiber::sleep_for(load ? load_time : std::chrono::milliseconds(1));
+  if (load) {
+    loaded.insert(model);
+    on_disk.insert(model);
+  } else {
+    loaded.erase(model);
+  }
+  busy_ = false;
+  Register();
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/testing/fleet_standin/engine_standin.h
@@ -0,0 +1,84 @@
+// Defines FleetEngine, a stand-in for a registered model engine or plain
+// service of the users' platform: it serves requests, takes orders and keeps
+// its entry in the store.
+#ifndef TESTING_FLEET_STANDIN_ENGINE_STANDIN_H_
+#define TESTING_FLEET_STANDIN_ENGINE_STANDIN_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/http_message.h"
+#include "http/http_responder.h"
+#include "http/http_server.h"
+
+namespace tanagerloom {
+
+class StoreStandin;
+
+/// One order that reached an engine.
+struct ReceivedOrder {
+  std::chrono::steady_clock::time_point at;
+  std::string operation;
+  std::string model;
+  std::string holder;
+  std::uint64_t fence = 0;
+};
+
+/// One endpoint. Lives until the process ends, as the fibers of its server do.
+class FleetEngine {
+ public:
+  using Serve = std::function<void(const HttpRequest&, HttpResponder&)>;
+
+  FleetEngine(StoreStandin& store, std::string id, std::string service);
+
+  /// Writes the endpoint's entry; later changes write it again.
+  void Register();
+
+  /// How a request is served; by default with one whole sealed answer, or on a
+  /// path that contains "stream" with four events.
+  Serve serve;
+  bool draining = false;
+  std::chrono::milliseconds load_time{300};
+  std::set<std::string> on_disk;
+  std::set<std::string> loaded;
+
+  const std::string& id() const { return id_; }
+  const Address& address() const { return address_; }
+  /// Ids of the requests that began to run here.
+  const std::vector<std::string>& runs() const { return runs_; }
+  const std::vector<HttpRequest>& requests() const { return requests_; }
+  const std::vector<ReceivedOrder>& orders() const { return orders_; }
+
+  /// The headers of a sealed answer to a request.
+  static HttpHeaders Sealed(const HttpRequest& request);
+  /// One event of a stream.
+  static std::string Event(int id);
+
+ private:
+  void Handle(const HttpRequest& request, HttpResponder& responder);
+  void Report(HttpResponder& responder) const;
+  void Order(const HttpRequest& request, HttpResponder& responder);
+  void CarryOut(bool load, std::string model);
+
+  StoreStandin& store_;
+  std::string id_;
+  std::string service_;
+  std::uint64_t entries_ = 0;
+  std::uint64_t accepted_ = 0;
+  bool busy_ = false;
+  std::vector<std::string> runs_;
+  std::vector<HttpRequest> requests_;
+  std::vector<ReceivedOrder> orders_;
+  std::unique_ptr<HttpServer> server_;
+  Address address_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // TESTING_FLEET_STANDIN_ENGINE_STANDIN_H_
--- /dev/null
+++ b/tests/correctness/fleet_choices_test.cc
@@ -0,0 +1,198 @@
+// Tests of the small decisions of forwarding: which endpoint, whether to
+// repeat, how many repeats and loads, how reliable an endpoint is.
+#include <gtest/gtest.h>
+
+#include "fleet/crash_suspects.h"
+#include "fleet/endpoint_health.h"
+#include "fleet/endpoint_record.h"
+#include "fleet/endpoint_selection.h"
+#include "fleet/load_ceiling.h"
+#include "fleet/repeat_budget.h"
+#include "fleet/store_concurrency.h"
+#include "forwarding/event_cutter.h"
+#include "forwarding/repeat_rule.h"
+
+namespace tanagerloom {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+EndpointRecord Endpoint(std::string id, std::uint32_t slots = 64) {
+  EndpointRecord record;
+  record.id = std::move(id);
+  record.slots = slots;
+  return record;
+}
+
+// Guards against requests piling up on one endpoint.
+TEST(SelectEndpoint, LeastLoadedByItsSlotsWins) {
+  const auto a = Endpoint("a");
+  const auto b = Endpoint("b");
+  const auto small = Endpoint("small", 6);
+  const std::vector<EndpointCandidate> candidates = {
+      {&a, 5, 0, true}, {&b, 3, 0, true}, {&small, 3, 0, true}};
+  EXPECT_EQ(SelectEndpoint(candidates, {"", 0})->record->id, "b");
+  EXPECT_EQ(SelectEndpoint({}, {"", 0}), nullptr);
+}
+
+// Guards against an idle endpoint that fails its requests and so stays idle.
+TEST(SelectEndpoint, FailingEndpointStandsBack) {
+  const auto good = Endpoint("good");
+  const auto grey = Endpoint("grey");
+  const std::vector<EndpointCandidate> candidates = {{&good, 15, 0, true},
+                                                     {&grey, 0, 0.5, true}};
+  EXPECT_EQ(SelectEndpoint(candidates, {"", 0})->record->id, "good");
+}
+
+// Guards against long shared prompts that are read again at each endpoint, and
+// against a meeting point that is overrun.
+TEST(SelectEndpoint, SharedPromptsMeetUnlessTheMeetingPointIsBusy) {
+  const auto a = Endpoint("a");
+  const auto b = Endpoint("b");
+  std::vector<EndpointCandidate> candidates = {{&a, 4, 0, true},
+                                               {&b, 4, 0, true}};
+  const SelectionRequest request{"long prompt", 6000};
+  const auto* meeting = SelectEndpoint(candidates, request);
+  auto& busy = meeting == &candidates[0] ? candidates[0] : candidates[1];
+  const std::string id = meeting->record->id;
+  busy.in_flight = 12;
+  EXPECT_EQ(SelectEndpoint(candidates, request)->record->id, id);
+  busy.in_flight = 40;
+  EXPECT_NE(SelectEndpoint(candidates, request)->record->id, id);
+}
+
+// Guards against a second run of a request that may run once, and against a 503
+// for one that may have run.
+TEST(RepeatRule, OnlyRepeatableRequestsRunTwice) {
+  Route booking;
+  booking.kind = RequestKind::kNonIdempotent;
+  booking.max_attempts = 3;
+  EXPECT_TRUE(MayRepeat(booking, {0, Verdict::kNotRun}));
+  EXPECT_FALSE(MayRepeat(booking, {1, Verdict::kMayHaveRun}));
+  EXPECT_FALSE(MayRepeat(booking, {1, Verdict::kRan}));
+  Route stream;
+  stream.kind = RequestKind::kStreaming;
+  stream.max_attempts = 2;
+  EXPECT_FALSE(MayRepeat(stream, {1, Verdict::kRan}));
+  stream.resumable = true;
+  EXPECT_TRUE(MayRepeat(stream, {1, Verdict::kRan}));
+  EXPECT_FALSE(MayRepeat(stream, {2, Verdict::kRan}));
+  EXPECT_EQ(FinalStatus({0, Verdict::kNotRun}, true), 503);
+  EXPECT_EQ(FinalStatus({1, Verdict::kMayHaveRun}, false), 502);
+  EXPECT_EQ(FinalStatus({1, Verdict::kMayHaveRun}, true), 504);
+}
+
+// Guards against repeats that multiply the load: all nodes together stay below
+// the shared limit in every window.
+TEST(RepeatBudget, NodesTogetherStayBelowTheLimit) {
+  const RepeatLimits limits{0.2, seconds(10), 56};
+  constexpr std::size_t kNodes = 8;
+  std::vector<RepeatBudget> nodes(kNodes);
+  std::deque<TimePoint> taken;
+  for (int ms = 0; ms < 30000; ms += 20) {
+    const auto now = kStart + milliseconds(ms);
+    for (auto& it : nodes) {
+      it.OnRequest(now);
+      if (it.Take(limits, kNodes, now)) {
+        taken.push_back(now);
+      }
+    }
+    while (taken.front() < now - limits.window) {
+      taken.pop_front();
+    }
+    const double requests = kNodes * std::min(500, ms / 20 + 1);
+    EXPECT_LE(static_cast<double>(taken.size()),
+              limits.ratio * requests + limits.slack);
+  }
+}
+
+// Guards against more loads from the weight store than it allows, also just
+// after another node began some.
+TEST(LoadCeiling, StaysBelowTheRate) {
+  LoadCeiling ceiling(seconds(5));
+  ceiling.OnTakeover(kStart);
+  EXPECT_LE(ceiling.Allowed(3.8, kStart), 8U);
+  const auto later = kStart + seconds(6);
+  std::uint32_t started = 0;
+  while (ceiling.Allowed(3.8, later) > 0) {
+    ceiling.OnStart(later);
+    ++started;
+  }
+  EXPECT_EQ(started, 15U);
+  EXPECT_EQ(ceiling.Allowed(3.8, later + seconds(4)), 0U);
+  EXPECT_GT(ceiling.Allowed(3.8, later + seconds(5)), 0U);
+  EXPECT_EQ(LoadCeiling(seconds(5)).Allowed(0, later), 1U);
+}
+
+// Guards against loads that slow each other down, and against a limit that
+// never rises again.
+TEST(StoreConcurrency, FollowsTheTimesOfLoads) {
+  StoreConcurrency concurrency;
+  for (int i = 0; i < 10; ++i) {
+    const auto at_once = concurrency.limit();
+    concurrency.OnLoaded(at_once, seconds(6) * at_once, seconds(6));
+  }
+  EXPECT_LE(concurrency.limit(), 2U);  // One, or a try of one more.
+  for (int i = 0; i < 20; ++i) {
+    concurrency.OnLoaded(concurrency.limit(), seconds(6), seconds(6));
+  }
+  EXPECT_GT(concurrency.limit(), 8U);
+}
+
+// Guards against an endpoint that is avoided for ever, or not at all.
+TEST(EndpointHealth, FailuresCountAndAreForgotten) {
+  EndpointHealth health;
+  for (int i = 0; i < 10; ++i) {
+    health.OnFailure(kStart);
+  }
+  EXPECT_GT(health.FailureRate(kStart), 0.8);
+  EXPECT_TRUE(health.Allows(kStart));
+  EXPECT_LT(health.FailureRate(kStart + seconds(12)), 0.2);
+  EXPECT_EQ(health.FailureRate(kStart + std::chrono::hours(1)), 0);
+  health.OnUnreachable(kStart);
+  EXPECT_FALSE(health.Allows(kStart + milliseconds(200)));
+  EXPECT_TRUE(health.Allows(kStart + milliseconds(300)));
+}
+
+// Guards against a request that crashes endpoint after endpoint, and against
+// one that is refused because of a single crash.
+TEST(CrashSuspects, RefusesAfterTheLimitOverAllNodes) {
+  CrashSuspects suspects;
+  suspects.OnCrash(7, kStart);
+  suspects.OnNotice(7, 2, kStart);
+  EXPECT_FALSE(suspects.Refused(7));
+  EXPECT_EQ(suspects.OnCrash(7, kStart), 3U);
+  EXPECT_TRUE(suspects.Refused(7));
+  EXPECT_FALSE(suspects.Refused(8));
+}
+
+// Guards against torn events: only whole ones are passed on, in any cut of the
+// bytes, and the rest of a broken stream is dropped.
+TEST(EventCutter, PassesWholeEventsInEveryCut) {
+  const std::string text =
+      "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    EventCutter cutter;
+    cutter.input() += text.substr(0, cut);
+    std::string out = cutter.TakeEvents();
+    EXPECT_TRUE(out.empty() || out.ends_with("\n\n") ||
+                out.ends_with("\r\n\r\n") || out.ends_with("\n\r\n"));
+    cutter.input() += text.substr(cut);
+    out += cutter.TakeEvents();
+    EXPECT_EQ(out, text);
+    EXPECT_EQ(cutter.last_id(), "2");
+    EXPECT_EQ(cutter.TakeRest(), "");
+  }
+  EventCutter cutter;
+  cutter.input() += "id: 1\ndata: a\n\nid: 2\nda";
+  EXPECT_EQ(cutter.TakeEvents(), "id: 1\ndata: a\n\n");
+  cutter.Restart();
+  EXPECT_EQ(cutter.TakeRest(), "");
+  EXPECT_EQ(cutter.last_id(), "1");
+}
+
+}  // namespace
+}  // namespace tanagerloom
--- /dev/null
+++ b/tests/correctness/fleet_routes_test.cc
@@ -0,0 +1,53 @@
+// Tests of the choice of a route and of its service.
+#include <gtest/gtest.h>
+
+#include "fleet/fleet_config.h"
+#include "fleet/route_table.h"
+
+namespace tanagerloom {
+namespace {
+
+Route MakeRoute(std::string host, std::string prefix) {
+  Route route;
+  route.name = prefix;
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  return route;
+}
+
+// Guards against a request served by the route of a shorter prefix.
+TEST(RouteTable, LongestPrefixOfTheHostWins) {
+  FleetConfig config;
+  config.routes = {MakeRoute("a.example", "/x/"),
+                   MakeRoute("a.example", "/x/y/"),
+                   MakeRoute("b.example", "/x/y/z/")};
+  const RouteTable table(config);
+  EXPECT_EQ(table.Match("a.example", "/x/y/1")->name, "/x/y/");
+  EXPECT_EQ(table.Match("a.example", "/x/yy")->name, "/x/");
+  EXPECT_EQ(table.Match("a.example", "/x/y/z/1")->name, "/x/y/");
+  EXPECT_EQ(table.Match("a.example", "/y/"), nullptr);
+  EXPECT_EQ(table.Match("c.example", "/x/"), nullptr);
+}
+
+// Guards against a 404 for a host that is written with a port or in capitals.
+TEST(RouteTable, HostIsComparedWithoutPortAndCase) {
+  FleetConfig config;
+  config.routes = {MakeRoute("a.Example", "/x/")};
+  const RouteTable table(config);
+  EXPECT_NE(table.Match("A.example:8080", "/x/1"), nullptr);
+}
+
+// Guards against a split that sends requests to a service without weight.
+TEST(ChooseTarget, FollowsTheWeights) {
+  Route route;
+  route.targets = {{"none", 0}, {"most", 90}, {"few", 10}};
+  EXPECT_EQ(ChooseTarget(route, 0.0)->service, "most");
+  EXPECT_EQ(ChooseTarget(route, 0.89)->service, "most");
+  EXPECT_EQ(ChooseTarget(route, 0.91)->service, "few");
+  EXPECT_EQ(ChooseTarget(route, 0.9999999)->service, "few");
+  route.targets = {{"none", 0}};
+  EXPECT_EQ(ChooseTarget(route, 0.5), nullptr);
+}
+
+}  // namespace
+}  // namespace tanagerloom
--- /dev/null
+++ b/tests/correctness/platform_format_test.cc
@@ -0,0 +1,245 @@
+// Tests of how the adapter reads and writes the platform's messages.
+#include <gtest/gtest.h>
+
+#include "platform/entry_decoder.h"
+#include "platform/header_protocol.h"
+#include "platform/settings_decoder.h"
+
+namespace tanagerloom {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kConfig[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"streaming",
+   "timeoutMs":17000,"goalMs":3000,"priority":0,"service":"s1","maxAttempts":1,
+   "sticky":true,"resumable":false,"gapTargetMs":400},
+  {"name":"r2","host":"h.example","pathPrefix":"/b/","kind":"idempotent",
+   "timeoutMs":800,"goalMs":100,"priority":2,"trafficSplit":[
+     {"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "maxAttempts":2}],
+ "services":[{"name":"s1","healthPath":"/health","maxConns":370,"engine":{
+   "slots":64,"weightsMb":200000.0,"adapterSlots":8,"loadsPerS":3.8,"models":[
+   {"name":"m","weightsMb":65500.0,"loadS":6.0,"adapters":37,"adapterMb":40.0,
+    "warmS":0.38,"diskS":1.0}]}},{"name":"s2","healthPath":"/h","maxConns":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+           "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+// Guards against a field of the configuration that is read as another.
+TEST(PlatformConfig, EveryFieldIsRead) {
+  const auto result = platform::DecodeConfig(kConfig);
+  ASSERT_TRUE(result);
+  const auto& config = result.assume_value();
+  EXPECT_EQ(config.version, 7U);
+  ASSERT_EQ(config.routes.size(), 2U);
+  const auto& plan = config.routes[0];
+  EXPECT_EQ(plan.kind, RequestKind::kStreaming);
+  EXPECT_EQ(plan.timeout, milliseconds(17000));
+  EXPECT_EQ(plan.goal, milliseconds(3000));
+  EXPECT_EQ(plan.event_gap, milliseconds(400));
+  EXPECT_FALSE(plan.repeatable());
+  EXPECT_EQ(plan.targets.at(0).service, "s1");
+  EXPECT_TRUE(config.routes[1].repeatable());
+  EXPECT_EQ(config.routes[1].targets.size(), 2U);
+  EXPECT_EQ(config.routes[1].max_attempts, 2U);
+  const auto* model = config.FindModel("s1", "m");
+  ASSERT_NE(model, nullptr);
+  EXPECT_EQ(model->load_from_store, milliseconds(6000));
+  EXPECT_EQ(model->load_from_disk, milliseconds(1000));
+  EXPECT_EQ(model->load_from_memory, milliseconds(380));
+  EXPECT_EQ(config.FindService("s1")->engine->adapter_slots, 8U);
+  EXPECT_FALSE(config.FindService("s2")->engine);
+  EXPECT_EQ(config.limits.idle_timeout, milliseconds(15000));
+}
+
+// Guards against a configuration without its version that would be put in
+// force.
+TEST(PlatformConfig, MalformedOnesAreRefused) {
+  EXPECT_FALSE(platform::DecodeConfig("{"));
+  EXPECT_FALSE(platform::DecodeConfig(R"({"routes":[]})"));
+  EXPECT_FALSE(platform::DecodeConfig(R"({"version":-1})"));
+  EXPECT_FALSE(platform::DecodeConfig(
+      R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"other","service":"s"}]})"));
+}
+
+constexpr char kEndpoint[] =
+    R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","version":"v1",
+        "slots":64,"state":"ready","coldLeftMs":10,"born":1700000000000,
+        "models":[{"name":"m","version":1,"adapters":["a3"]}],"seq":4,
+        "available":{"inMemory":["m"],"onDisk":["m","n"]}})";
+
+// Guards against a field of an entry that is read as another.
+TEST(PlatformEndpoint, EveryFieldIsRead) {
+  const auto result = platform::DecodeEndpoint({"i-1", kEndpoint, 9});
+  ASSERT_TRUE(result);
+  const auto& record = result.assume_value();
+  EXPECT_EQ(record.id, "i-1");
+  EXPECT_EQ(record.service, "s1");
+  EXPECT_EQ(record.address, (Address{"10.1.0.9", 8080}));
+  EXPECT_EQ(record.data_centre, "z");
+  EXPECT_EQ(record.slots, 64U);
+  EXPECT_FALSE(record.draining);
+  EXPECT_EQ(record.boot, 1700000000000U);
+  EXPECT_EQ(record.entry, 4U);
+  EXPECT_EQ(record.cold_left, milliseconds(10));
+  EXPECT_TRUE(record.models.at("m").contains("a3"));
+  EXPECT_TRUE(record.copies.in_memory.contains("m"));
+  EXPECT_TRUE(record.copies.on_disk.contains("n"));
+}
+
+// Guards against requests to what another writer left among the entries.
+TEST(PlatformEndpoint, EntriesThatNameNoEndpointAreRefused) {
+  const auto changed = [](std::string_view from, std::string_view to) {
+    std::string text = kEndpoint;
+    text.replace(text.find(from), from.size(), to);
+    return platform::DecodeEndpoint({"i-1", text, 9});
+  };
+  EXPECT_TRUE(changed("\"ready\"", "\"draining\"").assume_value().draining);
+  EXPECT_FALSE(changed("\"ready\"", "\"asleep\""));
+  EXPECT_FALSE(changed("\"ready\"", "3"));
+  EXPECT_FALSE(changed("\"10.1.0.9:8080\"", "\"10.1.0.9\""));
+  EXPECT_FALSE(changed("\"10.1.0.9:8080\"", "\"10.1.0.9:99999\""));
+  EXPECT_FALSE(changed("\"10.1.0.9:8080\"", "null"));
+  EXPECT_FALSE(changed("\"service\"", "\"other\""));
+  EXPECT_FALSE(changed("64", "0"));
+  EXPECT_FALSE(changed("64", "-64"));
+  EXPECT_FALSE(changed("64", "\"64\""));
+  EXPECT_FALSE(
+      changed("[{\"name\":\"m\",\"version\":1,\"adapters\":[\"a3\"]}]", "[7]"));
+  EXPECT_FALSE(platform::DecodeEndpoint({"i-1", "null", 9}));
+  EXPECT_FALSE(platform::DecodeEndpoint({"i-1", "\"\\u0001junk\"", 9}));
+  EXPECT_FALSE(platform::DecodeEndpoint({"i-1", "{\"service\":\xff}", 9}));
+}
+
+constexpr char kSettings[] = R"({"nodeName":"front-z-1","ip":"10.1.0.38",
+  "zone":"z","region":"r","portRange":[7380,7395],"unknown":{"x":1},
+  "listen":{"front":"10.1.0.38:8149","readyAddr":"10.1.0.38:8141",
+            "control":"10.1.0.38:8144"},
+  "bounds":{"graceS":8,"drainMs":2000,"configMs":2000,"contactMs":3000,
+            "leaseMs":3000,"retryRatio":0.2,"retryWindowS":10,"retrySlack":56,
+            "ceilingWindowS":5},
+  "platform":{"address":"10.200.1.7:8142"}})";
+
+// Guards against a setting that is read as another, or in the wrong unit.
+TEST(PlatformSettings, EveryFieldIsRead) {
+  const auto result = platform::DecodeSettings(kSettings);
+  ASSERT_TRUE(result);
+  const auto& settings = result.assume_value();
+  EXPECT_EQ(settings.node_id, "front-z-1");
+  EXPECT_EQ(settings.data_centre, "z");
+  EXPECT_EQ(settings.client_listen, (Address{"10.1.0.38", 8149}));
+  EXPECT_EQ(settings.readiness_listen, (Address{"10.1.0.38", 8141}));
+  EXPECT_EQ(settings.control_listen, (Address{"10.1.0.38", 8144}));
+  EXPECT_EQ(settings.peer_listen, (Address{"10.1.0.38", 7380}));
+  EXPECT_EQ(settings.store, (Address{"10.200.1.7", 8142}));
+  EXPECT_EQ(settings.bounds.grace, milliseconds(8000));
+  EXPECT_EQ(settings.bounds.handover, milliseconds(3000));
+  EXPECT_EQ(settings.bounds.load_window, milliseconds(5000));
+  EXPECT_EQ(settings.bounds.repeats.slack, 56);
+}
+
+// Guards against a node that starts without an address that it needs.
+TEST(PlatformSettings, MissingFieldsAreNamed) {
+  for (const std::string field :
+       {"nodeName", "ip", "zone", "portRange", "front", "address"}) {
+    std::string text = kSettings;
+    text.replace(text.find("\"" + field + "\""), field.size() + 2, "\"gone\"");
+    const auto result = platform::DecodeSettings(text);
+    ASSERT_FALSE(result) << field;
+    EXPECT_NE(result.assume_error().message.find(field), std::string::npos);
+  }
+}
+
+HttpRequest ClientRequest() {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/a/2f?x=1";
+  request.body = "prompt";
+  request.headers = {{"Host", "h.example"},
+                     {"Attempt-Id", "9c41"},
+                     {"Model", "m/a3"},
+                     {"Token-Count", "1460,80"},
+                     {"Prompt-Prefix", "5c:800,91:410,e4:250"},
+                     {"Deadline-Ms", "6000"},
+                     {"Last-Event-Id", "12"},
+                     {"Connection", "keep-alive, X-Hop"},
+                     {"X-Hop", "1"},
+                     {"X-Own", "kept"},
+                     {"Hold", "client"},
+                     {"Kv-From", "10.0.0.1:1/x"},
+                     {"Transfer-Encoding", "chunked"}};
+  return request;
+}
+
+// Guards against a prompt or a time limit that is read wrongly.
+TEST(PlatformHeaders, RequestIsRead) {
+  const platform::HeaderProtocol protocol;
+  const auto profile = protocol.ReadRequest(ClientRequest());
+  EXPECT_EQ(profile.attempt, "9c41");
+  EXPECT_EQ(profile.time_left, milliseconds(6000));
+  EXPECT_EQ(profile.model, (ModelRef{"m", "a3"}));
+  EXPECT_EQ(profile.prompt_tokens, 1460U);
+  EXPECT_EQ(profile.max_output_tokens, 80U);
+  EXPECT_EQ(profile.prompt.size(), 3U);
+  EXPECT_EQ(profile.SharedTokens(), 1210U);
+}
+
+// Guards against a request that reaches an endpoint changed, with a header that
+// only nodes may set, or without what the node has to set.
+TEST(PlatformHeaders, AttemptKeepsTheRequestAndDropsWhatIsNotTheClients) {
+  const platform::HeaderProtocol protocol;
+  AttemptParameters with;
+  with.endpoint = "i-7";
+  with.time_left = milliseconds(4321);
+  with.urgency = 2;
+  const auto attempt = protocol.MakeAttempt(ClientRequest(), with);
+  EXPECT_EQ(attempt.method, "POST");
+  EXPECT_EQ(attempt.target, "/a/2f?x=1");
+  EXPECT_EQ(attempt.body, "prompt");
+  EXPECT_EQ(attempt.headers.Find("Host"), "h.example");
+  EXPECT_EQ(attempt.headers.Find("Attempt-Id"), "9c41");
+  EXPECT_EQ(attempt.headers.Find("Prompt-Prefix"), "5c:800,91:410,e4:250");
+  EXPECT_EQ(attempt.headers.Find("Deadline-Ms"), "4321");
+  EXPECT_EQ(attempt.headers.Find("Expect-Instance"), "i-7");
+  EXPECT_EQ(attempt.headers.Find("Request-Urgency"), "2");
+  EXPECT_EQ(attempt.headers.Find("Last-Event-Id"), "12");
+  EXPECT_EQ(attempt.headers.Find("X-Own"), "kept");
+  for (const char* name : {"X-Hop", "Hold", "Kv-From", "Transfer-Encoding"}) {
+    EXPECT_FALSE(attempt.headers.Find(name)) << name;
+  }
+  with.resume_after = "40";
+  EXPECT_EQ(
+      protocol.MakeAttempt(ClientRequest(), with).headers.Find("Last-Event-Id"),
+      "40");
+}
+
+// Guards against an answer that is taken for another, and against a request
+// that counts as not run although the endpoint does not say so.
+TEST(PlatformHeaders, AnswerIsRead) {
+  const platform::HeaderProtocol protocol;
+  const auto good = protocol.ReadAnswer(
+      200, {{"Attempt-Id", "9c41"}, {"Response-Seal", "3e1b"}});
+  EXPECT_EQ(good.attempt, "9c41");
+  EXPECT_TRUE(good.from_endpoint);
+  EXPECT_FALSE(good.not_run);
+  EXPECT_TRUE(protocol.ReadAnswer(503, {{"Not-Executed", "1"}}).not_run);
+  EXPECT_FALSE(protocol.ReadAnswer(503, {}).not_run);
+  EXPECT_TRUE(protocol.ReadAnswer(421, {}).not_run);
+  EXPECT_TRUE(protocol.ReadAnswer(200, {{"Content-Encoding", "gzip"}}).encoded);
+}
+
+// Guards against a Retry-After in whole seconds where a fraction is meant.
+TEST(PlatformHeaders, OwnAnswerNamesTheAttemptAndTheTime) {
+  const platform::HeaderProtocol protocol;
+  RequestProfile profile;
+  profile.attempt = "9c41";
+  const auto answer = protocol.MakeOwnAnswer(503, profile, milliseconds(300));
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(answer.headers.Find("Retry-After"), "0.300");
+  EXPECT_EQ(answer.headers.Find("Attempt-Id"), "9c41");
+  EXPECT_FALSE(protocol.MakeOwnAnswer(404, profile, milliseconds(0))
+                   .headers.Find("Retry-After"));
+}
+
+}  // namespace
+}  // namespace tanagerloom
