Test the fleet node as real processes; tell requests in flight less often at size

Six scenarios with three daemons against stand-ins of the store and two engines: cold models, a killed holder, all killed, SIGTERM, SIGHUP, the store away; orders of two nodes are never closer than the handover gap.

--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -24,7 +24,9 @@
 /// The node's view of the fleet.
 class FleetView {
  public:
-  /// Counts of a peer are used for this long after they came.
+  /// Counts of a peer are used for this long after they came: five intervals of
+  /// up to eight nodes. More nodes tell them less often; old counts would send
+  /// all nodes to the same endpoints.
   static constexpr Duration kPeerUseValid = std::chrono::seconds(2);
   /// An endpoint that denied holding a model is not asked for it again for this
   /// long, in which newer news of it arrive.
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -34,6 +34,9 @@
 constexpr std::string_view kLeaseKey = "fleet-leases/orders";
 // How often nodes tell each other what they have in flight.
 constexpr milliseconds kUseInterval{400};
+// Up to this number of nodes; beyond, each tells it less often, so that what a
+// node receives stays the same.
+constexpr std::size_t kNodesAtFullRate = 8;
 // The list of nodes changes rarely, and a read that may be old costs little.
 constexpr milliseconds kNodeListInterval{1000};
 // Time in which the balancer notices twice that the node is not ready.
@@ -249,7 +252,8 @@
 void FleetNode::Parts::ShareUseLoop() {
   bool idle = false;
   while (!stopped) {
-    clock.SleepFor(kUseInterval);
+    const auto nodes = std::max(kNodesAtFullRate, peers.LiveIds().size());
+    clock.SleepFor(kUseInterval * nodes / kNodesAtFullRate);
     auto use = view.OwnUse();
     // An empty list is told once, so that the peers' counts end.
     if (!use.endpoints.empty() || !idle) {
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -11,6 +11,7 @@
 
 #include <boost/fiber/operations.hpp>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -157,7 +158,13 @@
 
 std::string ProgramPath(const std::string& name) {
   const char* folder = std::getenv("TANAGERLOOM_BIN");
-  return std::string(folder == nullptr ? "." : folder) + "/" + name;
+  if (folder != nullptr) {
+    return std::string(folder) + "/" + name;
+  }
+  // A test that is started by hand: the programs lie beside its folder.
+  std::error_code ec;
+  const auto self = std::filesystem::read_symlink("/proc/self/exe", ec);
+  return (self.parent_path().parent_path() / name).string();
 }
 
 }  // namespace tanagerloom::testing_support
--- /dev/null
+++ b/tests/integration/fleet_test.cc
@@ -0,0 +1,277 @@
+// Tests nodes of a registered fleet as real processes, against stand-ins of the
+// platform's store and of its engines.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <boost/fiber/operations.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "http/http_client.h"
+#include "runtime/runtime.h"
+#include "runtime/steady_clock.h"
+#include "testing/fleet_standin/engine_standin.h"
+#include "testing/fleet_standin/store_standin.h"
+#include "testing/harness/process.h"
+#include "testing/harness/wait.h"
+
+namespace tanagerloom {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing_support::FreePort;
+using testing_support::Process;
+using testing_support::ProgramPath;
+using testing_support::WaitUntil;
+
+constexpr char kLoopback[] = "127.0.0.1";
+constexpr int kNodes = 3;
+constexpr int kModels = 6;
+
+nlohmann::json ConfigJson() {
+  auto models = nlohmann::json::array();
+  for (int i = 0; i < kModels; ++i) {
+    models.push_back({{"name", "m" + std::to_string(i)},
+                      {"weightsMb", 400},
+                      {"loadS", 1.5},
+                      {"diskS", 0.3},
+                      {"warmS", 0.3}});
+  }
+  const auto route = [](const char* prefix, const char* service) {
+    return nlohmann::json{{"name", prefix},       {"host", "h.example"},
+                          {"pathPrefix", prefix}, {"kind", "streaming"},
+                          {"timeoutMs", 15000},   {"goalMs", 3000},
+                          {"service", service},   {"maxAttempts", 1}};
+  };
+  return {{"version", 1},
+          {"routes", {route("/stream/", "pool")}},
+          {"services",
+           {{{"name", "pool"},
+             {"engine",
+              {{"slots", 8},
+               {"weightsMb", 1000},
+               {"adapterSlots", 2},
+               {"loadsPerS", 4},
+               {"models", models}}}}}}};
+}
+
+// One node and the ports that it was given.
+struct NodeProcess {
+  NodeProcess(const std::string& folder, const std::string& id, Address store)
+      : front{kLoopback, FreePort()}, ready{kLoopback, FreePort()} {
+    const auto text = [](const Address& it) { return it.ToString(); };
+    const nlohmann::json settings{
+        {"nodeName", id},
+        {"ip", kLoopback},
+        {"zone", "z"},
+        {"portRange", {FreePort()}},
+        {"listen", {{"front", text(front)}, {"readyAddr", text(ready)}}},
+        {"platform", {{"address", text(store)}}},
+        {"bounds", {{"graceS", 6}, {"leaseMs", 1500}}}};
+    path = folder + "/" + id + ".json";
+    std::ofstream(path) << settings.dump();
+    Start();
+  }
+
+  void Start() {
+    process = std::make_unique<Process>(
+        std::vector<std::string>{ProgramPath("apps/tanagerloomd"),
+                                 "--platform-settings", path},
+        path + ".log");
+  }
+
+  Address front;
+  Address ready;
+  std::string path;
+  std::unique_ptr<Process> process;
+};
+
+struct Folder {
+  Folder() {
+    path = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
+    EXPECT_NE(mkdtemp(path.data()), nullptr);
+  }
+  ~Folder() {
+    std::error_code ec;
+    std::filesystem::remove_all(path, ec);
+  }
+  std::string path;
+};
+
+class Fleet : public testing::Test {
+ protected:
+  void SetUp() override {
+    store.Set("config", "main", ConfigJson());
+    for (int e = 0; e < 2; ++e) {
+      engines.push_back(
+          new FleetEngine(store, "i-" + std::to_string(e), "pool"));
+    }
+    for (int i = 0; i < kModels; ++i) {
+      engines[i % 2]->on_disk.insert("m" + std::to_string(i));
+    }
+    for (auto* it : engines) {
+      it->Register();
+    }
+    for (int i = 0; i < kNodes; ++i) {
+      nodes.push_back(std::make_unique<NodeProcess>(
+          folder.path, "node-" + std::to_string(i), store.address()));
+    }
+    for (const auto& it : nodes) {
+      ASSERT_TRUE(WaitUntil([&] { return Ready(*it); }));
+    }
+  }
+
+  bool Ready(const NodeProcess& node) {
+    const auto answer =
+        client.Call(node.ready, {"GET", "/tanagerloom/readiness", {}, ""},
+                    {.deadline = clock.Now() + seconds(1)});
+    return answer && answer.assume_value().status == 200;
+  }
+
+  // Sends one request for a model to a node; the status, 0 without an answer.
+  int Ask(const NodeProcess& node, const std::string& model) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/stream/" + model;
+    request.body = "prompt";
+    request.headers = {{"Host", "h.example"},
+                       {"Attempt-Id", "a-" + std::to_string(++asked)},
+                       {"Model", model},
+                       {"Deadline-Ms", "14000"}};
+    const auto answer = client.Call(
+        node.front, request,
+        {.deadline = clock.Now() + seconds(16), .fresh_connection = true});
+    return answer ? answer.assume_value().status : 0;
+  }
+
+  std::string Holder() const {
+    const auto lease = store.Spec("fleet-leases", "orders");
+    return lease.is_null() ? "" : lease.at("holder").get<std::string>();
+  }
+
+  NodeProcess& NodeOf(const std::string& id) {
+    return *nodes.at(static_cast<std::size_t>(id.back() - '0'));
+  }
+
+  // No two nodes may order an engine within the handover gap of the settings.
+  void ExpectOrdersApart() const {
+    for (const auto* engine : engines) {
+      const auto& orders = engine->orders();
+      for (std::size_t i = 1; i < orders.size(); ++i) {
+        if (orders[i].holder == orders[i - 1].holder) {
+          EXPECT_GE(orders[i].fence, orders[i - 1].fence);
+          continue;
+        }
+        EXPECT_GT(orders[i].fence, orders[i - 1].fence);
+        EXPECT_GE(orders[i].at - orders[i - 1].at, milliseconds(1500));
+      }
+    }
+  }
+
+  // Weights of all models that an engine was ordered to hold at once.
+  void ExpectMemoryKept() const {
+    for (const auto* engine : engines) {
+      EXPECT_LE(engine->loaded.size() * 400, 1000U);
+    }
+  }
+
+  Folder folder;
+  StoreStandin& store = *new StoreStandin();
+  std::vector<FleetEngine*> engines;
+  std::vector<std::unique_ptr<NodeProcess>> nodes;
+  SteadyClock clock;
+  HttpClient client{Runtime::Get().io()};
+  int asked = 0;
+};
+
+// Guards against a model that is asked for and never loaded, at any node.
+TEST_F(Fleet, ColdModelsAreLoadedAndServed) {
+  for (int i = 0; i < kModels; ++i) {
+    EXPECT_EQ(Ask(*nodes[i % kNodes], "m" + std::to_string(i)), 200) << i;
+  }
+  EXPECT_EQ(Ask(*nodes[0], "unknown"), 503);
+  ExpectOrdersApart();
+  ExpectMemoryKept();
+}
+
+// Guards against a fleet that loads nothing after the node that orders engines
+// was killed, and against a successor that orders too early.
+TEST_F(Fleet, AnotherNodeOrdersAfterTheHolderIsKilled) {
+  EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
+  const auto holder = Holder();
+  ASSERT_FALSE(holder.empty());
+  NodeOf(holder).process->Kill();
+  auto& other = *nodes[holder.back() == '0' ? 1 : 0];
+  EXPECT_EQ(Ask(other, "m1"), 200);
+  EXPECT_EQ(Ask(other, "m2"), 200);
+  EXPECT_NE(Holder(), holder);
+  ExpectOrdersApart();
+  ExpectMemoryKept();
+}
+
+// Guards against a fleet that does not come back after all nodes were killed.
+TEST_F(Fleet, ServesAgainAfterAllNodesWereKilled) {
+  EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
+  for (const auto& it : nodes) {
+    it->process->Kill();
+  }
+  for (const auto& it : nodes) {
+    it->Start();
+  }
+  for (const auto& it : nodes) {
+    ASSERT_TRUE(WaitUntil([&] { return Ready(*it); }));
+  }
+  EXPECT_EQ(Ask(*nodes[1], "m3"), 200);
+  ExpectOrdersApart();
+  ExpectMemoryKept();
+}
+
+// Guards against a stop that cuts a request, leaves the lease held, or takes
+// longer than the time until the process is killed.
+TEST_F(Fleet, StopsGracefully) {
+  EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
+  const auto holder = Holder();
+  NodeOf(holder).process->Signal(SIGTERM);
+  ASSERT_TRUE(WaitUntil([&] { return !Ready(NodeOf(holder)); }));
+  EXPECT_EQ(Ask(NodeOf(holder), "m0"), 200);
+  EXPECT_EQ(NodeOf(holder).process->WaitForExit(seconds(6)), 0);
+  auto& other = *nodes[holder.back() == '0' ? 1 : 0];
+  EXPECT_EQ(Ask(other, "m1"), 200);
+  ExpectOrdersApart();
+}
+
+// Guards against a node that ends at SIGHUP, or takes settings that it cannot
+// read.
+TEST_F(Fleet, ReloadsSettings) {
+  nodes[0]->process->Signal(SIGHUP);
+  ASSERT_TRUE(WaitUntil([&] {
+    return nodes[0]->process->Output().find("settings_reloaded") !=
+           std::string::npos;
+  }));
+  std::ofstream(nodes[0]->path) << "{";
+  nodes[0]->process->Signal(SIGHUP);
+  ASSERT_TRUE(WaitUntil([&] {
+    return nodes[0]->process->Output().find("entry_ignored") !=
+           std::string::npos;
+  }));
+  EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
+}
+
+// Guards against requests that fail while only the store is away.
+TEST_F(Fleet, ServesWhatIsLoadedWhileTheStoreIsAway) {
+  EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
+  store.fault = [](const std::string&) { return StandinFault::kBusy; };
+  boost::this_fiber::sleep_for(seconds(3));
+  for (const auto& it : nodes) {
+    EXPECT_EQ(Ask(*it, "m0"), 200);
+    EXPECT_TRUE(Ready(*it));
+  }
+  store.fault = [](const std::string&) { return StandinFault::kNone; };
+  EXPECT_EQ(Ask(*nodes[2], "m1"), 200);
+  ExpectOrdersApart();
+}
+
+}  // namespace
+}  // namespace tanagerloom
