--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -76,6 +76,17 @@
   }
 }
 
+bool EngineBook::AwaitsReports() const {
+  const auto known = [](const auto& it) {
+    return it.second.sequence.has_value();
+  };
+  const auto reading = [](const auto& it) {
+    return !it.second.sequence && it.second.reading;
+  };
+  return !std::ranges::any_of(engines_, known) &&
+         std::ranges::any_of(engines_, reading);
+}
+
 BookedEngine* EngineBook::Find(const std::string& id) {
   const auto it = engines_.find(id);
   return it == engines_.end() ? nullptr : &it->second;
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -60,6 +60,10 @@
   /// Takes an engine's report.
   void Adopt(const std::string& id, const EngineState& state, TimePoint now);
 
+  /// Whether no engine is known yet, because the first reports are on their
+  /// way: a plan would take all models for missing.
+  bool AwaitsReports() const;
+
   BookedEngine* Find(const std::string& id);
 
   std::map<std::string, BookedEngine>& engines() { return engines_; }
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -94,7 +94,8 @@
   while (!stopping_) {
     replan_.WaitUntil(seen, deps_.clock.Now() + kPlanInterval);
     seen = replan_.count();
-    if (deps_.lease.MayOrder()) {
+    // The engines' reports are read while the gap after the last holder passes.
+    if (deps_.lease.holding()) {
       PlanAll();
     }
   }
@@ -131,6 +132,9 @@
     orders.book.Find(it)->reading = true;
     boost::fibers::fiber([this, service, it] { Resync(service, it); }).detach();
   }
+  if (!deps_.lease.MayOrder() || orders.book.AwaitsReports()) {
+    return;
+  }
   PlacementInput input;
   input.spec = &spec;
   input.engines = orders.book.Places(directory, now);
--- /dev/null
+++ b/tests/correctness/engine_book_test.cc
@@ -0,0 +1,115 @@
+// Tests of what the orderer of engines knows of them.
+#include <gtest/gtest.h>
+
+#include "fleet/endpoint_directory.h"
+#include "ordering/engine_book.h"
+
+namespace tanagerloom {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+
+EndpointRecord Engine(std::string id, std::uint64_t boot = 1) {
+  EndpointRecord record;
+  record.id = std::move(id);
+  record.service = "s";
+  record.boot = boot;
+  record.models["m"];
+  return record;
+}
+
+EngineState Report(std::uint64_t sequence, bool busy) {
+  EngineState state;
+  state.sequence = sequence;
+  state.busy = busy;
+  state.entries.push_back({"m", "", "", EngineEntryState::kLoaded, "", ""});
+  return state;
+}
+
+struct Fixture {
+  Fixture() {
+    directory.Update(Engine("a"), kNow);
+    directory.Update(Engine("b"), kNow);
+  }
+
+  EndpointDirectory directory;
+  EngineBook book;
+};
+
+// Guards against a plan that is made before any report was read: it would take
+// every model for missing, and reject all requests that wait for one.
+TEST(EngineBook, NoPlanBeforeTheFirstReport) {
+  Fixture f;
+  EXPECT_EQ(f.book.Sync(f.directory, "s", kNow).size(), 2U);
+  f.book.Find("a")->reading = true;
+  f.book.Find("b")->reading = true;
+  EXPECT_TRUE(f.book.AwaitsReports());
+  f.book.Adopt("a", Report(4, false), kNow);
+  EXPECT_FALSE(f.book.AwaitsReports());
+  const auto places = f.book.Places(f.directory, kNow);
+  EXPECT_TRUE(places[0].usable);
+  EXPECT_FALSE(places[1].usable);
+}
+
+// Guards against a load beyond an engine's memory while it carries out an order
+// of an earlier holder, whose model its report does not list yet.
+TEST(EngineBook, EngineWithAnUnknownOrderIsBusyUntilItsReportSaysOtherwise) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, /*busy=*/true), kNow);
+  EXPECT_TRUE(f.book.Places(f.directory, kNow + seconds(9))[0].busy);
+  const auto to_read = f.book.Sync(f.directory, "s", kNow + seconds(9));
+  EXPECT_EQ(to_read.at(0), "a");
+  f.book.Adopt("a", Report(4, /*busy=*/false), kNow + seconds(9));
+  EXPECT_FALSE(f.book.Places(f.directory, kNow + seconds(9))[0].busy);
+}
+
+// Guards against what an earlier boot held or had been ordered.
+TEST(EngineBook, RestartedEngineIsReadAnew) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, false), kNow);
+  f.book.Find("a")->order = OrderInProgress{};
+  f.directory.Update(Engine("a", 2), kNow);
+  f.book.Sync(f.directory, "s", kNow);
+  EXPECT_FALSE(f.book.Find("a")->order);
+  EXPECT_FALSE(f.book.Find("a")->sequence);
+}
+
+// Guards against a late description that replaces what was ordered since, and
+// against a change by another hand that is never noticed.
+TEST(EngineBook, DifferentDescriptionIsDoubtedOnlyIfItIsNewer) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, false), kNow);
+  f.book.Adopt("b", Report(4, false), kNow);
+  auto changed = Engine("a");
+  changed.entry = 2;
+  changed.models.clear();
+  f.directory.Update(changed, kNow + milliseconds(500));
+  EXPECT_TRUE(f.book.Sync(f.directory, "s", kNow + seconds(1)).empty());
+  changed.entry = 3;
+  changed.models["other"];
+  f.directory.Update(changed, kNow + seconds(4));
+  EXPECT_EQ(f.book.Sync(f.directory, "s", kNow + seconds(4)),
+            std::vector<std::string>{"a"});
+}
+
+// Guards against requests to a model whose unloading was ordered.
+TEST(EngineBook, NoticeLeavesOutWhatIsUnloaded) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, false), kNow);
+  auto& entry = *f.book.Find("a");
+  EXPECT_EQ(f.book.Notice(entry, 1).models.size(), 1U);
+  entry.order = OrderInProgress{OrderAction::kUnload, {"m", ""}, kNow};
+  const auto notice = f.book.Notice(entry, 1);
+  EXPECT_TRUE(notice.models.empty());
+  EXPECT_EQ(notice.number, 2U);
+}
+
+}  // namespace
+}  // namespace tanagerloom
