--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -4,8 +4,11 @@
 #include <spdlog/sinks/null_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <chrono>
 #include <utility>
 
+#include "base/events.h"
+
 namespace tanagerloom {
 
 namespace {
@@ -44,11 +47,15 @@
 
 void EventLog::Record(EventId id, nlohmann::json fields) {
   EventRecord record{clock_.Now(), ++sequence_, id, std::move(fields)};
-  const auto level = LevelOf(id.severity);
-  if (logger_->should_log(level)) {
-    logger_->log(level,
-                 record.ToJson(process_).dump(
-                     -1, ' ', false, nlohmann::json::error_handler_t::replace));
+  if (logger_->should_log(LevelOf(id.severity)) &&
+      limiter_.Pass(id.severity, std::chrono::steady_clock::now())) {
+    if (const auto omitted = limiter_.TakeOmitted()) {
+      Write({clock_.Now(),
+             ++sequence_,
+             events::kEventsOmitted,
+             {{"lines", omitted}}});
+    }
+    Write(record);
   }
   if (observer_) {
     observer_(record);
@@ -59,6 +66,12 @@
   }
 }
 
+void EventLog::Write(const EventRecord& record) {
+  logger_->log(LevelOf(record.id.severity),
+               record.ToJson(process_).dump(
+                   -1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
 void EventLog::SetObserver(std::function<void(const EventRecord&)> observer) {
   observer_ = std::move(observer);
 }
@@ -74,7 +87,7 @@
 }
 
 std::shared_ptr<spdlog::logger> MakeLogger(bool json) {
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
   auto logger = std::make_shared<spdlog::logger>("tanagerloom", sink);
   logger->set_pattern(json ? "%v" : "%Y-%m-%d %H:%M:%S.%e %l %v");
   return logger;
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -13,6 +13,7 @@
 
 #include "base/event.h"
 #include "base/hybrid_clock.h"
+#include "base/line_limiter.h"
 
 namespace spdlog {
 class logger;
@@ -57,16 +58,19 @@
   const std::string& process() const { return process_; }
 
  private:
+  void Write(const EventRecord& record);
+
   std::string process_;
   std::size_t capacity_;
   std::shared_ptr<spdlog::logger> logger_;
   HybridClock clock_;
+  LineLimiter limiter_;
   std::uint64_t sequence_ = 0;
   std::deque<EventRecord> ring_;
   std::function<void(const EventRecord&)> observer_;
 };
 
-/// Makes a logger that writes one line an event to standard error: JSON, or
+/// Makes a logger that writes one line an event to standard output: JSON, or
 /// text if `json` is false.
 std::shared_ptr<spdlog::logger> MakeLogger(bool json);
 
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -23,6 +23,7 @@
   tanagerctl drain --node=ADDRESS [--token=TOKEN] [--json]
   tanagerctl timeline (--node=ADDRESS)... [--request=ID] [--model=NAME] [--server=NAME] [--at=NODE] [--format=FORMAT] [--json]
   tanagerctl load WORKLOAD (--node=ADDRESS)... [--seed=SEED] [--json]
+  tanagerctl explain ID [LOG...]
   tanagerctl hash [--salt=SALT] [--json]
   tanagerctl (-h | --help)
 
@@ -55,7 +56,7 @@
     {"apply", RunApply}, {"validate", RunValidate}, {"show", RunShow},
     {"diff", RunDiff},   {"history", RunHistory},   {"status", RunStatus},
     {"drain", RunDrain}, {"hash", RunHash},         {"timeline", RunTimeline},
-    {"load", RunLoad},
+    {"load", RunLoad},   {"explain", RunExplain},
 };
 
 ExitStatus Dispatch(const CtlContext& ctl) {
--- a/packages/ctl/ctl_context.h
+++ b/packages/ctl/ctl_context.h
@@ -55,6 +55,7 @@
 ExitStatus RunDrain(const CtlContext& ctl);
 ExitStatus RunTimeline(const CtlContext& ctl);
 ExitStatus RunLoad(const CtlContext& ctl);
+ExitStatus RunExplain(const CtlContext& ctl);
 ExitStatus RunHash(const CtlContext& ctl);
 
 }  // namespace tanagerloom
