Leave a silent endpoint only if another can serve the request

A resumed stream now waits until its deadline, and silence is a reason to leave only while another endpoint can take the request.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -186,6 +186,9 @@
 }
 
 TimePoint ForwardedRequest::GiveUpTime() const {
+  if (passed_events_) {
+    return deadline_;  // What the client has of the stream is lost otherwise.
+  }
   const auto time = deadline_ - arrival_;
   return arrival_ + std::chrono::duration_cast<Duration>(time * kWaitPart);
 }
@@ -272,8 +275,8 @@
                                           {"endpoint", target.id},
                                           {"send", sends_},
                                           {"age_ms", AgeMs()}});
-  const auto sent =
-      attempt.Send(MakeAttempt(target), profile_.attempt, AnswerDeadline());
+  const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt,
+                                 AnswerDeadline(target));
   if (!sent) {
     return OnFailed(target, sent.assume_error());
   }
@@ -294,10 +297,16 @@
   return route_->repeatable() && runs < route_->max_attempts;
 }
 
+bool ForwardedRequest::OthersCanServe(const Target& target) const {
+  auto excluded = Excluded();
+  excluded.insert(target.id);
+  return !deps_.view.Candidates(service_, profile_.model, excluded).empty();
+}
+
 // An endpoint that is silent for longer than this is given up if the request
 // may go on elsewhere; otherwise its silence is no reason to end the request.
-TimePoint ForwardedRequest::AnswerDeadline() const {
-  if (!MayStillRepeat()) {
+TimePoint ForwardedRequest::AnswerDeadline(const Target& target) const {
+  if (!MayStillRepeat() || !OthersCanServe(target)) {
     return deadline_;
   }
   const auto now = deps_.clock.Now();
@@ -310,8 +319,8 @@
                   deadline_);
 }
 
-TimePoint ForwardedRequest::EventDeadline() const {
-  if (!route_->repeatable() || history_.runs >= route_->max_attempts) {
+TimePoint ForwardedRequest::EventDeadline(const Target& target) const {
+  if (!MayStillRepeat() || !OthersCanServe(target)) {
     return deadline_;
   }
   const auto patience = std::max<Duration>(route_->event_gap * kPatienceGaps,
@@ -327,7 +336,7 @@
   response.status = attempt.status();
   response.headers = deps_.protocol.PassedHeaders(attempt.headers());
   while (true) {
-    const auto n = attempt.Read(response.body, AnswerDeadline());
+    const auto n = attempt.Read(response.body, AnswerDeadline(target));
     if (!n) {
       return OnFailed(target, n.assume_error());
     }
@@ -365,8 +374,8 @@
                                                      const Target& target) {
   while (true) {
     const bool first = first_event_ms_ < 0;
-    const auto n = attempt.Read(cutter_.input(),
-                                first ? AnswerDeadline() : EventDeadline());
+    const auto n = attempt.Read(cutter_.input(), first ? AnswerDeadline(target)
+                                                       : EventDeadline(target));
     if (!n) {
       return OnFailed(target, n.assume_error());
     }
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -77,8 +77,9 @@
   Next GiveUp(bool timed_out);
 
   HttpRequest MakeAttempt(const Target& target) const;
-  TimePoint AnswerDeadline() const;
-  TimePoint EventDeadline() const;
+  TimePoint AnswerDeadline(const Target& target) const;
+  TimePoint EventDeadline(const Target& target) const;
+  bool OthersCanServe(const Target& target) const;
   bool MayStillRepeat() const;
   std::chrono::milliseconds RetryAfter() const;
   void Suspect(const Target& target);
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -283,6 +283,26 @@
   EXPECT_EQ(answer.assume_value().body, all);
 }
 
+// Guards against a stream that its node breaks off because the only endpoint
+// that can serve it is silent for a while.
+TEST_F(Forwarding, StreamStaysWithASilentEndpointIfThereIsNoOther) {
+  site.store.Erase("servers", "i-b");
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-b") == nullptr; }));
+  site.ServeBy([](const HttpRequest& request, HttpResponder& responder) {
+    (void)responder.StartStream(200, FleetEngine::Sealed(request));
+    (void)responder.Write(FleetEngine::Event(1));
+    boost::this_fiber::sleep_for(milliseconds(1500));
+    (void)responder.Write(FleetEngine::Event(2));
+    (void)responder.Finish();
+  });
+  const auto answer = site.Send(site.Request("/stream-on/x"));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer.assume_value().body,
+            FleetEngine::Event(1) + FleetEngine::Event(2));
+  EXPECT_EQ(site.Runs(), 1U);
+}
+
 // Guards against a cut stream that looks complete, or that runs a second time.
 TEST_F(Forwarding, StreamThatMayNotGoOnIsCutForTheClient) {
   site.ServeBy([](const HttpRequest& request, HttpResponder& responder) {
