--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -47,8 +47,8 @@
 // would be cut off; it is rejected instead, and its client tries another node.
 constexpr milliseconds kServeTime{2000};
 constexpr milliseconds kStopStep{20};
-// A stop signal that comes later than this before the end of a watch is noticed
-// by the watch's own end; see FollowTiming.
+// Left of the time for which a silent connection is excused, for the call that
+// follows the watch on it.
 constexpr milliseconds kWatchAllowance{500};
 // A client may be slow to send a long body; the head has its own limit.
 constexpr milliseconds kReadTimeout{15000};
