Share the node process of the fleet's tests; adapters in the engine stand-in

The process of one node moves from integration.fleet to testing/harness, where a soak can use it. The engine stand-in takes orders for adapters as engines do: one that no request uses is unloaded at once, which is answered by 200.

--- a/testing/fleet_standin/engine_standin.cc
+++ b/testing/fleet_standin/engine_standin.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kEventsOfAStream = 4;
+constexpr auto kAdapterTime = std::chrono::milliseconds(5);
 
 HttpResponse NotExecuted(int status) {
   return {status, {{"Not-Executed", "1"}}, ""};
@@ -56,26 +57,46 @@
 }
 
 void FleetEngine::Register() {
-  auto models = nlohmann::json::array();
-  for (const auto& it : loaded) {
-    models.push_back(
-        {{"name", it}, {"version", 1}, {"adapters", nlohmann::json::array()}});
+  Address advertised = address_;
+  if (advertised_port != 0) {
+    advertised.port = advertised_port;
   }
   store_.Set("servers", id_,
              {{"service", service_},
-              {"address", address_.ToString()},
+              {"address", advertised.ToString()},
               {"zone", "z"},
               {"version", "v1"},
               {"slots", 8},
               {"state", draining ? "draining" : "ready"},
               {"coldLeftMs", 0},
               {"born", 1700000000000},
-              {"models", models},
+              {"models", ModelsJson()},
               {"available",
                {{"inMemory", nlohmann::json::array()}, {"onDisk", on_disk}}},
               {"seq", ++entries_}});
 }
 
+nlohmann::json FleetEngine::ModelsJson() const {
+  auto models = nlohmann::json::array();
+  for (const auto& model : loaded) {
+    auto names = nlohmann::json::array();
+    for (const auto& it : adapters) {
+      if (it.starts_with(model + "/")) {
+        names.push_back(it.substr(model.size() + 1));
+      }
+    }
+    models.push_back({{"name", model}, {"version", 1}, {"adapters", names}});
+  }
+  return models;
+}
+
+bool FleetEngine::Holds(std::string_view model) const {
+  const auto slash = model.find('/');
+  return loaded.contains(std::string(model.substr(0, slash))) &&
+         (slash == std::string_view::npos ||
+          adapters.contains(std::string(model)));
+}
+
 void FleetEngine::Handle(const HttpRequest& request, HttpResponder& responder) {
   const auto expected = request.headers.Find("Expect-Instance");
   if (expected && *expected != id_) {
@@ -92,7 +113,7 @@
   }
   requests_.push_back(request);
   const auto model = request.headers.Find("Model");
-  if (model && !loaded.contains(std::string(*model))) {
+  if (model && !Holds(*model)) {
     (void)responder.Send(NotExecuted(421));
     return;
   }
@@ -101,14 +122,10 @@
 }
 
 void FleetEngine::Report(HttpResponder& responder) const {
-  auto models = nlohmann::json::array();
-  for (const auto& it : loaded) {
-    models.push_back({{"name", it}, {"version", 1}});
-  }
   (void)responder.Send(JsonResponse(
-      200,
-      nlohmann::json({{"models", models}, {"busy", busy_}, {"seq", accepted_}})
-          .dump()));
+      200, nlohmann::json(
+               {{"models", ModelsJson()}, {"busy", busy_}, {"seq", accepted_}})
+               .dump()));
 }
 
 void FleetEngine::Order(const HttpRequest& request, HttpResponder& responder) {
@@ -119,10 +136,16 @@
                      json.at("holder").get<std::string>(),
                      json.at("fence").get<std::uint64_t>()});
   if (busy_ || json.value("expect", accepted_) != accepted_) {
+    ++refused_orders_;
     (void)responder.Send({409, {}, ""});
     return;
   }
   ++accepted_;
+  if (const auto adapter = json.find("adapter"); adapter != json.end()) {
+    OrderAdapter(operation == "load", model + "/" + adapter->get<std::string>(),
+                 responder);
+    return;
+  }
   busy_ = true;
   (void)responder.Send({202, {}, ""});
   boost::fibers::fiber([this, load = operation == "load", model] {
@@ -130,6 +153,23 @@
   }).detach();
 }
 
+// An adapter does not make the engine busy; one without requests is gone at
+// once, and that is said by 200.
+void FleetEngine::OrderAdapter(bool load,
+                               std::string name,
+                               HttpResponder& responder) {
+  if (!load) {
+    adapters.erase(name);
+    (void)responder.Send({200, {}, ""});
+    return;
+  }
+  (void)responder.Send({202, {}, ""});
+  boost::fibers::fiber([this, name = std::move(name)] {
+    boost::this_fiber::sleep_for(kAdapterTime);
+    adapters.insert(name);
+  }).detach();
+}
+
 void FleetEngine::CarryOut(bool load, std::string model) {
   boost::this_fiber::sleep_for(load ? load_time : std::chrono::milliseconds(1));
   if (load) {
--- a/testing/fleet_standin/engine_standin.h
+++ b/testing/fleet_standin/engine_standin.h
@@ -9,8 +9,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "http/http_message.h"
@@ -47,6 +49,11 @@
   std::chrono::milliseconds load_time{300};
   std::set<std::string> on_disk;
   std::set<std::string> loaded;
+  /// Adapters loaded, as MODEL/NAME.
+  std::set<std::string> adapters;
+  /// The port in the endpoint's entry, such as that of a proxy; 0 stands for
+  /// the engine's own.
+  std::uint16_t advertised_port = 0;
 
   const std::string& id() const { return id_; }
   const Address& address() const { return address_; }
@@ -54,6 +61,8 @@
   const std::vector<std::string>& runs() const { return runs_; }
   const std::vector<HttpRequest>& requests() const { return requests_; }
   const std::vector<ReceivedOrder>& orders() const { return orders_; }
+  /// Orders that were refused.
+  int refused_orders() const { return refused_orders_; }
 
   /// The headers of a sealed answer to a request.
   static HttpHeaders Sealed(const HttpRequest& request);
@@ -64,7 +73,10 @@
   void Handle(const HttpRequest& request, HttpResponder& responder);
   void Report(HttpResponder& responder) const;
   void Order(const HttpRequest& request, HttpResponder& responder);
+  void OrderAdapter(bool load, std::string name, HttpResponder& responder);
   void CarryOut(bool load, std::string model);
+  nlohmann::json ModelsJson() const;
+  bool Holds(std::string_view model) const;
 
   StoreStandin& store_;
   std::string id_;
@@ -75,6 +87,7 @@
   std::vector<std::string> runs_;
   std::vector<HttpRequest> requests_;
   std::vector<ReceivedOrder> orders_;
+  int refused_orders_ = 0;
   std::unique_ptr<HttpServer> server_;
   Address address_;
 };
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -2,10 +2,8 @@
 // platform's store and of its engines.
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <stdlib.h>
 
 #include <boost/fiber/operations.hpp>
-#include <filesystem>
 #include <fstream>
 
 #include "http/http_client.h"
@@ -13,6 +11,7 @@
 #include "runtime/steady_clock.h"
 #include "testing/fleet_standin/engine_standin.h"
 #include "testing/fleet_standin/store_standin.h"
+#include "testing/harness/fleet_process.h"
 #include "testing/harness/process.h"
 #include "testing/harness/wait.h"
 
@@ -21,12 +20,10 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing_support::FreePort;
-using testing_support::Process;
-using testing_support::ProgramPath;
+using testing_support::NodeProcess;
+using testing_support::TestFolder;
 using testing_support::WaitUntil;
 
-constexpr char kLoopback[] = "127.0.0.1";
 constexpr int kNodes = 3;
 constexpr int kModels = 6;
 
@@ -57,49 +54,6 @@
                {"models", models}}}}}}};
 }
 
-// One node and the ports that it was given.
-struct NodeProcess {
-  NodeProcess(const std::string& folder, const std::string& id, Address store)
-      : front{kLoopback, FreePort()}, ready{kLoopback, FreePort()} {
-    const auto text = [](const Address& it) { return it.ToString(); };
-    const nlohmann::json settings{
-        {"nodeName", id},
-        {"ip", kLoopback},
-        {"zone", "z"},
-        {"portRange", {FreePort()}},
-        {"listen", {{"front", text(front)}, {"readyAddr", text(ready)}}},
-        {"platform", {{"address", text(store)}}},
-        {"bounds", {{"graceS", 6}, {"leaseMs", 1500}}}};
-    path = folder + "/" + id + ".json";
-    std::ofstream(path) << settings.dump();
-    Start();
-  }
-
-  void Start() {
-    process = std::make_unique<Process>(
-        std::vector<std::string>{ProgramPath("apps/tanagerloomd"),
-                                 "--platform-settings", path},
-        path + ".log");
-  }
-
-  Address front;
-  Address ready;
-  std::string path;
-  std::unique_ptr<Process> process;
-};
-
-struct Folder {
-  Folder() {
-    path = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
-    EXPECT_NE(mkdtemp(path.data()), nullptr);
-  }
-  ~Folder() {
-    std::error_code ec;
-    std::filesystem::remove_all(path, ec);
-  }
-  std::string path;
-};
-
 class Fleet : public testing::Test {
  protected:
   void SetUp() override {
@@ -116,20 +70,13 @@
     }
     for (int i = 0; i < kNodes; ++i) {
       nodes.push_back(std::make_unique<NodeProcess>(
-          folder.path, "node-" + std::to_string(i), store.address()));
+          folder.path(), "node-" + std::to_string(i), store.address()));
     }
     for (const auto& it : nodes) {
-      ASSERT_TRUE(WaitUntil([&] { return Ready(*it); }));
+      ASSERT_TRUE(WaitUntil([&] { return it->Ready(); }));
     }
   }
 
-  bool Ready(const NodeProcess& node) {
-    const auto answer =
-        client.Call(node.ready, {"GET", "/tanagerloom/readiness", {}, ""},
-                    {.deadline = clock.Now() + seconds(1)});
-    return answer && answer.assume_value().status == 200;
-  }
-
   // Sends one request for a model to a node; the status, 0 without an answer.
   int Ask(const NodeProcess& node, const std::string& model) {
     HttpRequest request;
@@ -141,7 +88,7 @@
                        {"Model", model},
                        {"Deadline-Ms", "14000"}};
     const auto answer = client.Call(
-        node.front, request,
+        node.front(), request,
         {.deadline = clock.Now() + seconds(16), .fresh_connection = true});
     return answer ? answer.assume_value().status : 0;
   }
@@ -165,7 +112,8 @@
           continue;
         }
         EXPECT_GT(orders[i].fence, orders[i - 1].fence);
-        EXPECT_GE(orders[i].at - orders[i - 1].at, milliseconds(1500));
+        EXPECT_GE(orders[i].at - orders[i - 1].at,
+                  testing_support::kNodeHandover);
       }
     }
   }
@@ -177,7 +125,7 @@
     }
   }
 
-  Folder folder;
+  TestFolder folder;
   StoreStandin& store = *new StoreStandin();
   std::vector<FleetEngine*> engines;
   std::vector<std::unique_ptr<NodeProcess>> nodes;
@@ -196,13 +144,27 @@
   ExpectMemoryKept();
 }
 
+// Guards against orders with a wrong number after an adapter made way, which
+// the engine refuses: its adapters then change half a second later.
+TEST_F(Fleet, AdaptersChangePlacesWithoutRefusedOrders) {
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(Ask(*nodes[i % kNodes], "m0/a" + std::to_string(i)), 200) << i;
+  }
+  int refused = 0;
+  for (const auto* it : engines) {
+    refused += it->refused_orders();
+    EXPECT_LE(it->adapters.size(), 2U);
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 // Guards against a fleet that loads nothing after the node that orders engines
 // was killed, and against a successor that orders too early.
 TEST_F(Fleet, AnotherNodeOrdersAfterTheHolderIsKilled) {
   EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
   const auto holder = Holder();
   ASSERT_FALSE(holder.empty());
-  NodeOf(holder).process->Kill();
+  NodeOf(holder).process().Kill();
   auto& other = *nodes[holder.back() == '0' ? 1 : 0];
   EXPECT_EQ(Ask(other, "m1"), 200);
   EXPECT_EQ(Ask(other, "m2"), 200);
@@ -215,13 +177,13 @@
 TEST_F(Fleet, ServesAgainAfterAllNodesWereKilled) {
   EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
   for (const auto& it : nodes) {
-    it->process->Kill();
+    it->process().Kill();
   }
   for (const auto& it : nodes) {
     it->Start();
   }
   for (const auto& it : nodes) {
-    ASSERT_TRUE(WaitUntil([&] { return Ready(*it); }));
+    ASSERT_TRUE(WaitUntil([&] { return it->Ready(); }));
   }
   EXPECT_EQ(Ask(*nodes[1], "m3"), 200);
   ExpectOrdersApart();
@@ -233,10 +195,10 @@
 TEST_F(Fleet, StopsGracefully) {
   EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
   const auto holder = Holder();
-  NodeOf(holder).process->Signal(SIGTERM);
-  ASSERT_TRUE(WaitUntil([&] { return !Ready(NodeOf(holder)); }));
+  NodeOf(holder).process().Signal(SIGTERM);
+  ASSERT_TRUE(WaitUntil([&] { return !NodeOf(holder).Ready(); }));
   EXPECT_EQ(Ask(NodeOf(holder), "m0"), 200);
-  EXPECT_EQ(NodeOf(holder).process->WaitForExit(seconds(6)), 0);
+  EXPECT_EQ(NodeOf(holder).process().WaitForExit(seconds(6)), 0);
   auto& other = *nodes[holder.back() == '0' ? 1 : 0];
   EXPECT_EQ(Ask(other, "m1"), 200);
   ExpectOrdersApart();
@@ -245,15 +207,15 @@
 // Guards against a node that ends at SIGHUP, or takes settings that it cannot
 // read.
 TEST_F(Fleet, ReloadsSettings) {
-  nodes[0]->process->Signal(SIGHUP);
+  nodes[0]->process().Signal(SIGHUP);
   ASSERT_TRUE(WaitUntil([&] {
-    return nodes[0]->process->Output().find("settings_reloaded") !=
+    return nodes[0]->process().Output().find("settings_reloaded") !=
            std::string::npos;
   }));
-  std::ofstream(nodes[0]->path) << "{";
-  nodes[0]->process->Signal(SIGHUP);
+  std::ofstream(nodes[0]->settings_path()) << "{";
+  nodes[0]->process().Signal(SIGHUP);
   ASSERT_TRUE(WaitUntil([&] {
-    return nodes[0]->process->Output().find("entry_ignored") !=
+    return nodes[0]->process().Output().find("entry_ignored") !=
            std::string::npos;
   }));
   EXPECT_EQ(Ask(*nodes[0], "m0"), 200);
@@ -266,7 +228,7 @@
   boost::this_fiber::sleep_for(seconds(3));
   for (const auto& it : nodes) {
     EXPECT_EQ(Ask(*it, "m0"), 200);
-    EXPECT_TRUE(Ready(*it));
+    EXPECT_TRUE(it->Ready());
   }
   store.fault = [](const std::string&) { return StandinFault::kNone; };
   EXPECT_EQ(Ask(*nodes[2], "m1"), 200);
