Count the unload of an idle adapter as an order

Cause: an engine answers the unload of an adapter without requests by 200, as it answers an order whose outcome held before, and counts it. Each refusal kept the engine without orders for 150 ms and cost a read of its report.

Ruled out: orders too close to each other (the refused load follows the unload by 8 ms, but an earlier one by 400 ms is refused as well when an unload lies between); a busy engine (adapters make none busy).

integration.fleet AdaptersChangePlacesWithoutRefusedOrders fails before (6 refused) and passes.

--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -262,7 +262,12 @@
     return false;
   }
   const auto& accepted = std::get<OrderAccepted>(answer.assume_value());
-  if (!accepted.already_done) {
+  // An adapter without requests is unloaded at once: that is done when the
+  // answer says so, and counts like any other order.
+  const bool counted =
+      !accepted.already_done ||
+      (order.action == OrderAction::kUnload && !order.target.adapter.empty());
+  if (counted) {
     entry->sequence = message.expected_sequence.value_or(0) + 1;
   }
   return true;
