Stage models only once the engines are known

Now nothing is staged until no engine was new for 2.5 s, models that were asked for last go first, and the limit of loads at once starts at 2 instead of 4 and doubles until a load is slowed. Loads for waiting requests are as before.

PlanPlacement StagesOnceTheEnginesAreKnownAndByWhatWasAskedLast, EngineBook IsSettledOnceNoEngineIsNew; StoreConcurrency DoublesUntilALoadIsSlowed fails with the code before (limit 4 at the start).

--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 #include "base/id.h"
@@ -299,19 +300,26 @@
   }
 
   // Loads a model of which no copy is left while the store has nothing better
-  // to do, so that its next request does not wait for the store. Answers
-  // engines that leave with the only copy.
+  // to do, so that its next request does not wait for the store; the one that
+  // was asked for last goes first. Answers engines that leave with the only
+  // copy.
   void StageCopies() {
-    if (!store_queue_.empty()) {
+    if (!store_queue_.empty() || !input_.engines_settled ||
+        store_loads_ >= input_.store_loads_allowed) {
       return;
     }
+    std::vector<std::pair<TimePoint, std::string>> lost;
     for (const auto& [model, spec] : input_.spec->models) {
+      if (Replicas(model) == 0 && !HasCopy(model)) {
+        lost.emplace_back(DemandOf(model).last_arrival, model);
+      }
+    }
+    std::ranges::sort(lost, std::greater<>());
+    for (const auto& [asked, model] : lost) {
       if (store_loads_ >= input_.store_loads_allowed) {
         return;
       }
-      if (Replicas(model) == 0 && !HasCopy(model)) {
-        Place(model, /*missing=*/false, /*spare_busy=*/true);
-      }
+      Place(model, /*missing=*/false, /*spare_busy=*/true);
     }
   }
 
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -39,6 +39,9 @@
   TimePoint now{};
   std::uint32_t store_loads_allowed = 0;
   std::uint32_t store_concurrency = 1;  ///< Loads at full speed at once.
+  /// No engine was new lately. Before, a model without a copy may have one on
+  /// an engine that is not known yet.
+  bool engines_settled = true;
 };
 
 /// One order to send.
--- a/packages/fleet/store_concurrency.h
+++ b/packages/fleet/store_concurrency.h
@@ -13,12 +13,13 @@
 
 /// The number of loads from the store to run at once. More than the store
 /// serves at full speed bring nothing: each takes longer in proportion, and
-/// keeps its engine busy meanwhile. Answers many models that no engine has a
-/// copy of.
+/// keeps its engine busy meanwhile. The limit starts low, because loads that
+/// share the store are all late, and doubles until the first one is slowed.
+/// Answers many models that no engine has a copy of.
 class StoreConcurrency {
  public:
   /// Assumed until a load was seen.
-  static constexpr double kInitial = 4;
+  static constexpr double kInitial = 2;
   static constexpr double kMost = 64;
   /// A load that takes at most this many times its stated time ran at full
   /// speed.
@@ -36,10 +37,11 @@
     const double ratio = std::chrono::duration<double>(took) /
                          std::chrono::duration<double>(stated);
     if (ratio <= kFullSpeed) {
-      // Full speed at the limit: try one more.
-      limit_ = std::clamp(std::max(limit_, at_once + 0.5), 1.0, kMost);
+      const double next = slowed_ ? at_once + 0.5 : 2.0 * at_once;
+      limit_ = std::clamp(std::max(limit_, next), 1.0, kMost);
       return;
     }
+    slowed_ = true;
     const double seen = at_once / ratio;
     limit_ = std::clamp(limit_ * (1 - kNewestWeight) + seen * kNewestWeight,
                         1.0, kMost);
@@ -47,6 +49,7 @@
 
  private:
   double limit_ = kInitial;
+  bool slowed_ = false;  ///< A load took longer than stated.
 };
 
 }  // namespace tanagerloom
--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -10,6 +10,9 @@
 
 // A description that came this long after the last change may be newer than it.
 constexpr auto kDescriptionLag = std::chrono::milliseconds(2500);
+// Live engines register again within about two seconds of the store's return;
+// at a start they follow each other more closely.
+constexpr auto kSettleTime = std::chrono::milliseconds(2500);
 
 // Whether what the engine says of itself casts doubt on the book.
 bool Doubtful(const BookedEngine& entry,
@@ -36,6 +39,7 @@
     const auto [it, inserted] = engines_.try_emplace(id);
     auto& entry = it->second;
     if (inserted || record.boot > entry.record.boot) {
+      newest_ = now;
       entry = BookedEngine{};
       entry.record = record;
       entry.changed_at = now;
@@ -87,6 +91,10 @@
          std::ranges::any_of(engines_, reading);
 }
 
+bool EngineBook::Settled(TimePoint now) const {
+  return now - newest_ >= kSettleTime;
+}
+
 BookedEngine* EngineBook::Find(const std::string& id) {
   const auto it = engines_.find(id);
   return it == engines_.end() ? nullptr : &it->second;
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -49,7 +49,10 @@
 class EngineBook {
  public:
   /// Starts anew, as after taking the lease.
-  void Clear() { engines_.clear(); }
+  void Clear() {
+    engines_.clear();
+    newest_ = TimePoint{};
+  }
 
   /// Takes what the directory says. Returns the engines whose report must be
   /// read: new ones, and those whose description does not match the book.
@@ -64,6 +67,10 @@
   /// way: a plan would take all models for missing.
   bool AwaitsReports() const;
 
+  /// Whether no engine was new for a while, so that all that live are known:
+  /// at a start and after an outage of the store they come one by one.
+  bool Settled(TimePoint now) const;
+
   BookedEngine* Find(const std::string& id);
 
   std::map<std::string, BookedEngine>& engines() { return engines_; }
@@ -77,6 +84,7 @@
 
  private:
   std::map<std::string, BookedEngine> engines_;
+  TimePoint newest_{};  ///< When the last new engine was seen.
 };
 
 }  // namespace tanagerloom
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -141,6 +141,7 @@
   input.demand = demand_.Read(service, now);
   input.now = now;
   input.store_concurrency = orders.concurrency.limit();
+  input.engines_settled = orders.book.Settled(now);
   const auto running = std::min(orders.store_loads, input.store_concurrency);
   input.store_loads_allowed =
       std::min(orders.ceiling.Allowed(spec.store_loads_per_s, now),
--- a/tests/correctness/engine_book_test.cc
+++ b/tests/correctness/engine_book_test.cc
@@ -54,6 +54,19 @@
   EXPECT_FALSE(places[1].usable);
 }
 
+// Guards against models that are taken for lost while the engines with their
+// copies are still registering.
+TEST(EngineBook, IsSettledOnceNoEngineIsNew) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  EXPECT_FALSE(f.book.Settled(kNow + seconds(2)));
+  f.directory.Update(Engine("c"), kNow + seconds(2));
+  f.book.Sync(f.directory, "s", kNow + seconds(2));
+  EXPECT_FALSE(f.book.Settled(kNow + seconds(4)));
+  f.book.Sync(f.directory, "s", kNow + seconds(5));
+  EXPECT_TRUE(f.book.Settled(kNow + seconds(5)));
+}
+
 // Guards against a load beyond an engine's memory while it carries out an order
 // of an earlier holder, whose model its report does not list yet.
 TEST(EngineBook, EngineWithAnUnknownOrderIsBusyUntilItsReportSaysOtherwise) {
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -127,6 +127,19 @@
   EXPECT_EQ(LoadCeiling(seconds(5)).Allowed(0, later), 1U);
 }
 
+// Guards against loads that slow each other down from the first one on, and
+// against a limit that takes many loads to find a faster store.
+TEST(StoreConcurrency, DoublesUntilALoadIsSlowed) {
+  StoreConcurrency concurrency;
+  EXPECT_LE(concurrency.limit(), 2U);
+  concurrency.OnLoaded(concurrency.limit(), seconds(6), seconds(6));
+  EXPECT_EQ(concurrency.limit(), 4U);
+  concurrency.OnLoaded(4, seconds(12), seconds(6));
+  EXPECT_LE(concurrency.limit(), 3U);
+  concurrency.OnLoaded(3, seconds(6), seconds(6));
+  EXPECT_LE(concurrency.limit(), 4U);
+}
+
 // Guards against loads that slow each other down, and against a limit that
 // never rises again.
 TEST(StoreConcurrency, FollowsTheTimesOfLoads) {
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -157,6 +157,22 @@
   EXPECT_TRUE(PlanPlacement(f.input).orders.empty());
 }
 
+// Guards against loads of models that have copies on engines which register a
+// moment later, and against staging in the order of names.
+TEST(PlanPlacement, StagesOnceTheEnginesAreKnownAndByWhatWasAskedLast) {
+  Fixture f;
+  f.spec = Spec(4);
+  f.input.engines = {Engine("a", {"m0"}), Engine("b", {})};
+  f.input.store_loads_allowed = 1;
+  f.input.demand[{"m2", ""}].last_arrival = kNow - seconds(1);
+  f.input.engines_settled = false;
+  EXPECT_TRUE(PlanPlacement(f.input).orders.empty());
+  f.input.engines_settled = true;
+  const auto plan = PlanPlacement(f.input);
+  ASSERT_EQ(plan.orders.size(), 1U);
+  EXPECT_EQ(plan.orders[0].target.model, "m2");
+}
+
 // Guards against a busy model on one engine only, and against replicas that
 // cost the place of a model in use.
 TEST(PlanPlacement, BusyModelsGetReplicasByWhatRunsAtOnce) {
