Choose the better of two endpoints taken at random

Cause: with equal known load a node took the first endpoint in the order of names, in its own data centre.

--- a/packages/fleet/endpoint_selection.cc
+++ b/packages/fleet/endpoint_selection.cc
@@ -1,6 +1,8 @@
 #include "fleet/endpoint_selection.h"
 
 #include <algorithm>
+#include <limits>
+#include <vector>
 
 #include "base/id.h"
 #include "fleet/endpoint_record.h"
@@ -14,6 +16,9 @@
 // An endpoint that fails half of its requests stands behind any that has less
 // than 20 more in flight: each failure costs a client an objective.
 constexpr double kCostOfFailing = 40;
+// An endpoint this much behind the best one, by what does not depend on its
+// load, is left out while others are there.
+constexpr double kFarBehind = kCostOfFailing / 4;
 // A cold endpoint takes up to twice the time.
 constexpr double kCostOfCold = 8;
 // The way to another data centre and back is about half a decoding step.
@@ -27,8 +32,9 @@
   return candidate.in_flight * kReferenceSlots / slots;
 }
 
-double Cost(const EndpointCandidate& candidate) {
-  double cost = LoadCost(candidate) + candidate.failure_rate * kCostOfFailing;
+// What speaks against an endpoint apart from its load.
+double StandingCost(const EndpointCandidate& candidate) {
+  double cost = candidate.failure_rate * kCostOfFailing;
   if (candidate.record->cold_left.count() > 0) {
     cost += kCostOfCold;
   }
@@ -38,6 +44,41 @@
   return cost;
 }
 
+double Cost(const EndpointCandidate& candidate) {
+  return LoadCost(candidate) + StandingCost(candidate);
+}
+
+// The candidates that none surpasses by far, whatever their load.
+std::vector<const EndpointCandidate*> Comparable(
+    std::span<const EndpointCandidate> candidates) {
+  double least = std::numeric_limits<double>::max();
+  for (const auto& it : candidates) {
+    least = std::min(least, StandingCost(it));
+  }
+  std::vector<const EndpointCandidate*> out;
+  for (const auto& it : candidates) {
+    if (StandingCost(it) <= least + kFarBehind) {
+      out.push_back(&it);
+    }
+  }
+  return out;
+}
+
+// The less loaded of two candidates taken at random.
+const EndpointCandidate* BetterOfTwo(
+    const std::vector<const EndpointCandidate*>& candidates,
+    std::uint64_t seed) {
+  const std::uint64_t n = candidates.size();
+  if (n == 1) {
+    return candidates[0];
+  }
+  const auto first = seed % n;
+  const auto second = (first + 1 + (seed / n) % (n - 1)) % n;
+  const auto* a = candidates[first];
+  const auto* b = candidates[second];
+  return Cost(*b) < Cost(*a) ? b : a;
+}
+
 // The endpoint at which requests with this shared prompt meet, equal on all
 // nodes that see the same endpoints.
 const EndpointCandidate* MeetingPoint(
@@ -64,20 +105,16 @@
 const EndpointCandidate* SelectEndpoint(
     std::span<const EndpointCandidate> candidates,
     const SelectionRequest& request) {
-  const EndpointCandidate* meeting =
-      request.shared_tokens > 0 ? MeetingPoint(candidates, request.shared_key)
-                                : nullptr;
-  const double saved = request.shared_tokens / kTokensOfOneRequest;
-  const EndpointCandidate* best = nullptr;
-  double best_cost = 0;
-  for (const auto& it : candidates) {
-    const double cost = Cost(it) - (&it == meeting ? saved : 0);
-    if (best == nullptr || cost < best_cost) {
-      best = &it;
-      best_cost = cost;
-    }
+  if (candidates.empty()) {
+    return nullptr;
   }
-  return best;
+  const auto* chosen = BetterOfTwo(Comparable(candidates), request.seed);
+  if (request.shared_tokens == 0) {
+    return chosen;
+  }
+  const auto* meeting = MeetingPoint(candidates, request.shared_key);
+  const double saved = request.shared_tokens / kTokensOfOneRequest;
+  return Cost(*meeting) - saved < Cost(*chosen) ? meeting : chosen;
 }
 
 }  // namespace tanagerloom
--- a/packages/fleet/endpoint_selection.h
+++ b/packages/fleet/endpoint_selection.h
@@ -23,13 +23,16 @@
 struct SelectionRequest {
   std::string_view shared_key;      ///< Names the shared prompt parts.
   std::uint32_t shared_tokens = 0;  ///< Their size.
+  std::uint64_t seed = 0;           ///< Random, different for each choice.
 };
 
-/// The best endpoint; null if there is none. Answers the load of uneven
-/// endpoints: the least loaded one is taken, less reliable and more distant
-/// ones stand back, and requests that share a prompt stay together while the
-/// endpoint that keeps it is not busier than reading the prompt again would
-/// cost.
+/// An endpoint for the request; null if there is none. Of two endpoints taken
+/// at random the less loaded one is chosen, where less reliable and more
+/// distant ones stand back. Answers many nodes that choose by counts which are
+/// some hundred milliseconds old: if all took the least loaded endpoint, it
+/// would be overrun until the next counts. Requests that share a prompt stay
+/// together while the endpoint that keeps it is not busier than reading the
+/// prompt again would cost.
 const EndpointCandidate* SelectEndpoint(
     std::span<const EndpointCandidate> candidates,
     const SelectionRequest& request);
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -178,7 +178,7 @@
   });
   const auto key = profile_.SharedKey();
   const auto* chosen =
-      SelectEndpoint(candidates, {key, profile_.SharedTokens()});
+      SelectEndpoint(candidates, {key, profile_.SharedTokens(), RandomU64()});
   if (chosen == nullptr) {
     return std::nullopt;
   }
