Replicas by the engine's slots, on the engine with the least load

Cause: one replica for each 8 requests at once suits engines of 64 slots. On those of 12 slots two such models fill an engine, and a request without a slot waits for the end of another. The place of a replica was chosen only by the time to load it.

Now a model uses a quarter of an engine's slots on average, between 2 and 8, and the part of an engine's slots in use counts against it.

PlanPlacement BusyModelsGetReplicasByWhatRunsAtOnce (12 slots), ReplicasGoToTheEngineWithTheLeastLoad.

--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -13,7 +13,11 @@
 
 // Requests at once for which a busy model gets one more replica: prompts are
 // read between the tokens of the others, so that more delay first tokens.
-constexpr double kRunsPerReplica = 8;
+constexpr double kMostRunsPerReplica = 8;
+// Of an engine's slots; the rest is for its other models and for bursts, since
+// a request without a slot waits for the end of another one.
+constexpr double kPartOfSlotsPerReplica = 0.25;
+constexpr double kFewestRunsPerReplica = 2;
 // Arrivals a second above which a model counts as busy and gets a second
 // replica, which the loss of one engine leaves in service.
 constexpr double kBusyRate = 1.5;
@@ -24,6 +28,11 @@
 constexpr Duration kIdleForReplica = std::chrono::seconds(4);
 // A long load on an engine delays the models that only it has a copy of.
 constexpr Duration kCostOfBlocking = std::chrono::milliseconds(300);
+// Time by which a model may be there later on an idle engine than on a full
+// one: what waits for a missing model is helped by any engine, a replica is
+// there to spread load.
+constexpr Duration kCostOfFullForMissing = std::chrono::milliseconds(1000);
+constexpr Duration kCostOfFullForReplica = std::chrono::milliseconds(8000);
 // Adapters that an engine fetches at once.
 constexpr std::uint32_t kAdaptersAtOnce = 3;
 // Replicas of a busy model that make way for a model that is not loaded at all.
@@ -163,7 +172,7 @@
     std::vector<std::pair<double, std::string>> wanted;
     for (const auto& [model, demand] : models_) {
       const auto have = Replicas(model);
-      const auto desired = DesiredReplicas(demand);
+      const auto desired = DesiredReplicas(demand, input_.spec->slots);
       if (have > 0 && desired > have && Spec(model)) {
         wanted.emplace_back(static_cast<double>(have) / desired, model);
       }
@@ -239,9 +248,22 @@
     if (engine.busy) {
       option.ready_in += engine.free_in;
     }
+    const auto cost = missing ? kCostOfFullForMissing : kCostOfFullForReplica;
+    option.ready_in += std::chrono::duration_cast<Duration>(
+        cost * std::min(1.0, PartInUse(engine)));
     return option;
   }
 
+  // The part of an engine's slots that its models use on average, if requests
+  // are spread evenly over replicas.
+  double PartInUse(const EnginePlace& engine) const {
+    double runs = 0;
+    for (const auto& [model, adapters] : engine.models) {
+      runs += DemandOf(model).concurrency / std::max(1U, Replicas(model));
+    }
+    return runs / std::max(1U, input_.spec->slots);
+  }
+
   // Models that only this engine has a copy of and that are not loaded: a long
   // load keeps their requests waiting.
   std::int64_t OnlyCopies(const EnginePlace& engine) const {
@@ -261,7 +283,7 @@
                   bool spare_busy) const {
     const auto demand = DemandOf(victim);
     const auto have = Replicas(victim);
-    const auto desired = DesiredReplicas(demand);
+    const auto desired = DesiredReplicas(demand, input_.spec->slots);
     if (demand.waiting > 0 && have <= 1) {
       return false;
     }
@@ -411,12 +433,14 @@
 
 }  // namespace
 
-std::uint32_t DesiredReplicas(const ModelDemand& demand) {
+std::uint32_t DesiredReplicas(const ModelDemand& demand, std::uint32_t slots) {
   if (demand.rate < kBusyRate) {
     return 0;
   }
-  const auto by_load = static_cast<std::uint32_t>(
-      std::ceil(demand.concurrency / kRunsPerReplica));
+  const double runs = std::clamp(slots * kPartOfSlotsPerReplica,
+                                 kFewestRunsPerReplica, kMostRunsPerReplica);
+  const auto by_load =
+      static_cast<std::uint32_t>(std::ceil(demand.concurrency / runs));
   return std::max(2U, by_load);
 }
 
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -73,8 +73,8 @@
 /// number of requests that run at once.
 PlacementPlan PlanPlacement(const PlacementInput& input);
 
-/// Replicas that a model should have for its demand.
-std::uint32_t DesiredReplicas(const ModelDemand& demand);
+/// Replicas that a model should have for its demand, on engines of `slots`.
+std::uint32_t DesiredReplicas(const ModelDemand& demand, std::uint32_t slots);
 
 /// Time to load a model on an engine, by its nearest copy.
 CheckpointSource NearestCopy(const WeightCopies& copies,
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -17,6 +17,7 @@
 
 EngineSpec Spec(int models) {
   EngineSpec spec;
+  spec.slots = 64;
   spec.weights_mb = 200000;
   spec.adapter_slots = 8;
   for (int i = 0; i < models; ++i) {
@@ -144,6 +145,28 @@
   EXPECT_EQ(plan.store_queue[1].ready_in, seconds(18));
 }
 
+// Guards against replicas that meet on one engine, whose slots then fill up
+// while others are idle.
+TEST(PlanPlacement, ReplicasGoToTheEngineWithTheLeastLoad) {
+  Fixture f;
+  f.KeepModels({"m0", "m1", "m2"});
+  f.input.engines = {Engine("a", {"m0"}), Engine("b", {"m1"}),
+                     Engine("c", {"m2"})};
+  for (auto& it : f.input.engines) {
+    it.copies.on_disk = {"m0", "m1", "m2"};
+  }
+  f.input.engines[1].copies.in_memory.insert("m0");
+  ModelDemand busy;
+  busy.rate = 40;
+  busy.concurrency = 14;
+  busy.last_arrival = kNow;
+  f.input.demand[{"m0", ""}] = busy;
+  f.input.demand[{"m1", ""}] = busy;
+  const auto plan = PlanPlacement(f.input);
+  ASSERT_FALSE(plan.orders.empty());
+  EXPECT_EQ(plan.orders[0].engine, "c");
+}
+
 // Guards against a model whose only copy left and that is fetched only when a
 // request waits for it.
 TEST(PlanPlacement, StagesAModelWithoutACopyWhileTheStoreIsIdle) {
@@ -178,11 +201,14 @@
 TEST(PlanPlacement, BusyModelsGetReplicasByWhatRunsAtOnce) {
   ModelDemand demand;
   demand.rate = 1;
-  EXPECT_EQ(DesiredReplicas(demand), 0U);
+  EXPECT_EQ(DesiredReplicas(demand, 64), 0U);
   demand.rate = 2;
-  EXPECT_EQ(DesiredReplicas(demand), 2U);
+  EXPECT_EQ(DesiredReplicas(demand, 64), 2U);
   demand.concurrency = 25;
-  EXPECT_EQ(DesiredReplicas(demand), 4U);
+  EXPECT_EQ(DesiredReplicas(demand, 64), 4U);
+  // Small engines fill up: with 4 replicas half of their 12 slots would be
+  // taken by one model on average.
+  EXPECT_EQ(DesiredReplicas(demand, 12), 9U);
   Fixture f;
   f.spec = Spec(6);
   f.input.engines = {Engine("a", {"m0"}), Engine("b", {"m1", "m2", "m3"}),
