Keep most peer links within the data centre

Cause: a flood passes each link of the mesh once or twice.

A node now chooses one link to another data centre and the rest in its own; in a small data centre more lead out. LinkChoiceTest FewLinksLeadToOtherDataCentres.

--- a/packages/membership/link_set.cc
+++ b/packages/membership/link_set.cc
@@ -186,20 +186,22 @@
 // ---- choice of links
 
 void LinkSet::Choose() {
-  std::vector<std::string> all;
-  std::vector<std::string> answering;
+  std::vector<LinkCandidate> all;
+  std::vector<LinkCandidate> answering;
   for (const auto* it : context_.members.Nodes()) {
     const auto* known = context_.members.FindKnown(it->id);
     if (it->id == context_.identity.node || (known != nullptr && known->gone)) {
       continue;
     }
-    all.push_back(it->id);
+    const LinkCandidate candidate{
+        it->id, it->data_centre == context_.settings.data_centre};
+    all.push_back(candidate);
     const auto peer = peers_.find(it->id);
     const bool failing = peer != peers_.end() &&
                          peer->second.failures >= kFailuresToStandIn &&
                          (known == nullptr || !known->reachable);
     if (!failing) {
-      answering.push_back(it->id);
+      answering.push_back(candidate);
     }
   }
   // The next in rank stands in for a node that does not answer, which is tried
--- a/tests/correctness/membership_parts_test.cc
+++ b/tests/correctness/membership_parts_test.cc
@@ -139,8 +139,12 @@
   }
   std::map<std::string, std::set<std::string>> graph;
   for (const auto& id : ids) {
-    auto others = ids;
-    std::erase(others, id);
+    std::vector<LinkCandidate> others;
+    for (const auto& it : ids) {
+      if (it != id) {
+        others.push_back({it, true});
+      }
+    }
     for (const auto& it : ChooseLinks(id, others, kLinks)) {
       graph[id].insert(it);
       graph[it].insert(id);
@@ -160,6 +164,47 @@
   EXPECT_LE(most, std::size_t{2} * kLinks);
 }
 
+// Guards against floods that pass between data centres over most links, and
+// against data centres that a few lost nodes part.
+TEST(LinkChoiceTest, FewLinksLeadToOtherDataCentres) {
+  constexpr int kNodes = 75;
+  constexpr int kCentres = 3;
+  constexpr std::uint32_t kLinks = 8;
+  const auto name = [](int i) { return "node-" + std::to_string(i); };
+  std::set<std::pair<int, int>> between;
+  std::size_t within = 0;
+  std::map<std::string, std::set<std::string>> graph;
+  for (int i = 0; i < kNodes; ++i) {
+    std::vector<LinkCandidate> others;
+    for (int k = 0; k < kNodes; ++k) {
+      if (k != i) {
+        others.push_back({name(k), i % kCentres == k % kCentres});
+      }
+    }
+    const auto chosen = ChooseLinks(name(i), others, kLinks);
+    for (int k = 0; k < kNodes; ++k) {
+      if (!chosen.contains(name(k))) {
+        continue;
+      }
+      graph[name(i)].insert(name(k));
+      graph[name(k)].insert(name(i));
+      if (i % kCentres == k % kCentres) {
+        ++within;
+      } else {
+        between.insert(std::minmax(i, k));
+      }
+    }
+  }
+  EXPECT_LE(between.size(), std::size_t{kNodes});
+  EXPECT_GE(between.size(), std::size_t{kNodes} / 3);
+  EXPECT_GE(within, std::size_t{4} * kNodes);
+  LinkStateTable table;
+  for (const auto& [id, to] : graph) {
+    table.Apply({id, "1", 1, true, false, false, {to.begin(), to.end()}, {}});
+  }
+  EXPECT_EQ(table.Reachable({name(0)}).size(), std::size_t{kNodes});
+}
+
 // Guards against a view that keeps links after a lost or repeated report.
 TEST(LinkStateTableTest, ReportsApplyInOrderOnly) {
   LinkStateTable table;
