Tell what an engine holds only when it is news

Cause: the end of an unload was told to all nodes though its beginning had told the same, as were orders that failed without a change: a third of the notices.

EngineBook NoticeLeavesOutWhatIsUnloaded covers it.

--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -13,6 +13,9 @@
 // Live engines register again within about two seconds of the store's return;
 // at a start they follow each other more closely.
 constexpr auto kSettleTime = std::chrono::milliseconds(2500);
+// Nodes believe a notice for longer than this against an older description, so
+// that one which says the same need not follow sooner.
+constexpr auto kNoticeRepeat = std::chrono::milliseconds(1000);
 
 // Whether what the engine says of itself casts doubt on the book.
 bool Doubtful(const BookedEngine& entry,
@@ -132,13 +135,13 @@
   return out;
 }
 
-HoldingsNotice EngineBook::Notice(BookedEngine& entry,
-                                  std::uint64_t fence) const {
+std::optional<HoldingsNotice> EngineBook::News(BookedEngine& entry,
+                                               std::uint64_t fence,
+                                               TimePoint now) {
   HoldingsNotice notice;
   notice.endpoint = entry.record.id;
   notice.boot = entry.record.boot;
   notice.fence = fence;
-  notice.number = ++entry.notices;
   for (const auto& [model, adapters] : entry.record.models) {
     const bool unloading = entry.order &&
                            entry.order->action == OrderAction::kUnload &&
@@ -147,6 +150,13 @@
       notice.models.push_back({model, {adapters.begin(), adapters.end()}});
     }
   }
+  if (entry.notices > 0 && notice.models == entry.told &&
+      now - entry.told_at < kNoticeRepeat) {
+    return std::nullopt;
+  }
+  notice.number = ++entry.notices;
+  entry.told = notice.models;
+  entry.told_at = now;
   return notice;
 }
 
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -40,8 +40,10 @@
   TimePoint changed_at{};  ///< Of what it holds, by this book.
   std::optional<OrderInProgress> order;
   std::map<ModelRef, TimePoint> adapters_coming;  ///< With the expected time.
-  TimePoint blocked_until{};  ///< After an order without a clear outcome.
-  std::uint64_t notices = 0;  ///< Sent under this fence.
+  TimePoint blocked_until{};    ///< After an order without a clear outcome.
+  std::uint64_t notices = 0;    ///< Sent under this fence.
+  std::vector<HeldModel> told;  ///< In the last notice.
+  TimePoint told_at{};
 };
 
 /// The engines of one service. What the store says of an engine may be older
@@ -79,8 +81,11 @@
   std::vector<EnginePlace> Places(const EndpointDirectory& directory,
                                   TimePoint now) const;
 
-  /// The notice of what an engine holds and may be asked for.
-  HoldingsNotice Notice(BookedEngine& entry, std::uint64_t fence) const;
+  /// The notice of what an engine holds and may be asked for; empty if the last
+  /// one said the same a moment ago.
+  static std::optional<HoldingsNotice> News(BookedEngine& entry,
+                                            std::uint64_t fence,
+                                            TimePoint now);
 
  private:
   std::map<std::string, BookedEngine> engines_;
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -436,9 +436,11 @@
 }
 
 void OrderCoordinator::Tell(BookedEngine& entry) {
-  const auto notice = At(entry.record.service).book.Notice(entry, fence_);
-  deps_.view.OnHoldings(notice);
-  deps_.peers.Broadcast(notice);
+  const auto notice = EngineBook::News(entry, fence_, deps_.clock.Now());
+  if (notice) {
+    deps_.view.OnHoldings(*notice);
+    deps_.peers.Broadcast(*notice);
+  }
 }
 
 }  // namespace tanagerloom
--- a/tests/correctness/engine_book_test.cc
+++ b/tests/correctness/engine_book_test.cc
@@ -111,17 +111,23 @@
             std::vector<std::string>{"a"});
 }
 
-// Guards against requests to a model whose unloading was ordered.
+// Guards against requests to a model whose unloading was ordered, and against
+// notices to all nodes that tell nothing new.
 TEST(EngineBook, NoticeLeavesOutWhatIsUnloaded) {
   Fixture f;
   f.book.Sync(f.directory, "s", kNow);
   f.book.Adopt("a", Report(4, false), kNow);
   auto& entry = *f.book.Find("a");
-  EXPECT_EQ(f.book.Notice(entry, 1).models.size(), 1U);
+  EXPECT_EQ(f.book.News(entry, 1, kNow)->models.size(), 1U);
   entry.order = OrderInProgress{OrderAction::kUnload, {"m", ""}, kNow};
-  const auto notice = f.book.Notice(entry, 1);
+  const auto notice = *f.book.News(entry, 1, kNow);
   EXPECT_TRUE(notice.models.empty());
   EXPECT_EQ(notice.number, 2U);
+  // Done: all nodes know it already.
+  entry.order.reset();
+  entry.record.models.erase("m");
+  EXPECT_FALSE(f.book.News(entry, 1, kNow + milliseconds(500)));
+  EXPECT_TRUE(f.book.News(entry, 1, kNow + milliseconds(1500)));
 }
 
 }  // namespace
