Refuse a waiting request once it is known to crash endpoints

Cause: only a request that began to wait after its first crash was checked against the quarantine while it waited. One that waits since before goes on waiting for an endpoint; after a series of crashes the breakers of all endpoints may stay open for up to 15 s at a time, so that its deadline passes first.

Ruled out: reservations that are never ended (each end of a wait and of a lease drops them), and counts that do not arrive (the notice and the stored count are both read; the other waiting requests of the same node were refused).

CrashQuarantineTest RequestThatWaitsSinceBeforeTheCrashesIsRefused fails before (no answer within 10 s) and passes.

--- a/packages/routing/model_dispatcher.cc
+++ b/packages/routing/model_dispatcher.cc
@@ -74,11 +74,9 @@
     ticket.prefix = &call.prefix;
     ticket.avoid = progress.avoid;
     ticket.alone = quarantine_.CountOf(request.crash_fingerprint) > 0;
-    if (ticket.alone) {
-      ticket.quarantined = [&] {
-        return quarantine_.Check(request.crash_fingerprint);
-      };
-    }
+    ticket.quarantined = [&] {
+      return quarantine_.Check(request.crash_fingerprint);
+    };
     cancel.SetAction([&] { scheduler_.Cancel(ticket); });
     if (!cancel.cancelled()) {
       scheduler_.Wait(ticket);
--- a/packages/routing/request_scheduler.h
+++ b/packages/routing/request_scheduler.h
@@ -84,7 +84,8 @@
   const std::vector<std::uint64_t>* prefix = nullptr;
   std::set<std::string> avoid;  ///< Endpoints where it failed already.
   bool alone = false;           ///< Suspected of crashing endpoints.
-  /// For a suspect: the refusal that its quarantine demands meanwhile.
+  /// The refusal that a quarantine of this request demands meanwhile; the
+  /// request may crash endpoints elsewhere while it waits here.
   std::function<std::optional<Refusal>()> quarantined;
 
   /// Signalled when `lease`, `refusal` or `cancelled` is set.
--- a/packages/routing/service_dispatcher.cc
+++ b/packages/routing/service_dispatcher.cc
@@ -65,6 +65,9 @@
     ticket.deadline = request.deadline;
     ticket.avoid = progress.avoid;
     ticket.alone = quarantine_.CountOf(request.crash_fingerprint) > 0;
+    ticket.quarantined = [&] {
+      return quarantine_.Check(request.crash_fingerprint);
+    };
     cancel.SetAction([&] { scheduler_.Cancel(ticket); });
     if (!cancel.cancelled()) {
       scheduler_.Wait(ticket);
--- a/tests/error/crash_quarantine_test.cc
+++ b/tests/error/crash_quarantine_test.cc
@@ -75,6 +75,27 @@
   EXPECT_EQ(crashes(), 2);
 }
 
+// Guards against a request that waits since before its first crash elsewhere
+// and goes on waiting, until its deadline, when it is known to crash endpoints.
+TEST_F(CrashQuarantineTest, RequestThatWaitsSinceBeforeTheCrashesIsRefused) {
+  auto& first = AddServing("n1");
+  auto& second = AddNode("n2");
+  second.Start();
+  bool answered = false;
+  boost::fibers::fiber waiting([&] {
+    const auto response = Call(second, Chat(true, "POISON"));
+    answered = true;
+    ASSERT_TRUE(response);
+    EXPECT_EQ(ErrorOf(response)["code"], "quarantined");
+    EXPECT_EQ(ErrorOf(response)["verdict"], "not_run");
+  });
+  ASSERT_TRUE(Eventually(
+      [&] { return second.api->Status()["scheduler"]["waiting"] == 1; }));
+  ASSERT_TRUE(Call(first, Chat(true, "POISON")));
+  EXPECT_TRUE(Eventually([&] { return answered; }));
+  waiting.join();
+}
+
 // Notices may be lost; the stored counts reach every node.
 TEST_F(CrashQuarantineTest, NodeThatHeardNothingReadsTheStoredCount) {
   auto& first = AddServing("n1");
