Write nothing after the deadline or the end of the lease

The node that ordered engines was frozen for 6.6 s right after a renewal; another took over; the frozen one's order arrived 0.25 s after the earliest moment at which it can have gone on, and counted.

Cause: the lease was checked before the connection to the engine was opened. A connection that is established while the process is suspended is ready when it goes on, together with the deadline that has passed, and the request was then written. Unfinished connections were also closed without a reset, so that bytes held up by a cut link could arrive after it healed.

Ruled out: a lease held by two nodes (conditional writes, and the successor waited 3 s from the takeover at 22.7 s to its first order at 25.7 s).

Now a request is not written after its deadline, an order asks the lease right before it is written, and unfinished connections are reset when closed.

--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -4,6 +4,7 @@
 #define HTTP_HTTP_CLIENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,6 +41,10 @@
   TimePoint deadline;  ///< For the whole call, or up to the response's head.
   bool fresh_connection = false;  ///< Never reuse an idle connection.
   std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
+  /// Asked right before the request is written, for a request that may only be
+  /// sent while a condition holds; connecting takes time, in which the process
+  /// may also be suspended. False ends the call as not run.
+  std::function<bool()> may_send = {};
 };
 
 /// HTTP client with a pool of idle connections for each address.
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <optional>
 
 #include "http/io_watchdog.h"
@@ -77,7 +78,16 @@
 HttpConnection::HttpConnection(asio::io_context& io, Address address)
     : impl_(std::make_unique<Impl>(io)), address_(std::move(address)) {}
 
-HttpConnection::~HttpConnection() = default;
+// What was written to an unfinished exchange must not arrive later, when a link
+// heals or the process goes on: closing resets the connection. A finished one
+// ends in the normal way.
+HttpConnection::~HttpConnection() {
+  auto& socket = impl_->stream.socket();
+  if (complete() && socket.is_open()) {
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::linger(false, 0), ec);
+  }
+}
 
 HttpResult<void> HttpConnection::Connect(TimePoint deadline) {
   boost::system::error_code ec;
@@ -93,6 +103,7 @@
     return Failure(result.ec, "cannot connect to", address_, Verdict::kNotRun);
   }
   impl_->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  impl_->stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -110,6 +121,17 @@
   }
   message.body() = request.body;
   message.prepare_payload();
+  // After a suspension the connection and its deadline are ready at once; a
+  // write that is begun then would go out.
+  if (std::chrono::steady_clock::now() >= options.deadline) {
+    return Failure(beast::error::timeout, "cannot send the request to",
+                   address_, Verdict::kNotRun);
+  }
+  if (options.may_send && !options.may_send()) {
+    return Failure(asio::error::operation_aborted,
+                   "the request may no longer be sent to", address_,
+                   Verdict::kNotRun);
+  }
   impl_->stream.expires_at(options.deadline);
   auto result = AwaitIo(
       [&](auto done) { bhttp::async_write(impl_->stream, message, done); });
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -221,6 +221,9 @@
   out.endpoint = entry.record.id;
   out.holder = deps_.peers.node_id();
   out.expected_sequence = entry.sequence;
+  out.still_valid = [&lease = deps_.lease, fence = out.fence] {
+    return lease.MayOrder() && lease.fence() == fence;
+  };
   return out;
 }
 
--- a/packages/ports/engine_control.h
+++ b/packages/ports/engine_control.h
@@ -3,6 +3,7 @@
 #define PORTS_ENGINE_CONTROL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,9 @@
   std::string holder = {};  ///< Who holds the right to order; one name a VM.
   /// The order holds only while the engine's state has this sequence.
   std::optional<std::uint64_t> expected_sequence = {};
+  /// Asked right before the order is written: whether its sender still holds
+  /// the right to order. Empty: it needs none.
+  std::function<bool()> still_valid = {};
 };
 
 /// The engine took the order. `sequence` is that of its state just after.
