--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -32,6 +32,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view kLeaseKey = "fleet-leases/orders";
+// The same for all nodes, however each of them reaches the store.
+constexpr std::string_view kFleetKey = "registered fleet";
 // How often nodes tell each other what they have in flight.
 constexpr milliseconds kUseInterval{400};
 // Up to this number of nodes; beyond, each tells it less often, so that what a
@@ -82,9 +84,8 @@
   out.data_centre = settings.data_centre;
   out.region = settings.region;
   out.peer_listen = settings.peer_listen;
-  // Nodes of one store belong together. The network admits no others, so the
-  // key only keeps apart deployments that share it.
-  out.peer_keys = {"fleet of the store at " + settings.store.ToString()};
+  // Nodes find each other in their store, and the network admits no others.
+  out.peer_keys = {std::string(kFleetKey)};
   out.vm_list_interval = kNodeListInterval;
   return out;
 }
