Soak: an endpoint that leaves comes back as a new start

The platform's endpoints do not do that: draining is the announcement of an end, and what comes back is a new start. The directory keeps it on purpose (correctness.endpoint_directory). The stand-in now restarts, with a new time of start, and holds nothing then.

--- a/testing/fleet_standin/engine_standin.cc
+++ b/testing/fleet_standin/engine_standin.cc
@@ -69,13 +69,23 @@
               {"slots", 8},
               {"state", draining ? "draining" : "ready"},
               {"coldLeftMs", 0},
-              {"born", 1700000000000},
+              {"born", started_ms_},
               {"models", ModelsJson()},
               {"available",
                {{"inMemory", nlohmann::json::array()}, {"onDisk", on_disk}}},
               {"seq", ++entries_}});
 }
 
+void FleetEngine::Restart() {
+  ++started_ms_;
+  entries_ = 0;
+  accepted_ = 0;
+  draining = false;
+  loaded.clear();
+  adapters.clear();
+  Register();
+}
+
 nlohmann::json FleetEngine::ModelsJson() const {
   auto models = nlohmann::json::array();
   for (const auto& model : loaded) {
@@ -171,14 +181,18 @@
 }
 
 void FleetEngine::CarryOut(bool load, std::string model) {
+  const auto start = started_ms_;
   boost::this_fiber::sleep_for(load ? load_time : std::chrono::milliseconds(1));
+  busy_ = false;
+  if (start != started_ms_) {
+    return;  // It was restarted meanwhile.
+  }
   if (load) {
     loaded.insert(model);
     on_disk.insert(model);
   } else {
     loaded.erase(model);
   }
-  busy_ = false;
   Register();
 }
 
--- a/testing/fleet_standin/engine_standin.h
+++ b/testing/fleet_standin/engine_standin.h
@@ -42,6 +42,10 @@
   /// Writes the endpoint's entry; later changes write it again.
   void Register();
 
+  /// Starts anew under its id: it holds and knows nothing of before but what is
+  /// on its disk.
+  void Restart();
+
   /// How a request is served; by default with one whole sealed answer, or on a
   /// path that contains "stream" with four events.
   Serve serve;
@@ -82,6 +86,7 @@
   std::string id_;
   std::string service_;
   std::uint64_t entries_ = 0;
+  std::uint64_t started_ms_ = 1700000000000;  ///< Of the Unix epoch.
   std::uint64_t accepted_ = 0;
   bool busy_ = false;
   std::vector<std::string> runs_;
