Do not take a later order for done when an earlier one is

The task that followed the unload then saw its model absent and ended the order in progress, which was the load by then; the engine counted as free with room, and the next load went beyond its memory. On the platform the engine crashes.

Ruled out: a report older than the order (the number of orders that each order names would have refused it).

Each order of a holder now has an id, and what follows it ends with it.

--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -103,6 +103,14 @@
   return it == engines_.end() ? nullptr : &it->second;
 }
 
+BookedEngine* EngineBook::FindWithOrder(const std::string& id,
+                                        std::uint64_t order_id) {
+  auto* entry = Find(id);
+  return entry != nullptr && entry->order && entry->order->id == order_id
+             ? entry
+             : nullptr;
+}
+
 std::vector<EnginePlace> EngineBook::Places(const EndpointDirectory& directory,
                                             TimePoint now) const {
   std::vector<EnginePlace> out;
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -22,6 +22,7 @@
 
 /// An order that an engine has been given.
 struct OrderInProgress {
+  std::uint64_t id = 0;  ///< Tells it from other orders of this holder.
   OrderAction action = OrderAction::kLoad;
   ModelRef target;
   TimePoint done_at{};  ///< As expected.
@@ -75,6 +76,10 @@
 
   BookedEngine* Find(const std::string& id);
 
+  /// The engine if it is still carrying out the order `order_id`. It may have
+  /// been forgotten and found again meanwhile, and have another order.
+  BookedEngine* FindWithOrder(const std::string& id, std::uint64_t order_id);
+
   std::map<std::string, BookedEngine>& engines() { return engines_; }
 
   /// The engines as the plan sees them.
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -156,56 +156,58 @@
 // ---- orders
 
 void OrderCoordinator::Start(const std::string& service,
-                             const PlannedOrder& order) {
+                             const PlannedOrder& planned) {
   auto& orders = At(service);
-  auto* entry = orders.book.Find(order.engine);
+  auto* entry = orders.book.Find(planned.engine);
   if (entry == nullptr) {
     return;
   }
   const auto now = deps_.clock.Now();
-  entry->order =
-      OrderInProgress{order.action, order.target, now + order.expected};
-  if (order.target.adapter.empty()) {
-    if (order.action == OrderAction::kUnload) {
+  const ActiveOrder order{service, planned, ++orders_started_};
+  entry->order = OrderInProgress{order.id, planned.action, planned.target,
+                                 now + planned.expected};
+  if (planned.target.adapter.empty()) {
+    if (planned.action == OrderAction::kUnload) {
       Tell(*entry);  // Nodes stop sending before the engine starts refusing.
-    } else if (order.source == CheckpointSource::kRemote) {
+    } else if (planned.source == CheckpointSource::kRemote) {
       orders.ceiling.OnStart(now);
     }
   }
-  boost::fibers::fiber([this, service, order] {
-    Execute(service, order);
-  }).detach();
+  boost::fibers::fiber([this, order] { Execute(order); }).detach();
 }
 
-void OrderCoordinator::Execute(const std::string& service,
-                               const PlannedOrder& order) {
-  if (!order.target.adapter.empty()) {
-    if (Send(service, order)) {
-      FinishAdapterOrder(service, order);
+void OrderCoordinator::Execute(const ActiveOrder& order) {
+  const auto& planned = order.planned;
+  if (!planned.target.adapter.empty()) {
+    if (Send(order)) {
+      FinishAdapterOrder(order);
     }
-  } else if (order.action == OrderAction::kLoad &&
-             order.source == CheckpointSource::kRemote) {
-    LoadFromStore(service, order);
-  } else if (Send(service, order)) {
-    FollowModelOrder(service, order);
+  } else if (planned.action == OrderAction::kLoad &&
+             planned.source == CheckpointSource::kRemote) {
+    LoadFromStore(order);
+  } else if (Send(order)) {
+    FollowModelOrder(order);
   }
   replan_.Signal();
 }
 
-void OrderCoordinator::LoadFromStore(const std::string& service,
-                                     const PlannedOrder& order) {
+BookedEngine* OrderCoordinator::EngineOf(const ActiveOrder& order) {
+  return At(order.service).book.FindWithOrder(order.planned.engine, order.id);
+}
+
+void OrderCoordinator::LoadFromStore(const ActiveOrder& order) {
   const auto fence = fence_;
   const auto began = deps_.clock.Now();
-  const auto before = ++At(service).store_loads;
-  const bool loaded = Send(service, order) && FollowModelOrder(service, order);
+  const auto before = ++At(order.service).store_loads;
+  const bool loaded = Send(order) && FollowModelOrder(order);
   if (fence != fence_) {
     return;  // The counts were begun anew.
   }
-  auto& orders = At(service);
+  auto& orders = At(order.service);
   const auto after = orders.store_loads--;
   if (loaded) {
     orders.concurrency.OnLoaded((before + after) / 2, deps_.clock.Now() - began,
-                                order.expected);
+                                order.planned.expected);
   }
 }
 
@@ -227,98 +229,96 @@
   return out;
 }
 
-bool OrderCoordinator::Send(const std::string& service,
-                            const PlannedOrder& order) {
-  auto& book = At(service).book;
-  auto* entry = book.Find(order.engine);
+bool OrderCoordinator::Send(const ActiveOrder& order) {
+  auto* entry = EngineOf(order);
   if (entry == nullptr) {
     return false;
   }
-  const auto message = MakeOrder(order, *entry);
+  const auto& planned = order.planned;
+  const auto message = MakeOrder(planned, *entry);
   const Address address = entry->record.address;
-  const auto boot = entry->record.boot;
   if (!deps_.lease.MayOrder()) {
-    Fail(service, order, "the lease is not certain");
+    Fail(order, "the lease is not certain");
     return false;
   }
   deps_.log.Record(
       events::kEngineOrderSent,
-      {{"engine", order.engine},
-       {"action", order.action == OrderAction::kLoad ? "load" : "unload"},
-       {"model", order.target.ToString()},
+      {{"engine", planned.engine},
+       {"action", planned.action == OrderAction::kLoad ? "load" : "unload"},
+       {"model", planned.target.ToString()},
        {"sequence", message.expected_sequence.value_or(0)},
        {"fence", message.fence},
        {"expected_ms",
-        std::chrono::duration_cast<milliseconds>(order.expected).count()}});
+        std::chrono::duration_cast<milliseconds>(planned.expected).count()}});
   const auto answer = deps_.engines.Send(address, message);
-  entry = At(service).book.Find(order.engine);
-  if (entry == nullptr || entry->record.boot != boot || !entry->order) {
+  entry = EngineOf(order);
+  if (entry == nullptr) {
     return false;  // The engine left or restarted meanwhile.
   }
   if (!answer) {
-    Fail(service, order, answer.assume_error().message);
-    Resync(service, order.engine);
+    Fail(order, answer.assume_error().message);
+    Resync(order.service, planned.engine);
     return false;
   }
   if (const auto* refused = std::get_if<OrderRefused>(&answer.assume_value())) {
-    Fail(service, order, refused->reason);
-    Resync(service, order.engine);
+    Fail(order, refused->reason);
+    Resync(order.service, planned.engine);
     return false;
   }
   const auto& accepted = std::get<OrderAccepted>(answer.assume_value());
   // An adapter without requests is unloaded at once: that is done when the
   // answer says so, and counts like any other order.
   const bool counted =
-      !accepted.already_done ||
-      (order.action == OrderAction::kUnload && !order.target.adapter.empty());
+      !accepted.already_done || (planned.action == OrderAction::kUnload &&
+                                 !planned.target.adapter.empty());
   if (counted) {
     entry->sequence = message.expected_sequence.value_or(0) + 1;
   }
   return true;
 }
 
-bool OrderCoordinator::FollowModelOrder(const std::string& service,
-                                        const PlannedOrder& order) {
+bool OrderCoordinator::FollowModelOrder(const ActiveOrder& order) {
+  const auto& planned = order.planned;
   const auto began = deps_.clock.Now();
-  const auto give_up = began + 2 * order.expected + kOrderPatience;
-  deps_.clock.SleepFor(std::max<Duration>(kReportInterval, order.expected));
+  const auto give_up = began + 2 * planned.expected + kOrderPatience;
+  deps_.clock.SleepFor(std::max<Duration>(kReportInterval, planned.expected));
   while (!stopping_ && deps_.clock.Now() < give_up) {
-    auto* entry = At(service).book.Find(order.engine);
-    if (entry == nullptr || !entry->order) {
+    const auto* entry = EngineOf(order);
+    if (entry == nullptr) {
       return false;  // The engine left or restarted.
     }
     const auto sequence = entry->sequence.value_or(0);
     const auto state = deps_.engines.ReadState(entry->record.address);
-    entry = At(service).book.Find(order.engine);
-    if (entry == nullptr || !entry->order) {
+    if (EngineOf(order) == nullptr) {
       return false;
     }
     if (state && state.assume_value().sequence >= sequence &&
         !state.assume_value().busy) {
       const auto& entries = state.assume_value().entries;
       const bool present = std::ranges::any_of(entries, [&](const auto& it) {
-        return it.model == order.target.model && it.adapter.empty();
+        return it.model == planned.target.model && it.adapter.empty();
       });
-      if (present == (order.action == OrderAction::kLoad)) {
-        FinishModelOrder(service, order);
+      if (present == (planned.action == OrderAction::kLoad)) {
+        FinishModelOrder(order);
         return true;
       }
-      if (deps_.clock.Now() - began > order.expected + kReportLag) {
+      if (deps_.clock.Now() - began > planned.expected + kReportLag) {
         break;
       }
     }
     deps_.clock.SleepFor(kReportInterval);
   }
-  Fail(service, order, "not carried out in time");
-  Resync(service, order.engine);
+  if (EngineOf(order) != nullptr) {
+    Fail(order, "not carried out in time");
+    Resync(order.service, planned.engine);
+  }
   return false;
 }
 
-void OrderCoordinator::FinishModelOrder(const std::string& service,
-                                        const PlannedOrder& order) {
-  auto* entry = At(service).book.Find(order.engine);
-  const auto& model = order.target.model;
-  if (order.action == OrderAction::kLoad) {
+void OrderCoordinator::FinishModelOrder(const ActiveOrder& order) {
+  auto* entry = EngineOf(order);
+  const auto& model = order.planned.target.model;
+  if (order.planned.action == OrderAction::kLoad) {
     entry->record.models[model];
     entry->record.copies.in_memory.insert(model);
     entry->record.copies.on_disk.insert(model);
@@ -328,52 +328,50 @@
   entry->order.reset();
   entry->changed_at = deps_.clock.Now();
   deps_.log.Record(events::kEngineOrderDone,
-                   {{"engine", order.engine},
+                   {{"engine", order.planned.engine},
                     {"model", model},
                     {"sequence", entry->sequence.value_or(0)}});
   Tell(*entry);
 }
 
-void OrderCoordinator::FinishAdapterOrder(const std::string& service,
-                                          const PlannedOrder& order) {
-  auto* entry = At(service).book.Find(order.engine);
+void OrderCoordinator::FinishAdapterOrder(const ActiveOrder& order) {
+  auto* entry = EngineOf(order);
+  const auto& target = order.planned.target;
   entry->order.reset();
-  const auto held = entry->record.models.find(order.target.model);
+  const auto held = entry->record.models.find(target.model);
   if (held == entry->record.models.end()) {
     return;
   }
   entry->changed_at = deps_.clock.Now();
-  if (order.action == OrderAction::kUnload) {
-    held->second.erase(order.target.adapter);
+  if (order.planned.action == OrderAction::kUnload) {
+    held->second.erase(target.adapter);
     Tell(*entry);
     return;
   }
   const auto boot = entry->record.boot;
-  entry->adapters_coming[order.target] = deps_.clock.Now() + kAdapterTime;
+  entry->adapters_coming[target] = deps_.clock.Now() + kAdapterTime;
   replan_.Signal();
   deps_.clock.SleepFor(kAdapterTime);
-  entry = At(service).book.Find(order.engine);
+  entry = At(order.service).book.Find(order.planned.engine);
   if (entry == nullptr || entry->record.boot != boot ||
-      entry->adapters_coming.erase(order.target) == 0) {
+      entry->adapters_coming.erase(target) == 0) {
     return;
   }
-  const auto model = entry->record.models.find(order.target.model);
+  const auto model = entry->record.models.find(target.model);
   if (model != entry->record.models.end()) {
-    model->second.insert(order.target.adapter);
+    model->second.insert(target.adapter);
     entry->changed_at = deps_.clock.Now();
     Tell(*entry);
   }
 }
 
-void OrderCoordinator::Fail(const std::string& service,
-                            const PlannedOrder& order,
+void OrderCoordinator::Fail(const ActiveOrder& order,
                             const std::string& cause) {
   deps_.log.Record(events::kEngineOrderFailed,
-                   {{"engine", order.engine},
-                    {"model", order.target.ToString()},
+                   {{"engine", order.planned.engine},
+                    {"model", order.planned.target.ToString()},
                     {"cause", cause}});
-  auto* entry = At(service).book.Find(order.engine);
-  if (entry != nullptr) {
+  if (auto* entry = EngineOf(order)) {
     entry->order.reset();
     entry->blocked_until = deps_.clock.Now() + kBlockAfterRefusal;
   }
--- a/packages/ordering/order_coordinator.h
+++ b/packages/ordering/order_coordinator.h
@@ -62,25 +62,31 @@
     TimePoint outlook_told{};
   };
 
+  /// An order and what it takes to find its engine again.
+  struct ActiveOrder {
+    std::string service;
+    PlannedOrder planned;
+    std::uint64_t id = 0;
+  };
+
   void DemandLoop();
   void ReportDemand();
   void PlanLoop();
   void PlanAll();
   void PlanService(const std::string& service, const EngineSpec& spec);
-  void Start(const std::string& service, const PlannedOrder& order);
-  void Execute(const std::string& service, const PlannedOrder& order);
+  void Start(const std::string& service, const PlannedOrder& planned);
+  void Execute(const ActiveOrder& order);
   /// Sends the order; true if the engine took it.
-  bool Send(const std::string& service, const PlannedOrder& order);
+  bool Send(const ActiveOrder& order);
   /// Loads from the weight store and learns from the time that it took.
-  void LoadFromStore(const std::string& service, const PlannedOrder& order);
+  void LoadFromStore(const ActiveOrder& order);
   /// Waits until the engine has carried out the order; false if it did not.
-  bool FollowModelOrder(const std::string& service, const PlannedOrder& order);
-  void FinishModelOrder(const std::string& service, const PlannedOrder& order);
-  void FinishAdapterOrder(const std::string& service,
-                          const PlannedOrder& order);
-  void Fail(const std::string& service,
-            const PlannedOrder& order,
-            const std::string& cause);
+  bool FollowModelOrder(const ActiveOrder& order);
+  void FinishModelOrder(const ActiveOrder& order);
+  void FinishAdapterOrder(const ActiveOrder& order);
+  void Fail(const ActiveOrder& order, const std::string& cause);
+  /// The engine of an order, while the order is in progress there.
+  BookedEngine* EngineOf(const ActiveOrder& order);
   /// Reads the engine's state after an order without a clear outcome.
   void Resync(const std::string& service, const std::string& engine);
   void Tell(BookedEngine& entry);
@@ -94,6 +100,7 @@
   Duration ceiling_window_;
   DemandTable demand_;
   std::map<std::string, ServiceOrders> services_;
+  std::uint64_t orders_started_ = 0;
   std::uint64_t fence_ = 0;  ///< Under which the books were begun.
   EventFlag replan_;
   bool stopping_ = false;
--- a/tests/correctness/engine_book_test.cc
+++ b/tests/correctness/engine_book_test.cc
@@ -111,6 +111,28 @@
             std::vector<std::string>{"a"});
 }
 
+// Guards against an order that is taken for done when an earlier one is, after
+// the engine was forgotten and found again: its memory would be promised twice.
+TEST(EngineBook, OrderOfAForgottenEngineIsNotTakenForALaterOne) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, false), kNow);
+  f.book.Find("a")->order =
+      OrderInProgress{1, OrderAction::kUnload, {"m", ""}, kNow};
+  EXPECT_NE(f.book.FindWithOrder("a", 1), nullptr);
+  EXPECT_EQ(f.book.FindWithOrder("a", 2), nullptr);
+  EndpointDirectory other;
+  other.Update(Engine("b"), kNow);
+  f.book.Sync(other, "s", kNow);
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(5, false), kNow);
+  EXPECT_EQ(f.book.FindWithOrder("a", 1), nullptr);
+  f.book.Find("a")->order =
+      OrderInProgress{2, OrderAction::kLoad, {"n", ""}, kNow};
+  EXPECT_EQ(f.book.FindWithOrder("a", 1), nullptr);
+  EXPECT_NE(f.book.FindWithOrder("a", 2), nullptr);
+}
+
 // Guards against requests to a model whose unloading was ordered, and against
 // notices to all nodes that tell nothing new.
 TEST(EngineBook, NoticeLeavesOutWhatIsUnloaded) {
@@ -119,7 +141,7 @@
   f.book.Adopt("a", Report(4, false), kNow);
   auto& entry = *f.book.Find("a");
   EXPECT_EQ(f.book.News(entry, 1, kNow)->models.size(), 1U);
-  entry.order = OrderInProgress{OrderAction::kUnload, {"m", ""}, kNow};
+  entry.order = OrderInProgress{1, OrderAction::kUnload, {"m", ""}, kNow};
   const auto notice = *f.book.News(entry, 1, kNow);
   EXPECT_TRUE(notice.models.empty());
   EXPECT_EQ(notice.number, 2U);
