Send no orders to an engine that does not answer

After a read of its report fails, an engine is no place; it is asked again after 150 ms, doubling up to 1.2 s, and is one again when it answers.

EngineBook UnreachableEngineGetsNoOrdersUntilItAnswers.

--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -10,6 +10,10 @@
 
 // A description that came this long after the last change may be newer than it.
 constexpr auto kDescriptionLag = std::chrono::milliseconds(2500);
+// An engine that does not answer is asked again after this long. A crashed one
+// is back after some seconds.
+constexpr Duration kFirstProbePause = std::chrono::milliseconds(150);
+constexpr Duration kLongestProbePause = std::chrono::milliseconds(1200);
 // Live engines register again within about two seconds of the store's return;
 // at a start they follow each other more closely.
 constexpr auto kSettleTime = std::chrono::milliseconds(2500);
@@ -51,8 +55,9 @@
       entry.record.draining = record.draining;
       entry.doubtful = Doubtful(entry, record, directory.ChangedAt(id));
     }
-    if ((!entry.sequence || entry.doubtful || entry.foreign_order) &&
-        !entry.reading && now >= entry.blocked_until) {
+    const bool uncertain = !entry.sequence || entry.doubtful ||
+                           entry.foreign_order || entry.unreachable > 0;
+    if (uncertain && !entry.reading && now >= entry.blocked_until) {
       to_read.push_back(id);
     }
   }
@@ -67,6 +72,7 @@
     return;
   }
   entry->sequence = state.sequence;
+  entry->unreachable = 0;
   entry->changed_at = now;
   entry->doubtful = false;
   entry->foreign_order = state.busy;
@@ -83,6 +89,14 @@
   }
 }
 
+void EngineBook::OnUnreachable(BookedEngine& entry, TimePoint now) {
+  constexpr std::uint32_t kMostDoublings = 8;
+  const auto doublings = std::min(entry.unreachable, kMostDoublings);
+  const Duration pause = kFirstProbePause * (Duration::rep{1} << doublings);
+  entry.blocked_until = now + std::min(pause, kLongestProbePause);
+  ++entry.unreachable;
+}
+
 bool EngineBook::AwaitsReports() const {
   const auto known = [](const auto& it) {
     return it.second.sequence.has_value();
@@ -118,8 +132,8 @@
     const auto* listed = directory.Find(id);
     EnginePlace place;
     place.id = id;
-    place.usable =
-        listed != nullptr && !listed->draining && entry.sequence.has_value();
+    place.usable = listed != nullptr && !listed->draining &&
+                   entry.sequence.has_value() && entry.unreachable == 0;
     place.models = entry.record.models;
     place.copies = entry.record.copies;
     place.busy = entry.order.has_value() || entry.foreign_order ||
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -33,8 +33,9 @@
   EndpointRecord record;  ///< As last adopted, with what was ordered since.
   /// Orders that the engine has accepted; unknown until its report was read.
   std::optional<std::uint64_t> sequence;
-  bool reading = false;   ///< A report is on its way.
-  bool doubtful = false;  ///< The engine describes itself differently.
+  bool reading = false;           ///< A report is on its way.
+  std::uint32_t unreachable = 0;  ///< Reads of its report that failed in a row.
+  bool doubtful = false;          ///< The engine describes itself differently.
   /// The engine carries out an order that this book does not know, such as one
   /// of an earlier holder: what it will hold is unknown.
   bool foreign_order = false;
@@ -66,6 +67,10 @@
   /// Takes an engine's report.
   void Adopt(const std::string& id, const EngineState& state, TimePoint now);
 
+  /// The engine did not answer when its report was read. It gets no orders
+  /// until it does; it is asked again after a pause that doubles.
+  static void OnUnreachable(BookedEngine& entry, TimePoint now);
+
   /// Whether no engine is known yet, because the first reports are on their
   /// way: a plan would take all models for missing.
   bool AwaitsReports() const;
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -397,7 +397,7 @@
   }
   const auto now = deps_.clock.Now();
   if (!state) {
-    entry->blocked_until = now + kBlockAfterRefusal;
+    EngineBook::OnUnreachable(*entry, now);
     Tell(*entry);  // What was announced for a failed order does not hold.
     return;
   }
--- a/tests/correctness/engine_book_test.cc
+++ b/tests/correctness/engine_book_test.cc
@@ -111,6 +111,29 @@
             std::vector<std::string>{"a"});
 }
 
+// Guards against orders that are sent to a dead engine again and again, while
+// another one with a copy of the model could load it.
+TEST(EngineBook, UnreachableEngineGetsNoOrdersUntilItAnswers) {
+  Fixture f;
+  f.book.Sync(f.directory, "s", kNow);
+  f.book.Adopt("a", Report(4, false), kNow);
+  f.book.Adopt("b", Report(4, false), kNow);
+  auto& entry = *f.book.Find("a");
+  EngineBook::OnUnreachable(entry, kNow);
+  EXPECT_FALSE(f.book.Places(f.directory, kNow + seconds(9))[0].usable);
+  EXPECT_TRUE(f.book.Sync(f.directory, "s", kNow).empty());
+  const auto later = kNow + milliseconds(200);
+  EXPECT_EQ(f.book.Sync(f.directory, "s", later),
+            std::vector<std::string>{"a"});
+  for (int i = 0; i < 20; ++i) {
+    EngineBook::OnUnreachable(entry, later);
+  }
+  EXPECT_EQ(f.book.Sync(f.directory, "s", later + seconds(2)),
+            std::vector<std::string>{"a"});
+  f.book.Adopt("a", Report(4, false), later + seconds(2));
+  EXPECT_TRUE(f.book.Places(f.directory, later + seconds(2))[0].usable);
+}
+
 // Guards against an order that is taken for done when an earlier one is, after
 // the engine was forgotten and found again: its memory would be promised twice.
 TEST(EngineBook, OrderOfAForgottenEngineIsNotTakenForALaterOne) {
