A releasing holder tells which engines it ordered lately

The rule counts orders by engine. The release now names the engines that the holder ordered within the gap and how long each has to wait; the successor orders the others at once. A holder that had not yet waited out its own predecessor names none, and the whole gap stays; so it does after a death. The first plan waits for the engines' first reports, at most 0.6 s, which the gap covered before.

--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -14,6 +14,9 @@
 // is back after some seconds.
 constexpr Duration kFirstProbePause = std::chrono::milliseconds(150);
 constexpr Duration kLongestProbePause = std::chrono::milliseconds(1200);
+// The first reports are waited for at most this long; most come within some
+// milliseconds, and one that is lost times out.
+constexpr auto kFirstReports = std::chrono::milliseconds(600);
 // Live engines register again within about two seconds of the store's return;
 // at a start they follow each other more closely.
 constexpr auto kSettleTime = std::chrono::milliseconds(2500);
@@ -36,6 +39,9 @@
                                           std::string_view service,
                                           TimePoint now) {
   std::vector<std::string> to_read;
+  if (!begun_) {
+    begun_ = now;
+  }
   std::erase_if(engines_, [&](const auto& it) {
     return directory.Find(it.first) == nullptr;
   });
@@ -97,14 +103,15 @@
   ++entry.unreachable;
 }
 
-bool EngineBook::AwaitsReports() const {
+bool EngineBook::AwaitsReports(TimePoint now) const {
   const auto known = [](const auto& it) {
     return it.second.sequence.has_value();
   };
   const auto reading = [](const auto& it) {
     return !it.second.sequence && it.second.reading;
   };
-  return !std::ranges::any_of(engines_, known) &&
+  const bool early = begun_ && now - *begun_ < kFirstReports;
+  return (early || !std::ranges::any_of(engines_, known)) &&
          std::ranges::any_of(engines_, reading);
 }
 
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -56,6 +56,7 @@
   void Clear() {
     engines_.clear();
     newest_ = TimePoint{};
+    begun_.reset();
   }
 
   /// Takes what the directory says. Returns the engines whose report must be
@@ -71,9 +72,10 @@
   /// until it does; it is asked again after a pause that doubles.
   static void OnUnreachable(BookedEngine& entry, TimePoint now);
 
-  /// Whether no engine is known yet, because the first reports are on their
-  /// way: a plan would take all models for missing.
-  bool AwaitsReports() const;
+  /// Whether the first reports are still on their way: a plan would take models
+  /// for missing, or for models without a copy, whose engines did not answer
+  /// yet. Engines that do not answer are not waited for.
+  bool AwaitsReports(TimePoint now) const;
 
   /// Whether no engine was new for a while, so that all that live are known:
   /// at a start and after an outage of the store they come one by one.
@@ -99,7 +101,8 @@
 
  private:
   std::map<std::string, BookedEngine> engines_;
-  TimePoint newest_{};  ///< When the last new engine was seen.
+  std::optional<TimePoint> begun_;  ///< When engines were first looked at.
+  TimePoint newest_{};              ///< When the last new engine was seen.
 };
 
 }  // namespace tanagerloom
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -132,12 +132,17 @@
     orders.book.Find(it)->reading = true;
     boost::fibers::fiber([this, service, it] { Resync(service, it); }).detach();
   }
-  if (!deps_.lease.MayOrder() || orders.book.AwaitsReports()) {
+  if (!deps_.lease.MayOrder() || orders.book.AwaitsReports(now)) {
     return;
   }
   PlacementInput input;
   input.spec = &spec;
   input.engines = orders.book.Places(directory, now);
+  for (auto& it : input.engines) {
+    const auto wait = deps_.lease.WaitFor(it.id);
+    it.busy = it.busy || wait > Duration(0);
+    it.free_in = std::max(it.free_in, wait);
+  }
   input.demand = demand_.Read(service, now);
   input.now = now;
   input.store_concurrency = orders.concurrency.limit();
@@ -223,8 +228,9 @@
   out.endpoint = entry.record.id;
   out.holder = deps_.peers.node_id();
   out.expected_sequence = entry.sequence;
-  out.still_valid = [&lease = deps_.lease, fence = out.fence] {
-    return lease.MayOrder() && lease.fence() == fence;
+  out.still_valid = [&lease = deps_.lease, fence = out.fence,
+                     engine = entry.record.id] {
+    return lease.MayOrder(engine) && lease.fence() == fence;
   };
   return out;
 }
@@ -237,10 +243,11 @@
   const auto& planned = order.planned;
   const auto message = MakeOrder(planned, *entry);
   const Address address = entry->record.address;
-  if (!deps_.lease.MayOrder()) {
+  if (!deps_.lease.MayOrder(planned.engine)) {
     Fail(order, "the lease is not certain");
     return false;
   }
+  deps_.lease.OnOrder(planned.engine);
   deps_.log.Record(
       events::kEngineOrderSent,
       {{"engine", planned.engine},
--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -1,6 +1,7 @@
 #include "ordering/order_lease.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -30,6 +31,8 @@
   std::uint64_t renewal = 0;
   bool released = false;
   bool ordering = false;  ///< The holder's wait for the last one was over.
+  /// Of a release: the waits of all engines whose orders still count, in ms.
+  std::optional<std::map<std::string, std::int64_t>> waits_ms;
 };
 
 StoredLease ParseLease(const std::string& text) {
@@ -43,6 +46,16 @@
   out.renewal = json.value("renewal", std::uint64_t{0});
   out.released = json.value("released", false);
   out.ordering = json.value("ordering", false);
+  const auto waits = json.find("engine_waits_ms");
+  if (waits != json.end() && waits->is_object()) {
+    out.waits_ms.emplace();
+    for (const auto& [engine, ms] : waits->items()) {
+      // What is no number is taken for the longest wait by the reader.
+      (*out.waits_ms)[engine] = ms.is_number()
+                                    ? ms.get<std::int64_t>()
+                                    : std::numeric_limits<std::int64_t>::max();
+    }
+  }
   return out;
 }
 
@@ -67,14 +80,60 @@
          now + timing_.order_time < sent_ + timing_.validity;
 }
 
+Duration OrderLease::WaitFor(const std::string& engine) const {
+  const auto it = engine_from_.find(engine);
+  return it == engine_from_.end()
+             ? Duration(0)
+             : std::max<Duration>(Duration(0),
+                                  it->second - clock_.SuspendAwareNow());
+}
+
+bool OrderLease::MayOrder(const std::string& engine) const {
+  return MayOrder() && WaitFor(engine) == Duration(0);
+}
+
+void OrderLease::OnOrder(const std::string& engine) {
+  last_orders_[engine] = clock_.SuspendAwareNow();
+}
+
+bool OrderLease::Settled(TimePoint now) const {
+  return now >= orders_from_ &&
+         std::ranges::all_of(engine_from_,
+                             [&](const auto& it) { return now >= it.second; });
+}
+
+OrderLease::EngineWaits OrderLease::WaitsAfterRelease(TimePoint now) const {
+  EngineWaits out;
+  const auto add = [&](const std::string& engine, TimePoint until) {
+    if (until > now) {
+      out[engine] = std::max(out[engine], until - now);
+    }
+  };
+  for (const auto& [engine, at] : last_orders_) {
+    add(engine, at + timing_.order_time + timing_.handover_gap);
+  }
+  for (const auto& [engine, at] : engine_from_) {
+    add(engine, at);
+  }
+  return out;
+}
+
 std::string OrderLease::Value(bool released) const {
-  return nlohmann::json({{"holder", peers_.node_id()},
-                         {"fence", fence_},
-                         {"renewal", renewals_},
-                         {"released", released},
-                         {"ordering", holding_ && clock_.SuspendAwareNow() >=
-                                                      orders_from_}})
-      .dump();
+  const auto now = clock_.SuspendAwareNow();
+  nlohmann::json out{{"holder", peers_.node_id()},
+                     {"fence", fence_},
+                     {"renewal", renewals_},
+                     {"released", released},
+                     {"ordering", holding_ && Settled(now)}};
+  if (released && now >= orders_from_) {
+    auto waits = nlohmann::json::object();
+    for (const auto& [engine, wait] : WaitsAfterRelease(now)) {
+      waits[engine] =
+          std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    }
+    out["engine_waits_ms"] = std::move(waits);
+  }
+  return out.dump();
 }
 
 void OrderLease::Announce() {
@@ -205,7 +264,7 @@
     return;
   }
   if (lease.released) {
-    Take(object.version, lease.fence + 1, timing_.handover_gap);
+    TakeReleased(object.version, lease.fence + 1, object.value);
     return;
   }
   if (!seen_ || seen_->revision != object.version) {
@@ -221,12 +280,39 @@
   }
 }
 
+// The holder named the engines that it ordered lately, unless it had not yet
+// waited out the one before it. The waits began when it wrote them, before now.
+void OrderLease::TakeReleased(std::uint64_t version,
+                              std::uint64_t fence,
+                              const std::string& value) {
+  const auto lease = ParseLease(value);
+  if (!lease.waits_ms) {
+    Take(version, fence, timing_.handover_gap);
+    return;
+  }
+  EngineWaits waits;
+  const Duration longest = timing_.order_time + timing_.handover_gap;
+  for (const auto& [engine, ms] : *lease.waits_ms) {
+    const auto bounded = std::clamp<std::int64_t>(
+        ms, 0, std::chrono::ceil<std::chrono::milliseconds>(longest).count());
+    waits[engine] = std::chrono::milliseconds(bounded) + kClockMargin;
+  }
+  Take(version, fence, Duration(0), waits);
+}
+
 void OrderLease::Take(std::uint64_t expected_version,
                       std::uint64_t fence,
-                      Duration orders_wait) {
+                      Duration orders_wait,
+                      const EngineWaits& engine_waits) {
   const auto sent = clock_.SuspendAwareNow();
   const auto previous_fence = std::exchange(fence_, fence);
   renewals_ = 1;
+  orders_from_ = sent + orders_wait;
+  engine_from_.clear();
+  for (const auto& [engine, wait] : engine_waits) {
+    engine_from_[engine] = sent + wait;
+  }
+  last_orders_.clear();
   const auto result =
       store_.Put(key_, Value(/*released=*/false), expected_version);
   if (stopping_) {
@@ -241,7 +327,6 @@
   holding_ = true;
   holder_ = peers_.node_id();
   attempted_ = sent;
-  orders_from_ = sent + orders_wait;
   log_.Record(
       events::kLeaseTaken,
       {{"fence", fence_},
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -4,6 +4,8 @@
 #define ORDERING_ORDER_LEASE_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -32,8 +34,10 @@
 
 /// The lease, an object that the holder replaces in turn. It counts from the
 /// moment at which a renewal was sent, on a clock that goes on while the VM is
-/// suspended; no time of day is compared. Answers holders that die, freeze, are
-/// cut off from the store, or whose renewal's answer is lost.
+/// suspended; no time of day is compared. A holder that stops tells when it
+/// ordered which engine, so that its successor waits only for those. Answers
+/// holders that die, freeze, are cut off from the store, or whose renewal's
+/// answer is lost.
 class OrderLease {
  public:
   OrderLease(ObjectStore& store,
@@ -50,8 +54,15 @@
   /// end, and ends Run().
   void Stop();
 
-  /// Whether this node may send an order now.
+  /// Whether this node may send an order now, to any engine or to this one.
   bool MayOrder() const;
+  bool MayOrder(const std::string& engine) const;
+
+  /// Time until an engine is free of the orders of the last holder.
+  Duration WaitFor(const std::string& engine) const;
+
+  /// Notes that an order to `engine` is about to be sent.
+  void OnOrder(const std::string& engine);
 
   /// Whether this node holds the lease, as far as it knows.
   bool holding() const { return holding_; }
@@ -69,6 +80,9 @@
   void OnNotice(const LeaseNotice& notice);
 
  private:
+  /// Time until each engine may be ordered; engines not named may be at once.
+  using EngineWaits = std::map<std::string, Duration, std::less<>>;
+
   struct Seen {
     std::uint64_t revision = 0;
     TimePoint at{};  ///< By SuspendAwareNow().
@@ -83,7 +97,15 @@
   void TryTake();
   void Take(std::uint64_t expected_version,
             std::uint64_t fence,
-            Duration orders_wait);
+            Duration orders_wait,
+            const EngineWaits& engine_waits = {});
+  void TakeReleased(std::uint64_t version,
+                    std::uint64_t fence,
+                    const std::string& value);
+  /// Whether the orders of earlier holders no longer count at any engine.
+  bool Settled(TimePoint now) const;
+  /// What a successor has to wait for at each engine.
+  EngineWaits WaitsAfterRelease(TimePoint now) const;
   Duration Patience() const;
   std::string Value(bool released) const;
   void Announce();
@@ -102,9 +124,13 @@
   std::uint64_t renewals_ = 0;  ///< Sent under this fence; tells them apart.
   std::uint64_t revision_ = 0;
   std::string holder_;
-  TimePoint sent_{};          ///< Of the last renewal that was stored.
-  TimePoint attempted_{};     ///< Of the last renewal that was tried.
-  TimePoint orders_from_{};   ///< Earlier, the last holder's orders may count.
+  TimePoint sent_{};         ///< Of the last renewal that was stored.
+  TimePoint attempted_{};    ///< Of the last renewal that was tried.
+  TimePoint orders_from_{};  ///< Earlier, the last holder's orders may count.
+  /// Later than orders_from_ for engines that a releasing holder named.
+  std::map<std::string, TimePoint, std::less<>> engine_from_;
+  std::map<std::string, TimePoint, std::less<>>
+      last_orders_;           ///< Own, by engine.
   std::optional<Seen> seen_;  ///< The lease of another holder.
   bool looked_ = false;       ///< The stored lease was read since the start.
   EventFlag changed_;
