Leave a full endpoint alone by model

An endpoint answers in the same way while an order concerns the model of a request. Other models there are served meanwhile, so that the pause now holds for the endpoint and the model.

--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -73,8 +73,13 @@
   denials_[{id, model}] = clock_.Now() + kDenialValid;
 }
 
-void FleetView::OnFull(const std::string& id) {
-  full_until_[id] = clock_.Now() + kFullValid;
+void FleetView::OnFull(const std::string& id, const ModelRef& model) {
+  full_until_[{id, model.model}] = clock_.Now() + kFullValid;
+}
+
+bool FleetView::Full(const std::string& id, const ModelRef& model) const {
+  const auto it = full_until_.find({id, model.model});
+  return it != full_until_.end() && clock_.Now() < it->second;
 }
 
 bool FleetView::Denied(const std::string& id, const ModelRef& model) const {
@@ -135,11 +140,7 @@
   std::vector<EndpointCandidate> out;
   for (const auto& [id, record] : directory_.records()) {
     if (record.service != service || record.draining || excluded.contains(id) ||
-        !Holds(record, model)) {
-      continue;
-    }
-    const auto full = full_until_.find(id);
-    if (full != full_until_.end() && now < full->second) {
+        !Holds(record, model) || Full(id, model)) {
       continue;
     }
     EndpointCandidate candidate{&record, InFlight(id), 0,
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -70,8 +70,9 @@
   /// The endpoint refused a request because it does not hold the model.
   void OnDenied(const std::string& id, const ModelRef& model);
 
-  /// The endpoint had no place for a request.
-  void OnFull(const std::string& id);
+  /// The endpoint had no place for a request: it is full, or an order concerns
+  /// the model.
+  void OnFull(const std::string& id, const ModelRef& model);
 
   /// Counts a request of this node at an endpoint.
   void BeginUse(const std::string& id);
@@ -106,6 +107,7 @@
   bool Holds(const EndpointRecord& record, const ModelRef& model) const;
   std::uint32_t InFlight(const std::string& id) const;
   bool Denied(const std::string& id, const ModelRef& model) const;
+  bool Full(const std::string& id, const ModelRef& model) const;
 
   std::string data_centre_;
   const Clock& clock_;
@@ -125,7 +127,7 @@
   std::map<std::string, std::uint32_t, std::less<>> own_use_;
   std::map<std::string, EndpointHealth, std::less<>> health_;
   std::map<std::pair<std::string, ModelRef>, TimePoint> denials_;
-  std::map<std::string, TimePoint, std::less<>> full_until_;
+  std::map<std::pair<std::string, std::string>, TimePoint> full_until_;
 };
 
 }  // namespace tanagerloom
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -433,7 +433,7 @@
   if (attempt.traits().wrong_endpoint) {
     deps_.view.OnDenied(target.id, profile_.model);
   } else {
-    deps_.view.OnFull(target.id);
+    deps_.view.OnFull(target.id, profile_.model);
   }
   excluded_until_[target.id] = deps_.clock.Now() + kExcludeNotRun;
   return Repeat(target, /*reached_endpoint=*/true);
