Explain what happened to the process that handled a request

tanagerctl explain left out events of a process as a whole, such as its stopping, which explained one of the three requests in docs/OPERATIONS.md. They are shown for the processes that handled the request. Explain GivesWhatHappenedToTheProcess fails before.

--- a/packages/ctl/explanation.cc
+++ b/packages/ctl/explanation.cc
@@ -14,6 +14,12 @@
 constexpr std::int64_t kAfterUs = 500'000;
 constexpr std::int64_t kMicrosInMilli = 1000;
 
+// Events of a process as a whole that change how it treats each request.
+const std::set<std::string, std::less<>> kOfProcess = {
+    "node_started",          "node_stopping",     "node_stopped",
+    "process_paused",        "dependency_lost",   "dependency_regained",
+    "fleet_config_in_force", "readiness_changed", "settings_reloaded"};
+
 std::string Field(const nlohmann::json& event, const char* name) {
   const auto fields = event.find("fields");
   if (fields == event.end() || !fields->is_object()) {
@@ -38,10 +44,12 @@
   std::int64_t last_us = 0;
   std::string model;
   std::set<std::string> endpoints;
+  std::set<std::string> processes;  ///< That handled the request.
 
   void Add(const nlohmann::json& event) {
     first_us = std::min(first_us, TimeOf(event));
     last_us = std::max(last_us, TimeOf(event));
+    processes.insert(event.value("process", ""));
     const auto named = Field(event, "model");
     model = named.empty() ? model : BaseModel(named);
     const auto endpoint = Field(event, "endpoint");
@@ -62,7 +70,9 @@
     return (!model.empty() && BaseModel(named) == model) ||
            endpoints.contains(Field(event, "endpoint")) ||
            endpoints.contains(Field(event, "engine")) ||
-           event.value("event", "").starts_with("lease_");
+           event.value("event", "").starts_with("lease_") ||
+           (processes.contains(event.value("process", "")) &&
+            kOfProcess.contains(event.value("event", "")));
   }
 };
 
--- a/packages/ctl/explanation.h
+++ b/packages/ctl/explanation.h
@@ -19,7 +19,8 @@
 };
 
 /// The events of a request and, around it, those of its model's orders, of the
-/// endpoints that it was sent to, and of the lease on orders; by time.
+/// endpoints that it was sent to, of the lease on orders, and of the process
+/// that handled it as a whole, such as its stopping; by time.
 std::vector<ExplainedEvent> Explain(const std::string& request,
                                     std::span<const nlohmann::json> events);
 
--- a/tests/correctness/explanation_test.cc
+++ b/tests/correctness/explanation_test.cc
@@ -9,9 +9,10 @@
 
 std::string Line(std::int64_t ms,
                  const std::string& event,
-                 const nlohmann::json& fields) {
+                 const nlohmann::json& fields,
+                 const std::string& process = "n") {
   return nlohmann::json({{"time_us", ms * 1000},
-                         {"process", "n"},
+                         {"process", process},
                          {"event", event},
                          {"fields", fields}})
       .dump();
@@ -51,6 +52,24 @@
   EXPECT_TRUE(Explain("none", events).empty());
 }
 
+// Guards against an explanation that leaves out that the request's own node was
+// stopping or cut off from the store.
+TEST(Explain, GivesWhatHappenedToTheProcess) {
+  std::vector<nlohmann::json> events;
+  for (const auto& it :
+       {Line(10000, "node_stopping", {{"signals", 1}}),
+        Line(10100, "node_stopping", {{"signals", 1}}, "other"),
+        Line(11000, "dependency_lost", {{"dependency", "store"}}),
+        Line(12000, "forward_rejected", {{"request", "r1"}})}) {
+    events.push_back(ParseLogLine(it));
+  }
+  const auto explained = Explain("r1", events);
+  ASSERT_EQ(explained.size(), 3U);
+  EXPECT_EQ(explained[0].event.at("event"), "node_stopping");
+  EXPECT_EQ(explained[0].event.at("process"), "n");
+  EXPECT_EQ(explained[1].event.at("event"), "dependency_lost");
+}
+
 // Guards against a log that grows with the load, and against warnings that are
 // left out because of routine lines.
 TEST(LineLimiter, BoundsTheLinesOfASecondAndCountsTheRest) {
