Give a silent endpoint up only when the request can go on elsewhere

Cause: a stream that may be resumed was taken from an endpoint after 1.5 s of silence if another endpoint could serve it. Only then was a repeat taken from the budget; without one left (at 58 nodes a node has some two, and 0.14 for each of its own requests) the client's stream was cut. Reads and first events ended in the same way with 502.

Ruled out: the shutdown itself (its grace lasted 8 s, the cut came after 1.5 s).

A timeout no longer closes the connection: the node looks whether an attempt, an endpoint and a repeat are left, and otherwise goes on waiting for the answer.

error.forwarding SilenceEndsNoAnswerIfNoRepeatIsLeft fails before and passes.

--- a/packages/fleet/repeat_budget.h
+++ b/packages/fleet/repeat_budget.h
@@ -30,8 +30,10 @@
   /// A request of a client for the service arrived.
   void OnRequest(TimePoint now) { requests_.push_back(now); }
 
-  /// Takes one repeat; false if none is left.
-  bool Take(const RepeatLimits& limits, std::size_t live_nodes, TimePoint now) {
+  /// Whether one more repeat is left.
+  bool Allows(const RepeatLimits& limits,
+              std::size_t live_nodes,
+              TimePoint now) {
     Forget(requests_, now - limits.window);
     Forget(repeats_, now - limits.window);
     const double share =
@@ -39,7 +41,12 @@
     const double allowed =
         kUsedPart *
         (limits.ratio * static_cast<double>(requests_.size()) + share);
-    if (static_cast<double>(repeats_.size()) + 1 > allowed) {
+    return static_cast<double>(repeats_.size()) + 1 <= allowed;
+  }
+
+  /// Takes one repeat; false if none is left.
+  bool Take(const RepeatLimits& limits, std::size_t live_nodes, TimePoint now) {
+    if (!Allows(limits, live_nodes, now)) {
       return false;
     }
     repeats_.push_back(now);
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -275,8 +275,11 @@
                                           {"endpoint", target.id},
                                           {"send", sends_},
                                           {"age_ms", AgeMs()}});
-  const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt,
-                                 AnswerDeadline(target));
+  auto sent = attempt.Send(MakeAttempt(target), profile_.attempt,
+                           AnswerDeadline(target));
+  while (!sent && StaysWith(target, sent.assume_error())) {
+    sent = attempt.AwaitAnswer(profile_.attempt, AnswerDeadline(target));
+  }
   if (!sent) {
     return OnFailed(target, sent.assume_error());
   }
@@ -303,6 +306,20 @@
   return !deps_.view.Candidates(service_, profile_.model, excluded).empty();
 }
 
+// A silent endpoint is only given up if the request can go on elsewhere now: no
+// repeat may be left, or no endpoint, and the answer may still come.
+bool ForwardedRequest::StaysWith(const Target& target,
+                                 const AttemptError& error) {
+  const auto now = deps_.clock.Now();
+  if (error.failure != AttemptFailure::kSilent || now >= deadline_ ||
+      ClientGone()) {
+    return false;
+  }
+  return !MayStillRepeat() || sends_ >= kMostSends || !OthersCanServe(target) ||
+         !budgets_[service_].Allows(deps_.repeat_limits, deps_.live_nodes(),
+                                    now);
+}
+
 // An endpoint that is silent for longer than this is given up if the request
 // may go on elsewhere; otherwise its silence is no reason to end the request.
 TimePoint ForwardedRequest::AnswerDeadline(const Target& target) const {
@@ -337,6 +354,9 @@
   response.headers = deps_.protocol.PassedHeaders(attempt.headers());
   while (true) {
     const auto n = attempt.Read(response.body, AnswerDeadline(target));
+    if (!n && StaysWith(target, n.assume_error())) {
+      continue;
+    }
     if (!n) {
       return OnFailed(target, n.assume_error());
     }
@@ -376,6 +396,9 @@
     const bool first = first_event_ms_ < 0;
     const auto n = attempt.Read(cutter_.input(), first ? AnswerDeadline(target)
                                                        : EventDeadline(target));
+    if (!n && StaysWith(target, n.assume_error())) {
+      continue;
+    }
     if (!n) {
       return OnFailed(target, n.assume_error());
     }
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -80,6 +80,7 @@
   TimePoint AnswerDeadline(const Target& target) const;
   TimePoint EventDeadline(const Target& target) const;
   bool OthersCanServe(const Target& target) const;
+  bool StaysWith(const Target& target, const AttemptError& error);
   bool MayStillRepeat() const;
   std::chrono::milliseconds RetryAfter() const;
   void Suspect(const Target& target);
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -133,7 +133,7 @@
                    Verdict::kNotRun);
   }
   impl_->stream.expires_at(options.deadline);
-  auto result = AwaitIo(
+  const auto result = AwaitIo(
       [&](auto done) { bhttp::async_write(impl_->stream, message, done); });
   if (result.ec) {
     return Failure(result.ec, "cannot send the request to", address_,
@@ -144,10 +144,19 @@
   impl_->parser->body_limit(options.max_body_bytes);
   // The length in the answer to HEAD is that of a body which does not come.
   impl_->parser->skip(request.method == "HEAD");
-  result = AwaitIo([&](auto done) {
-    bhttp::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
-                             done);
+  return ReadHead(options.deadline);
+}
+
+HttpResult<void> HttpConnection::ReadHead(TimePoint deadline) {
+  impl_->stream.expires_never();
+  impl_->watchdog.Begin(deadline);
+  auto result = AwaitIo([&](auto done) {
+    bhttp::async_read_header(impl_->stream.socket(), impl_->buffer,
+                             *impl_->parser, done);
   });
+  if (impl_->watchdog.End()) {
+    result.ec = beast::error::timeout;
+  }
   if (result.ec) {
     return Failure(result.ec, "no response from", address_,
                    Verdict::kMayHaveRun);
--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -24,7 +24,11 @@
   /// Writes the request and reads the response's head.
   HttpResult<void> Send(const HttpRequest& request,
                         const HttpCallOptions& options);
+  /// Reads the head of the response, which Send does as well. After a timeout
+  /// of either it may be called again.
+  HttpResult<void> ReadHead(TimePoint deadline);
   /// Appends the next bytes of the body to `out`; 0 is the proper end.
+  /// After a timeout it may be called again.
   HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
 
   /// Whether an idle connection is still open and has no stray input.
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -64,7 +64,7 @@
 // A node's request path with two endpoints. Its parts live until the process
 // ends, as the fibers of their servers do.
 struct Site {
-  Site()
+  explicit Site(RepeatLimits repeats = {})
       : a(store, "i-a", "s"),
         b(store, "i-b", "s"),
         client(Runtime::Get().io()),
@@ -82,7 +82,7 @@
                   {milliseconds(500), milliseconds(10), milliseconds(50)}}),
         forwarder(
             {Runtime::Get().io(), registry, view, demand, protocol, suspects,
-             clock, log, RepeatLimits{}, [] { return std::size_t{1}; },
+             clock, log, repeats, [] { return std::size_t{1}; },
              [this] { return stop_waiting_at; },
              [this](std::uint64_t it) { suspects.OnCrash(it, clock.Now()); }}),
         server(Runtime::Get().io(),
@@ -317,6 +317,33 @@
   EXPECT_EQ(site.Runs(), 1U);
 }
 
+// Guards against a stream that its node breaks off, and a read that it fails,
+// because the endpoint is silent for a while and no repeat is left.
+TEST_F(Forwarding, SilenceEndsNoAnswerIfNoRepeatIsLeft) {
+  auto& poor = *new Site(RepeatLimits{0, seconds(10), 0});
+  poor.Start();
+  poor.ServeBy([](const HttpRequest& request, HttpResponder& responder) {
+    if (request.target.starts_with("/read/")) {
+      boost::this_fiber::sleep_for(milliseconds(900));
+      (void)responder.Send({200, FleetEngine::Sealed(request), "late"});
+      return;
+    }
+    (void)responder.StartStream(200, FleetEngine::Sealed(request));
+    (void)responder.Write(FleetEngine::Event(1));
+    boost::this_fiber::sleep_for(milliseconds(1500));
+    (void)responder.Write(FleetEngine::Event(2));
+    (void)responder.Finish();
+  });
+  const auto stream = poor.Send(poor.Request("/stream-on/x"));
+  ASSERT_TRUE(stream);
+  EXPECT_EQ(stream.assume_value().body,
+            FleetEngine::Event(1) + FleetEngine::Event(2));
+  const auto read = poor.Send(poor.Request("/read/x"));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.assume_value().status, 200);
+  EXPECT_EQ(poor.Runs(), 2U);
+}
+
 // Guards against a cut stream that looks complete, or that runs a second time.
 TEST_F(Forwarding, StreamThatMayNotGoOnIsCutForTheClient) {
   site.ServeBy([](const HttpRequest& request, HttpResponder& responder) {
