--- a/packages/ctl/explanation.cc
+++ b/packages/ctl/explanation.cc
@@ -1,8 +1,10 @@
 #include "ctl/explanation.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
+#include <string_view>
 
 namespace tanagerloom {
 
@@ -15,11 +17,16 @@
 constexpr std::int64_t kMicrosInMilli = 1000;
 
 // Events of a process as a whole that change how it treats each request.
-const std::set<std::string, std::less<>> kOfProcess = {
+constexpr std::array<std::string_view, 9> kOfProcess = {
     "node_started",          "node_stopping",     "node_stopped",
     "process_paused",        "dependency_lost",   "dependency_regained",
     "fleet_config_in_force", "readiness_changed", "settings_reloaded"};
 
+bool IsOfProcess(const nlohmann::json& event) {
+  return std::ranges::find(kOfProcess, event.value("event", "")) !=
+         kOfProcess.end();
+}
+
 std::string Field(const nlohmann::json& event, const char* name) {
   const auto fields = event.find("fields");
   if (fields == event.end() || !fields->is_object()) {
@@ -71,8 +78,8 @@
            endpoints.contains(Field(event, "endpoint")) ||
            endpoints.contains(Field(event, "engine")) ||
            event.value("event", "").starts_with("lease_") ||
-           (processes.contains(event.value("process", "")) &&
-            kOfProcess.contains(event.value("event", "")));
+           (IsOfProcess(event) &&
+            processes.contains(event.value("process", "")));
   }
 };
 
