Take back the pause of full endpoints, and waiting before an answer began

Reverted: the pause of full endpoints, counts told at the full rate up to 16 nodes, waiting for the beginning of an answer from a silent endpoint.

--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -73,15 +73,6 @@
   denials_[{id, model}] = clock_.Now() + kDenialValid;
 }
 
-void FleetView::OnFull(const std::string& id, const ModelRef& model) {
-  full_until_[{id, model.model}] = clock_.Now() + kFullValid;
-}
-
-bool FleetView::Full(const std::string& id, const ModelRef& model) const {
-  const auto it = full_until_.find({id, model.model});
-  return it != full_until_.end() && clock_.Now() < it->second;
-}
-
 bool FleetView::Denied(const std::string& id, const ModelRef& model) const {
   const auto it = denials_.find({id, model});
   return it != denials_.end() && clock_.Now() < it->second;
@@ -140,7 +131,7 @@
   std::vector<EndpointCandidate> out;
   for (const auto& [id, record] : directory_.records()) {
     if (record.service != service || record.draining || excluded.contains(id) ||
-        !Holds(record, model) || Full(id, model)) {
+        !Holds(record, model)) {
       continue;
     }
     EndpointCandidate candidate{&record, InFlight(id), 0,
@@ -165,7 +156,6 @@
   std::erase_if(notices_, unknown);
   std::erase_if(health_, unknown);
   std::erase_if(denials_, [&](const auto& it) { return it.second <= now; });
-  std::erase_if(full_until_, [&](const auto& it) { return it.second <= now; });
   std::erase_if(peer_use_, [&](const auto& it) {
     return now - it.second.received >= kPeerUseValid;
   });
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -25,15 +25,12 @@
 class FleetView {
  public:
   /// Counts of a peer are used for this long after they came: five intervals of
-  /// up to sixteen nodes, and one of eighty. Older counts would send all nodes
-  /// to the same endpoints.
+  /// up to eight nodes. More nodes tell them less often; old counts would send
+  /// all nodes to the same endpoints.
   static constexpr Duration kPeerUseValid = std::chrono::seconds(2);
   /// An endpoint that denied holding a model is not asked for it again for this
   /// long, in which newer news of it arrive.
   static constexpr Duration kDenialValid = std::chrono::milliseconds(500);
-  /// An endpoint that had no place for a request gets none of this node for
-  /// this long, in which a part of its queue is served.
-  static constexpr Duration kFullValid = std::chrono::milliseconds(600);
   /// An outlook is told again while requests wait; an older one does not count.
   static constexpr Duration kOutlookValid = std::chrono::milliseconds(1500);
 
@@ -70,10 +67,6 @@
   /// The endpoint refused a request because it does not hold the model.
   void OnDenied(const std::string& id, const ModelRef& model);
 
-  /// The endpoint had no place for a request: it is full, or an order concerns
-  /// the model.
-  void OnFull(const std::string& id, const ModelRef& model);
-
   /// Counts a request of this node at an endpoint.
   void BeginUse(const std::string& id);
   void EndUse(const std::string& id);
@@ -84,7 +77,7 @@
   EndpointHealth& Health(const std::string& id) { return health_[id]; }
 
   /// Endpoints of `service` that can take a request for `model` now, without
-  /// full ones and those in `excluded`.
+  /// those in `excluded`.
   std::vector<EndpointCandidate> Candidates(
       std::string_view service,
       const ModelRef& model,
@@ -107,7 +100,6 @@
   bool Holds(const EndpointRecord& record, const ModelRef& model) const;
   std::uint32_t InFlight(const std::string& id) const;
   bool Denied(const std::string& id, const ModelRef& model) const;
-  bool Full(const std::string& id, const ModelRef& model) const;
 
   std::string data_centre_;
   const Clock& clock_;
@@ -127,7 +119,6 @@
   std::map<std::string, std::uint32_t, std::less<>> own_use_;
   std::map<std::string, EndpointHealth, std::less<>> health_;
   std::map<std::pair<std::string, ModelRef>, TimePoint> denials_;
-  std::map<std::pair<std::string, std::string>, TimePoint> full_until_;
 };
 
 }  // namespace tanagerloom
--- a/packages/forwarding/endpoint_attempt.cc
+++ b/packages/forwarding/endpoint_attempt.cc
@@ -73,19 +73,6 @@
   if (!sent) {
     return Failure(sent.assume_error());
   }
-  return CheckAnswer(attempt);
-}
-
-AttemptResult<void> EndpointAttempt::AwaitAnswer(const std::string& attempt,
-                                                 TimePoint deadline) {
-  const auto read = connection_->ReadHead(deadline);
-  if (!read) {
-    return Failure(read.assume_error());
-  }
-  return CheckAnswer(attempt);
-}
-
-AttemptResult<void> EndpointAttempt::CheckAnswer(const std::string& attempt) {
   traits_ = protocol_.ReadAnswer(status(), headers());
   if (!traits_.attempt.empty() && traits_.attempt != attempt) {
     return AttemptError{AttemptFailure::kForeign, Verdict::kMayHaveRun,
--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -61,11 +61,6 @@
                            const std::string& attempt,
                            TimePoint deadline);
 
-  /// Goes on waiting for the head of the answer, after Send or this failed with
-  /// kSilent.
-  AttemptResult<void> AwaitAnswer(const std::string& attempt,
-                                  TimePoint deadline);
-
   /// Appends the next bytes of the answer to `out`; 0 is its proper end. May be
   /// called again after it failed with kSilent.
   AttemptResult<std::size_t> Read(std::string& out, TimePoint deadline);
@@ -79,7 +74,6 @@
 
  private:
   AttemptError Failure(const HttpFailure& failure) const;
-  AttemptResult<void> CheckAnswer(const std::string& attempt);
 
   const RequestProtocol& protocol_;
   const Clock& clock_;
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -275,11 +275,8 @@
                                           {"endpoint", target.id},
                                           {"send", sends_},
                                           {"age_ms", AgeMs()}});
-  auto sent = attempt.Send(MakeAttempt(target), profile_.attempt,
-                           AnswerDeadline(target));
-  while (!sent && StaysWith(target, sent.assume_error())) {
-    sent = attempt.AwaitAnswer(profile_.attempt, AnswerDeadline(target));
-  }
+  const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt,
+                                 AnswerDeadline(target));
   if (!sent) {
     return OnFailed(target, sent.assume_error());
   }
@@ -306,13 +303,15 @@
   return !deps_.view.Candidates(service_, profile_.model, excluded).empty();
 }
 
-// A silent endpoint is only given up if the request can go on elsewhere now: no
-// repeat may be left, or no endpoint, and the answer may still come.
+// A stream that has begun is only taken from a silent endpoint if it can go on
+// elsewhere now: no repeat may be left, or no endpoint, and the rest may still
+// come. Before it has begun, a client that hears of the failure early can come
+// again itself.
 bool ForwardedRequest::StaysWith(const Target& target,
                                  const AttemptError& error) {
   const auto now = deps_.clock.Now();
-  if (error.failure != AttemptFailure::kSilent || now >= deadline_ ||
-      ClientGone()) {
+  if (!passed_events_ || error.failure != AttemptFailure::kSilent ||
+      now >= deadline_ || ClientGone()) {
     return false;
   }
   return !MayStillRepeat() || sends_ >= kMostSends || !OthersCanServe(target) ||
@@ -354,9 +353,6 @@
   response.headers = deps_.protocol.PassedHeaders(attempt.headers());
   while (true) {
     const auto n = attempt.Read(response.body, AnswerDeadline(target));
-    if (!n && StaysWith(target, n.assume_error())) {
-      continue;
-    }
     if (!n) {
       return OnFailed(target, n.assume_error());
     }
@@ -455,8 +451,6 @@
                     {"age_ms", AgeMs()}});
   if (attempt.traits().wrong_endpoint) {
     deps_.view.OnDenied(target.id, profile_.model);
-  } else {
-    deps_.view.OnFull(target.id, profile_.model);
   }
   excluded_until_[target.id] = deps_.clock.Now() + kExcludeNotRun;
   return Repeat(target, /*reached_endpoint=*/true);
--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -24,11 +24,8 @@
   /// Writes the request and reads the response's head.
   HttpResult<void> Send(const HttpRequest& request,
                         const HttpCallOptions& options);
-  /// Reads the head of the response, which Send does as well. After a timeout
-  /// of either it may be called again.
-  HttpResult<void> ReadHead(TimePoint deadline);
-  /// Appends the next bytes of the body to `out`; 0 is the proper end.
-  /// After a timeout it may be called again.
+  /// Appends the next bytes of the body to `out`; 0 is the proper end. After a
+  /// timeout it may be called again.
   HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
 
   /// Whether an idle connection is still open and has no stray input.
@@ -44,6 +41,8 @@
   const Address& address() const { return address_; }
 
  private:
+  HttpResult<void> ReadHead(TimePoint deadline);
+
   struct Impl;
   std::unique_ptr<Impl> impl_;
   Address address_;
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -38,7 +38,7 @@
 constexpr milliseconds kUseInterval{400};
 // Up to this number of nodes; beyond, each tells it less often, so that what a
 // node receives stays the same.
-constexpr std::size_t kNodesAtFullRate = 16;
+constexpr std::size_t kNodesAtFullRate = 8;
 // The list of nodes changes rarely, and a read that may be old costs little.
 constexpr milliseconds kNodeListInterval{1000};
 // Time in which the balancer notices twice that the node is not ready.
