--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -106,7 +106,7 @@
           folder_.path(), "node-" + std::to_string(i),
           Address{"127.0.0.1", PortOf(*link)}));
     }
-    Spawn([this] { RedirectPeers(); });
+    redirection_ = boost::fibers::fiber([this] { RedirectPeers(); });
     for (const auto& it : nodes_) {
       ASSERT_TRUE(WaitUntil([&] { return it->Ready(); }));
     }
@@ -115,6 +115,7 @@
 
   void TearDown() override {
     ended_ = true;
+    redirection_.join();
     if (const char* to = std::getenv("TANAGERLOOM_KEEP_LOGS")) {
       std::filesystem::create_directories(to);
       std::filesystem::copy(folder_.path(), to,
@@ -163,9 +164,8 @@
           continue;
         }
         const int port = entry.at("peer_port").get<int>();
-        const bool proxied = peer_links_.contains(it->id()) &&
-                             PortOf(*peer_links_[it->id()]) == port;
-        if (!proxied) {
+        const auto known = peer_links_.find(it->id());
+        if (known == peer_links_.end() || PortOf(*known->second) != port) {
           auto& link = by_port[port];
           link = link == nullptr ? AddLink(static_cast<std::uint16_t>(port))
                                  : link;
@@ -342,16 +342,17 @@
     if (which == 0) {
       link = store_links_[n];
     } else if (which == 1) {
-      link = peer_links_[name];
+      const auto known = peer_links_.find(name);
+      if (known == peer_links_.end()) {
+        return;
+      }
+      link = known->second;
     } else {
       const auto e =
           static_cast<std::size_t>(Number(static_cast<int>(endpoints_.size())));
       link = endpoint_links_[e];
       name = endpoints_[e]->id();
     }
-    if (link == nullptr) {
-      return;
-    }
     // Delays stay below the time that the lease leaves for an order.
     const nlohmann::json faults[] = {
         {{"drop_existing", true}},
@@ -509,6 +510,7 @@
   std::vector<std::shared_ptr<Link>> endpoint_links_;
   std::vector<std::shared_ptr<Link>> store_links_;
   std::map<std::string, std::shared_ptr<Link>> peer_links_;
+  boost::fibers::fiber redirection_;
   std::vector<std::unique_ptr<NodeProcess>> nodes_;
   SteadyClock clock_;
   HttpClient client_{Runtime::Get().io()};
