--- a/tests/support/soak_calls.h
+++ b/tests/support/soak_calls.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -102,59 +103,82 @@
 
   /// One line for each broken promise; empty if all were kept.
   std::string Violations() const {
-    // A node out of touch for less than this is excused, as is one after it.
-    constexpr std::int64_t kContactMs = 3000;
-    // Answers that a few connections may lose, and the time after its own in
-    // which a request has to be answered: the platform's bounds.
-    constexpr int kMostLost = 3;
-    constexpr std::int64_t kLateMs = 500;
-    constexpr int kMostLate = 8;
     std::string out;
-    std::string lost;
-    std::string late;
-    int lost_calls = 0;
-    int late_calls = 0;
+    std::vector<std::string> lost;
+    std::vector<std::string> late;
     for (const auto& it : calls) {
-      const int n = RunsOf(it);
-      const auto text = it.attempt + " at " + it.node + ", status " +
-                        std::to_string(it.status) + ", runs " +
-                        std::to_string(n) + ", sent at " +
-                        std::to_string(it.sent_ms) + " ms, took " +
-                        std::to_string(it.ended_ms - it.sent_ms) + " ms\n";
-      if (n > 1 && !MayRunTwice(it.kind)) {
-        out += "ran twice: " + text;
+      for (const auto& broken : BrokenBy(it)) {
+        out += broken + ": " + Describe(it) + "\n";
       }
-      const bool promised = it.status == 503 || it.status == 429 ||
-                            it.status == 408 || it.status == 421;
-      if (promised && n > 0 && !MayRunTwice(it.kind)) {
-        out += "said not to have run: " + text;
+      if (Lost(it)) {
+        lost.push_back("lost: " + Describe(it) + "\n");
       }
-      if (it.status == 200 && it.body != SoakBody(it.kind, it.attempt)) {
-        out += "another answer or part of one: " + text;
-      }
-      if (it.status >= 300 && it.status < 500 && !promised) {
-        out += "denied: " + text;
-      }
-      // A stream whose endpoint broke off may end without its end.
-      if (it.status == 0 && n > 0 && !IsStream(it.kind) &&
-          !Disturbed(it, kContactMs)) {
-        ++lost_calls;
-        lost += "lost: " + text;
-      }
-      if (it.ended_ms - it.sent_ms > it.time_ms + kLateMs &&
-          !Disturbed(it, kContactMs)) {
-        ++late_calls;
-        late += "answered late: " + text;
+      if (Late(it)) {
+        late.push_back("answered late: " + Describe(it) + "\n");
       }
     }
-    if (lost_calls > kMostLost) {
-      out += lost;
+    if (lost.size() > kMostLost) {
+      out = std::accumulate(lost.begin(), lost.end(), out);
+    }
+    if (late.size() >= kMostLate) {
+      out = std::accumulate(late.begin(), late.end(), out);
+    }
+    return out;
+  }
+
+ private:
+  // The platform's bounds: a node out of touch for less than the first is
+  // excused, as is one after it; answers that connections may lose; the time
+  // after its own in which a request has to be answered, and how many may miss
+  // it.
+  static constexpr std::int64_t kContactMs = 3000;
+  static constexpr std::size_t kMostLost = 3;
+  static constexpr std::int64_t kLateMs = 500;
+  static constexpr std::size_t kMostLate = 8;
+
+  // Whether the answer says that the request has not run and will not.
+  static bool PromisesNotRun(const SoakCall& call) {
+    return call.status == 503 || call.status == 429 || call.status == 408 ||
+           call.status == 421;
+  }
+
+  // The promises that hold in any disturbance.
+  std::vector<std::string> BrokenBy(const SoakCall& call) const {
+    std::vector<std::string> out;
+    const int n = RunsOf(call);
+    if (n > 1 && !MayRunTwice(call.kind)) {
+      out.push_back("ran twice");
+    }
+    if (PromisesNotRun(call) && n > 0 && !MayRunTwice(call.kind)) {
+      out.push_back("said not to have run");
+    }
+    if (call.status == 200 && call.body != SoakBody(call.kind, call.attempt)) {
+      out.push_back("another answer or part of one");
     }
-    if (late_calls >= kMostLate) {
-      out += late;
+    if (call.status >= 300 && call.status < 500 && !PromisesNotRun(call)) {
+      out.push_back("denied");
     }
     return out;
   }
+
+  // A stream whose endpoint broke off may end without its end.
+  bool Lost(const SoakCall& call) const {
+    return call.status == 0 && RunsOf(call) > 0 && !IsStream(call.kind) &&
+           !Disturbed(call, kContactMs);
+  }
+
+  bool Late(const SoakCall& call) const {
+    return call.ended_ms - call.sent_ms > call.time_ms + kLateMs &&
+           !Disturbed(call, kContactMs);
+  }
+
+  std::string Describe(const SoakCall& call) const {
+    return call.attempt + " at " + call.node + ", status " +
+           std::to_string(call.status) + ", runs " +
+           std::to_string(RunsOf(call)) + ", sent at " +
+           std::to_string(call.sent_ms) + " ms, took " +
+           std::to_string(call.ended_ms - call.sent_ms) + " ms";
+  }
 };
 
 }  // namespace tanagerloom::testing_support
