Keep the gap after the release of a process younger than the gap

Found in reading the change: a node that is killed, restarted and goes on ordering at once, then stops within 3 s, named in its release only the engines that its last process had ordered. A successor could order the others at once, within the gap after orders of the process before, which breaks ONE.

A release now names engines only once all earlier orders no longer count; otherwise the successor waits for the whole gap. OrderLease ReleaseSoonAfterARestartKeepsTheGap fails before and passes. The random test did not find it: its engines are ordered again only after the gap. The waits are read once, with the rest of the stored lease; a release with unreadable waits counts as one without.

--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -1,7 +1,6 @@
 #include "ordering/order_lease.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,8 +30,9 @@
   std::uint64_t renewal = 0;
   bool released = false;
   bool ordering = false;  ///< The holder's wait for the last one was over.
-  /// Of a release: the waits of all engines whose orders still count, in ms.
-  std::optional<std::map<std::string, std::int64_t>> waits_ms;
+  /// Of a release: the waits of all engines whose orders still count. Without
+  /// them the whole gap has to be waited for.
+  std::optional<std::map<std::string, Duration, std::less<>>> waits;
 };
 
 StoredLease ParseLease(const std::string& text) {
@@ -47,13 +47,17 @@
   out.released = json.value("released", false);
   out.ordering = json.value("ordering", false);
   const auto waits = json.find("engine_waits_ms");
-  if (waits != json.end() && waits->is_object()) {
-    out.waits_ms.emplace();
+  const bool readable =
+      waits != json.end() && waits->is_object() &&
+      std::ranges::all_of(*waits, [](const auto& it) {
+        return it.is_number_integer() && it.template get<std::int64_t>() >= 0;
+      });
+  if (readable) {
+    // They began when the release was written, before this reading.
+    out.waits.emplace();
     for (const auto& [engine, ms] : waits->items()) {
-      // What is no number is taken for the longest wait by the reader.
-      (*out.waits_ms)[engine] = ms.is_number()
-                                    ? ms.get<std::int64_t>()
-                                    : std::numeric_limits<std::int64_t>::max();
+      (*out.waits)[engine] =
+          std::chrono::milliseconds(ms.get<std::int64_t>()) + kClockMargin;
     }
   }
   return out;
@@ -125,7 +129,7 @@
                      {"renewal", renewals_},
                      {"released", released},
                      {"ordering", holding_ && Settled(now)}};
-  if (released && now >= orders_from_) {
+  if (released && now >= names_all_from_) {
     auto waits = nlohmann::json::object();
     for (const auto& [engine, wait] : WaitsAfterRelease(now)) {
       waits[engine] =
@@ -250,21 +254,25 @@
       seen_ = Seen{0, now - timing_.validity};
       return;
     }
-    Take(0, 1, Duration(0));
+    Take(0, 1, {});
     return;
   }
   looked_ = true;
   const auto& object = stored.assume_value();
   const auto lease = ParseLease(object.value);
+  const Handover whole_gap{timing_.handover_gap, {}, timing_.handover_gap};
   if (lease.holder == peers_.node_id()) {
     // Left by an earlier process of this VM, whose orders count as this one's.
     // If it was still waiting out the holder before it, so must this one.
+    const Duration longest = timing_.order_time + timing_.handover_gap;
     Take(object.version, lease.fence + 1,
-         lease.ordering ? Duration(0) : timing_.handover_gap);
+         lease.ordering ? Handover{Duration(0), {}, longest} : whole_gap);
     return;
   }
   if (lease.released) {
-    TakeReleased(object.version, lease.fence + 1, object.value);
+    Take(object.version, lease.fence + 1,
+         lease.waits ? Handover{Duration(0), *lease.waits, Duration(0)}
+                     : whole_gap);
     return;
   }
   if (!seen_ || seen_->revision != object.version) {
@@ -276,40 +284,20 @@
     return;
   }
   if (now - seen_->at >= timing_.validity + kClockMargin) {
-    Take(object.version, lease.fence + 1, timing_.handover_gap);
-  }
-}
-
-// The holder named the engines that it ordered lately, unless it had not yet
-// waited out the one before it. The waits began when it wrote them, before now.
-void OrderLease::TakeReleased(std::uint64_t version,
-                              std::uint64_t fence,
-                              const std::string& value) {
-  const auto lease = ParseLease(value);
-  if (!lease.waits_ms) {
-    Take(version, fence, timing_.handover_gap);
-    return;
-  }
-  EngineWaits waits;
-  const Duration longest = timing_.order_time + timing_.handover_gap;
-  for (const auto& [engine, ms] : *lease.waits_ms) {
-    const auto bounded = std::clamp<std::int64_t>(
-        ms, 0, std::chrono::ceil<std::chrono::milliseconds>(longest).count());
-    waits[engine] = std::chrono::milliseconds(bounded) + kClockMargin;
+    Take(object.version, lease.fence + 1, whole_gap);
   }
-  Take(version, fence, Duration(0), waits);
 }
 
 void OrderLease::Take(std::uint64_t expected_version,
                       std::uint64_t fence,
-                      Duration orders_wait,
-                      const EngineWaits& engine_waits) {
+                      const Handover& handover) {
   const auto sent = clock_.SuspendAwareNow();
   const auto previous_fence = std::exchange(fence_, fence);
   renewals_ = 1;
-  orders_from_ = sent + orders_wait;
+  orders_from_ = sent + handover.all;
+  names_all_from_ = sent + std::max(handover.all, handover.unnamed);
   engine_from_.clear();
-  for (const auto& [engine, wait] : engine_waits) {
+  for (const auto& [engine, wait] : handover.engines) {
     engine_from_[engine] = sent + wait;
   }
   last_orders_.clear();
@@ -331,7 +319,7 @@
       events::kLeaseTaken,
       {{"fence", fence_},
        {"orders_in_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(orders_wait)
+        std::chrono::duration_cast<std::chrono::milliseconds>(handover.all)
             .count()}});
   OnRenewed(result.assume_value(), sent);
   changed_.Signal();
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -4,7 +4,6 @@
 #define ORDERING_ORDER_LEASE_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -83,6 +82,15 @@
   /// Time until each engine may be ordered; engines not named may be at once.
   using EngineWaits = std::map<std::string, Duration, std::less<>>;
 
+  /// What a new holder has to wait for, from the sending of its first write.
+  struct Handover {
+    Duration all{};       ///< Before any order.
+    EngineWaits engines;  ///< Before an order to these.
+    /// Until the orders of earlier holders, or of an earlier process of this
+    /// VM, no longer count at engines that are not named.
+    Duration unnamed{};
+  };
+
   struct Seen {
     std::uint64_t revision = 0;
     TimePoint at{};  ///< By SuspendAwareNow().
@@ -97,11 +105,7 @@
   void TryTake();
   void Take(std::uint64_t expected_version,
             std::uint64_t fence,
-            Duration orders_wait,
-            const EngineWaits& engine_waits = {});
-  void TakeReleased(std::uint64_t version,
-                    std::uint64_t fence,
-                    const std::string& value);
+            const Handover& handover);
   /// Whether the orders of earlier holders no longer count at any engine.
   bool Settled(TimePoint now) const;
   /// What a successor has to wait for at each engine.
@@ -127,10 +131,12 @@
   TimePoint sent_{};         ///< Of the last renewal that was stored.
   TimePoint attempted_{};    ///< Of the last renewal that was tried.
   TimePoint orders_from_{};  ///< Earlier, the last holder's orders may count.
+  /// From here on a release can name all engines that still have to wait.
+  TimePoint names_all_from_{};
   /// Later than orders_from_ for engines that a releasing holder named.
   std::map<std::string, TimePoint, std::less<>> engine_from_;
-  std::map<std::string, TimePoint, std::less<>>
-      last_orders_;           ///< Own, by engine.
+  /// Of this process, by engine.
+  std::map<std::string, TimePoint, std::less<>> last_orders_;
   std::optional<Seen> seen_;  ///< The lease of another holder.
   bool looked_ = false;       ///< The stored lease was read since the start.
   EventFlag changed_;
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -303,6 +303,29 @@
   EXPECT_EQ(ready, 1);
 }
 
+// Guards against a release that names only the orders of the last process of its
+// VM: those of the process before it, which was killed, count as well.
+TEST(OrderLease, ReleaseSoonAfterARestartKeepsTheGap) {
+  LeaseSite site(3);
+  site.Pass(seconds(12));
+  const auto id = site.last_holder;
+  ASSERT_TRUE(site.Holder().lease.MayOrder("other"));
+  site.Holder().lease.OnOrder("other");
+  const auto ordered = site.clock.Now();
+  site.nodes.at(id)->store.cut = true;
+  site.nodes.erase(id);
+  site.Add(id);
+  site.Pass(milliseconds(500));
+  ASSERT_EQ(site.last_holder, id);
+  site.nodes.erase(id);
+  while (site.clock.Now() < ordered + seconds(3)) {
+    for (const auto& [other, node] : site.nodes) {
+      EXPECT_FALSE(node->lease.MayOrder("other")) << other;
+    }
+    site.clock.SleepFor(milliseconds(50));
+  }
+}
+
 // Guards against orders within the gap when the successor of a release stops or
 // restarts before the engines that it waits for are free.
 TEST(OrderLease, ReleasesInARowKeepTheGap) {
