Count an engine as lost only after two unanswered reads

One lost report made an engine no place and its models missing, so that they would be loaded elsewhere, from the weight store if need be. After one it gets no orders, after a second one, 150 ms later, it counts as lost. EngineBook UnreachableEngineGetsNoOrdersUntilItAnswers. An accessor without a caller is gone.

--- a/packages/ordering/engine_book.cc
+++ b/packages/ordering/engine_book.cc
@@ -10,6 +10,9 @@
 
 // A description that came this long after the last change may be newer than it.
 constexpr auto kDescriptionLag = std::chrono::milliseconds(2500);
+// Reads that failed in a row after which an engine counts as lost. One may be
+// lost on the way; what the engine holds would be loaded elsewhere in vain.
+constexpr std::uint32_t kLostAfter = 2;
 // An engine that does not answer is asked again after this long. A crashed one
 // is back after some seconds.
 constexpr Duration kFirstProbePause = std::chrono::milliseconds(150);
@@ -140,11 +143,11 @@
     EnginePlace place;
     place.id = id;
     place.usable = listed != nullptr && !listed->draining &&
-                   entry.sequence.has_value() && entry.unreachable == 0;
+                   entry.sequence.has_value() && entry.unreachable < kLostAfter;
     place.models = entry.record.models;
     place.copies = entry.record.copies;
     place.busy = entry.order.has_value() || entry.foreign_order ||
-                 now < entry.blocked_until;
+                 entry.unreachable > 0 || now < entry.blocked_until;
     place.free_in = std::max(Duration(0), entry.blocked_until - now);
     if (entry.order) {
       place.free_in =
--- a/packages/ordering/engine_book.h
+++ b/packages/ordering/engine_book.h
@@ -69,7 +69,8 @@
   void Adopt(const std::string& id, const EngineState& state, TimePoint now);
 
   /// The engine did not answer when its report was read. It gets no orders
-  /// until it does; it is asked again after a pause that doubles.
+  /// until it does, and after a second time it counts as lost with what it
+  /// holds; it is asked again after a pause that doubles.
   static void OnUnreachable(BookedEngine& entry, TimePoint now);
 
   /// Whether the first reports are still on their way: a plan would take models
@@ -87,8 +88,6 @@
   /// been forgotten and found again meanwhile, and have another order.
   BookedEngine* FindWithOrder(const std::string& id, std::uint64_t order_id);
 
-  std::map<std::string, BookedEngine>& engines() { return engines_; }
-
   /// The engines as the plan sees them.
   std::vector<EnginePlace> Places(const EndpointDirectory& directory,
                                   TimePoint now) const;
