Split the times of a forwarded request from the request

How long a request may wait, an endpoint may be silent, and when a client may come again are decisions without a network; they are functions of their own with tests by figures (correctness.request_times).

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -10,6 +10,7 @@
 #include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
+#include "forwarding/request_times.h"
 #include "http/http_responder.h"
 #include "registry/fleet_registry.h"
 
@@ -23,9 +24,6 @@
 constexpr milliseconds kNoTimeout{60000};
 // The answer at the end of the time leaves this much before it.
 constexpr milliseconds kAnswerMargin{15};
-// Part of its time that a request may spend waiting for an endpoint; the rest
-// is what an endpoint needs to run it.
-constexpr double kWaitPart = 0.7;
 // A waiting request looks again this often for an endpoint whose pause ended.
 constexpr milliseconds kWaitStep{50};
 // Sends of one request to endpoints that did not run it.
@@ -33,22 +31,9 @@
 // An endpoint that did not run a request is not asked again for this long.
 constexpr milliseconds kExcludeNotRun{100};
 constexpr milliseconds kExcludeFailed{1500};
-// A repeatable request goes on elsewhere after a silence of so many objectives,
-// but not before the shortest patience, in which an endpoint reads long
-// prompts.
-constexpr int kPatienceObjectives = 3;
-constexpr milliseconds kShortestPatience{350};
-constexpr milliseconds kShortestEventPatience{1000};
-constexpr int kPatienceGaps = 3;
 // Requests of one endpoint in flight, in parts of its slots, above which a
 // request waits at its node, where it can still go elsewhere.
 constexpr double kFullPart = 2.0;
-// When a rejected client may come again: about the time of a load from disk,
-// and of a short overload.
-constexpr milliseconds kRetryAfterModel{1000};
-constexpr milliseconds kRetryAfterBusy{300};
-// A client is asked to wait for at most this part of the time that it has left.
-constexpr int kRetryPartOfTime = 3;
 // A crashed endpoint refuses connections within this time.
 constexpr milliseconds kCrashProbe{300};
 // The least urgent rank that endpoints know.
@@ -189,8 +174,7 @@
   if (passed_events_) {
     return deadline_;  // What the client has of the stream is lost otherwise.
   }
-  const auto time = deadline_ - arrival_;
-  return arrival_ + std::chrono::duration_cast<Duration>(time * kWaitPart);
+  return LatestStart(arrival_, deadline_);
 }
 
 // Whether the model cannot be loaded within the time that the request may wait.
@@ -325,23 +309,14 @@
   if (!MayStillRepeat() || !OthersCanServe(target)) {
     return deadline_;
   }
-  const auto now = deps_.clock.Now();
-  const auto shortest = route_->kind == RequestKind::kStreaming
-                            ? kShortestEventPatience
-                            : kShortestPatience;
-  const auto patience =
-      std::max<Duration>(route_->goal * kPatienceObjectives, shortest);
-  return std::min(now + std::min<Duration>(patience, (deadline_ - now) / 2),
-                  deadline_);
+  return AnswerDue(*route_, deps_.clock.Now(), deadline_);
 }
 
 TimePoint ForwardedRequest::EventDeadline(const Target& target) const {
   if (!MayStillRepeat() || !OthersCanServe(target)) {
     return deadline_;
   }
-  const auto patience = std::max<Duration>(route_->event_gap * kPatienceGaps,
-                                           kShortestEventPatience);
-  return std::min(deps_.clock.Now() + patience, deadline_);
+  return EventDue(*route_, deps_.clock.Now(), deadline_);
 }
 
 // ---- whole answers
@@ -533,18 +508,12 @@
   return Next::kDone;
 }
 
-// When the client may come again: once its model can be loaded, but in time to
-// be served.
 milliseconds ForwardedRequest::RetryAfter() const {
-  const auto now = deps_.clock.Now();
   const auto ready_at = deps_.view.ReadyAt(service_, profile_.model.model);
-  if (!ready_at) {
-    return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
+  if (ready_at) {
+    return RetryAfterLoad(*ready_at, deps_.clock.Now(), deadline_);
   }
-  const auto most = std::max<Duration>(kRetryAfterModel,
-                                       (deadline_ - now) / kRetryPartOfTime);
-  return std::chrono::duration_cast<milliseconds>(
-      std::clamp<Duration>(*ready_at - now, kRetryAfterModel, most));
+  return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
 }
 
 void ForwardedRequest::Suspect(const Target& target) {
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -303,8 +303,8 @@
   EXPECT_EQ(ready, 1);
 }
 
-// Guards against a release that names only the orders of the last process of its
-// VM: those of the process before it, which was killed, count as well.
+// Guards against a release that names only the orders of the last process of
+// its VM: those of the process before it, which was killed, count as well.
 TEST(OrderLease, ReleaseSoonAfterARestartKeepsTheGap) {
   LeaseSite site(3);
   site.Pass(seconds(12));
