fleet: count the work of requests in prompt tokens

Cause: the replicas of a model and the load of an engine were counted in requests against slots. A prompt of 9,190 tokens takes 75 ms to read with its shared part cached and 240 ms without, so a few such requests fill an engine whose slots are free.

Change: nodes report the prompt tokens that they send engines to read, less the shared part where it is expected to be cached, and learn the reading speed from the first events. Replicas follow the larger of slots and reading time; engines are chosen by requests plus tokens still to read; an engine whose known queue of prompts takes more than half of the time left gets no request. A shared prompt uses up to three engines, in a fixed order.

--- a/packages/fleet/demand_table.cc
+++ b/packages/fleet/demand_table.cc
@@ -23,6 +23,7 @@
   const auto elapsed = std::max(Duration(0), now - entry.decayed_at);
   const double retained = std::exp(-Seconds(elapsed) / Seconds(kDecayTime));
   entry.arrivals *= retained;
+  entry.prompt_tokens *= retained;
   entry.concurrency = entry.concurrency * retained + current * (1 - retained);
   entry.decayed_at = now;
 }
@@ -35,6 +36,7 @@
     auto& entry = models[{it.model, it.adapter}];
     Decay(entry, now);
     entry.arrivals += it.arrivals;
+    entry.prompt_tokens += static_cast<double>(it.prompt_tokens);
     if (it.arrivals > 0 || it.waiting > 0) {
       entry.last_arrival_at = now;
     }
@@ -61,6 +63,7 @@
     ModelDemand demand;
     demand.rate = entry.arrivals / Seconds(kDecayTime);
     demand.concurrency = entry.concurrency;
+    demand.prompt_tokens_per_s = entry.prompt_tokens / Seconds(kDecayTime);
     demand.last_arrival_at = entry.last_arrival_at;
     for (const auto& [node, counts] : entry.nodes) {
       if (now - counts.received_at >= kNodeTimeout) {
--- a/packages/fleet/demand_table.h
+++ b/packages/fleet/demand_table.h
@@ -20,6 +20,7 @@
   std::uint32_t running = 0;
   double rate = 0;         ///< Recent arrivals per second.
   double concurrency = 0;  ///< Recent average of waiting plus running requests.
+  double prompt_tokens_per_s = 0;  ///< Recent prompt tokens to read.
   TimePoint last_arrival_at{};
   /// Earliest deadline of the waiting requests.
   std::optional<TimePoint> earliest_deadline;
@@ -54,7 +55,8 @@
   };
   struct Entry {
     std::map<std::string, NodeCounts> nodes;
-    double arrivals = 0;  ///< Exponentially decaying number of arrivals.
+    double arrivals = 0;       ///< Exponentially decaying number of arrivals.
+    double prompt_tokens = 0;  ///< Decays like `arrivals`.
     double concurrency = 0;
     TimePoint last_arrival_at{};
     TimePoint decayed_at{};
--- a/packages/fleet/demand_tracker.cc
+++ b/packages/fleet/demand_tracker.cc
@@ -27,6 +27,12 @@
   }
 }
 
+void DemandTracker::OnPromptSent(const std::string& service,
+                                 const ModelRef& model,
+                                 std::uint32_t tokens) {
+  CountsFor(service, model).prompt_tokens += tokens;
+}
+
 void DemandTracker::BeginRun(const std::string& service,
                              const ModelRef& model) {
   ++CountsFor(service, model).running;
@@ -49,6 +55,7 @@
     entry.waiting = static_cast<std::uint32_t>(counts.waiting.size());
     entry.running = counts.running;
     entry.arrivals = std::exchange(counts.arrivals, 0);
+    entry.prompt_tokens = std::exchange(counts.prompt_tokens, 0);
     if (!counts.waiting.empty()) {
       const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
           *counts.waiting.begin() - now);
--- a/packages/fleet/demand_tracker.h
+++ b/packages/fleet/demand_tracker.h
@@ -34,6 +34,12 @@
                const ModelRef& model,
                TimePoint deadline);
 
+  /// A request was sent to an endpoint that has to read this many tokens of its
+  /// prompt.
+  void OnPromptSent(const std::string& service,
+                    const ModelRef& model,
+                    std::uint32_t tokens);
+
   /// Counts a request that was sent to an endpoint, until EndRun().
   void BeginRun(const std::string& service, const ModelRef& model);
   void EndRun(const std::string& service, const ModelRef& model);
@@ -43,14 +49,15 @@
   EventFlag& urgent_wait() { return urgent_wait_; }
 
   /// Returns one message per service with the counts of all its models.
-  /// Arrivals are counted since the last call. A model that has no more
-  /// requests is listed once more, with zeros.
+  /// Arrivals and prompt tokens are counted since the last call. A model that
+  /// has no more requests is listed once more, with zeros.
   std::vector<Demand> TakeDemand();
 
  private:
   struct Counts {
     std::uint32_t running = 0;
     std::uint32_t arrivals = 0;
+    std::uint64_t prompt_tokens = 0;
     std::multiset<TimePoint> waiting;  ///< Deadlines of the waiting requests.
   };
 
--- a/packages/fleet/endpoint_selection.cc
+++ b/packages/fleet/endpoint_selection.cc
@@ -1,7 +1,9 @@
 #include "fleet/endpoint_selection.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
+#include <utility>
 #include <vector>
 
 #include "base/id.h"
@@ -28,10 +30,18 @@
 // Processing this many prompt tokens delays the other requests of an endpoint
 // by about as much as one more request in flight.
 constexpr double kTokensPerRequest = 500;
+// Number of endpoints that keep a shared prompt. A prompt that is shared by
+// many requests needs more than one.
+constexpr std::size_t kSharedPromptEndpoints = 3;
+// Cost of the next endpoint in the order of preference: a rarely used prompt
+// stays at one endpoint, and the next one is used while the first reads two
+// long prompts or more.
+constexpr double kSharedPromptRankCost = 10;
 
 double LoadCost(const EndpointCandidate& candidate) {
   const double slots = std::max<std::uint32_t>(1, candidate.record->slots);
-  return candidate.in_flight * kReferenceSlots / slots;
+  return candidate.in_flight * kReferenceSlots / slots +
+         candidate.prompt_tokens / kTokensPerRequest;
 }
 
 // Cost of failures, cold start and distance.
@@ -82,29 +92,48 @@
   return Cost(*b) < Cost(*a) ? b : a;
 }
 
-// Returns the endpoint for a shared prompt by rendezvous hashing. All nodes
-// that see the same endpoints choose the same one.
-const EndpointCandidate* RendezvousChoice(
+// Returns the endpoint of lowest cost among those that have the shared prompt
+// cached. The order of preference decides unless the loads differ.
+const EndpointCandidate* SharedPromptChoice(
     std::span<const EndpointCandidate> candidates,
     std::string_view key) {
   const EndpointCandidate* best = nullptr;
-  std::uint64_t best_hash = 0;
+  double best_cost = std::numeric_limits<double>::max();
+  double rank_cost = 0;
+  for (const auto* it : SharedPromptEndpoints(candidates, key)) {
+    const double cost = Cost(*it) + rank_cost;
+    if (cost < best_cost) {
+      best = it;
+      best_cost = cost;
+    }
+    rank_cost += kSharedPromptRankCost;
+  }
+  return best;
+}
+
+}  // namespace
+
+std::vector<const EndpointCandidate*> SharedPromptEndpoints(
+    std::span<const EndpointCandidate> candidates,
+    std::string_view key) {
+  std::vector<std::pair<std::uint64_t, const EndpointCandidate*>> by_hash;
   for (const auto& it : candidates) {
     StableHasher hasher;
     hasher.Add(it.record->id);
     hasher.Add("\n");
     hasher.Add(key);
-    const auto hash = hasher.Value();
-    if (best == nullptr || hash > best_hash) {
-      best = &it;
-      best_hash = hash;
-    }
+    by_hash.emplace_back(hasher.Value(), &it);
   }
-  return best;
+  const auto n = std::min(kSharedPromptEndpoints, by_hash.size());
+  std::ranges::partial_sort(by_hash, by_hash.begin() + static_cast<int>(n),
+                            std::greater<>());
+  std::vector<const EndpointCandidate*> out;
+  for (std::size_t i = 0; i < n; ++i) {
+    out.push_back(by_hash[i].second);
+  }
+  return out;
 }
 
-}  // namespace
-
 const EndpointCandidate* SelectEndpoint(
     std::span<const EndpointCandidate> candidates,
     const SelectionRequest& request) {
@@ -117,7 +146,7 @@
     return chosen;
   }
   const auto* preferred =
-      RendezvousChoice(candidates, request.shared_prompt_key);
+      SharedPromptChoice(candidates, request.shared_prompt_key);
   const double saved = request.shared_prompt_tokens / kTokensPerRequest;
   return Cost(*preferred) - saved < Cost(*chosen) ? preferred : chosen;
 }
--- a/packages/fleet/endpoint_selection.h
+++ b/packages/fleet/endpoint_selection.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tanagerloom {
 
@@ -20,6 +21,8 @@
   /// Recent fraction of failed requests, from 0 to 1.
   double failure_rate = 0;
   bool same_data_centre = false;
+  /// Prompt tokens that it has still to read, by the same counts.
+  std::uint32_t prompt_tokens = 0;
 };
 
 /// The properties of a request that the selection uses.
@@ -34,13 +37,21 @@
 /// the endpoint of lower cost among two random ones (power of two choices);
 /// failures, cold starts and distance add to the cost. The counts of other
 /// nodes are some hundred milliseconds old, so that choosing the least loaded
-/// endpoint would overload it until the next counts arrive. Requests that share
-/// a prompt go to the endpoint that has it cached unless its extra load costs
-/// more than processing the prompt again.
+/// endpoint would overload it until the next counts arrive. Load is counted in
+/// work: requests, and prompt tokens to read. Requests that share a prompt go
+/// to one of the endpoints that have it cached unless its extra load costs more
+/// than processing the prompt again.
 const EndpointCandidate* SelectEndpoint(
     std::span<const EndpointCandidate> candidates,
     const SelectionRequest& request);
 
+/// Returns the endpoints that are expected to have the shared prompt `key`
+/// cached, the most preferred one first: a few of the candidates, found by
+/// rendezvous hashing. All nodes that see the same candidates find the same.
+std::vector<const EndpointCandidate*> SharedPromptEndpoints(
+    std::span<const EndpointCandidate> candidates,
+    std::string_view key);
+
 }  // namespace tanagerloom
 
 #endif  // FLEET_ENDPOINT_SELECTION_H_
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -1,5 +1,6 @@
 #include "fleet/fleet_view.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -30,7 +31,8 @@
   known.received_at = clock_.Now();
   known.in_flight.clear();
   for (std::size_t i = 0; i < use.endpoints.size(); ++i) {
-    known.in_flight[use.endpoints[i]] = use.in_progress[i];
+    known.in_flight[use.endpoints[i]] = {use.in_progress[i],
+                                         use.prompt_tokens[i]};
   }
 }
 
@@ -83,13 +85,23 @@
   return it != not_loaded_until_.end() && clock_.Now() < it->second;
 }
 
-void FleetView::BeginUse(const std::string& id) {
-  ++local_use_[id];
+void FleetView::BeginUse(const std::string& id, std::uint32_t prompt_tokens) {
+  auto& use = local_use_[id];
+  ++use.requests;
+  use.prompt_tokens += prompt_tokens;
+}
+
+void FleetView::EndPrompt(const std::string& id, std::uint32_t prompt_tokens) {
+  const auto it = local_use_.find(id);
+  if (it != local_use_.end()) {
+    it->second.prompt_tokens -=
+        std::min(it->second.prompt_tokens, prompt_tokens);
+  }
 }
 
 void FleetView::EndUse(const std::string& id) {
   const auto it = local_use_.find(id);
-  if (it != local_use_.end() && --it->second == 0) {
+  if (it != local_use_.end() && --it->second.requests == 0) {
     local_use_.erase(it);
   }
 }
@@ -98,19 +110,21 @@
   EndpointUse use;
   for (const auto& [id, n] : local_use_) {
     use.endpoints.push_back(id);
-    use.in_progress.push_back(n);
+    use.in_progress.push_back(n.requests);
+    use.prompt_tokens.push_back(n.prompt_tokens);
   }
   return use;
 }
 
-std::uint32_t FleetView::InFlight(const std::string& id) const {
+FleetView::UseCount FleetView::InFlight(const std::string& id) const {
   const auto local = local_use_.find(id);
-  std::uint32_t n = local == local_use_.end() ? 0 : local->second;
+  auto n = local == local_use_.end() ? UseCount() : local->second;
   const auto now = clock_.Now();
   for (const auto& [peer, use] : peer_use_) {
     const auto it = use.in_flight.find(id);
     if (it != use.in_flight.end() && now - use.received_at < kPeerUseTimeout) {
-      n += it->second;
+      n.requests += it->second.requests;
+      n.prompt_tokens += it->second.prompt_tokens;
     }
   }
   return n;
@@ -139,8 +153,10 @@
         !HasLoaded(record, model)) {
       continue;
     }
-    EndpointCandidate candidate{&record, InFlight(id), 0,
-                                record.data_centre == data_centre_};
+    const auto use = InFlight(id);
+    EndpointCandidate candidate{&record, use.requests, 0,
+                                record.data_centre == data_centre_,
+                                use.prompt_tokens};
     const auto health = health_.find(id);
     if (health != health_.end()) {
       if (!health->second.AllowsRequests(now)) {
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -15,6 +15,7 @@
 #include "fleet/endpoint_health.h"
 #include "fleet/endpoint_selection.h"
 #include "fleet/model_ref.h"
+#include "fleet/prompt_speed.h"
 #include "ports/peer_message.h"
 #include "runtime/clock.h"
 #include "runtime/event_flag.h"
@@ -73,8 +74,10 @@
   /// The endpoint refused a request because it has not loaded the model.
   void OnModelNotLoaded(const std::string& id, const ModelRef& model);
 
-  /// Counts a request of this node at an endpoint, until EndUse().
-  void BeginUse(const std::string& id);
+  /// Counts a request of this node at an endpoint, until EndUse(), and the
+  /// tokens that the endpoint has to read, until EndPrompt().
+  void BeginUse(const std::string& id, std::uint32_t prompt_tokens);
+  void EndPrompt(const std::string& id, std::uint32_t prompt_tokens);
   void EndUse(const std::string& id);
 
   /// Requests of this node in flight, by endpoint.
@@ -82,6 +85,11 @@
 
   EndpointHealth& Health(const std::string& id) { return health_[id]; }
 
+  /// The prompt speed of a service's engines, learnt from this node's requests.
+  PromptSpeed& PromptSpeedOf(const std::string& service) {
+    return prompt_speeds_[service];
+  }
+
   /// Returns the endpoints of `service` that can take a request for `model`
   /// now, except those in `excluded`.
   std::vector<EndpointCandidate> Candidates(
@@ -93,8 +101,13 @@
   void Prune();
 
  private:
+  /// Requests in flight at one endpoint.
+  struct UseCount {
+    std::uint32_t requests = 0;
+    std::uint32_t prompt_tokens = 0;  ///< Still to be read.
+  };
   struct PeerUse {
-    std::map<std::string, std::uint32_t, std::less<>> in_flight;
+    std::map<std::string, UseCount, std::less<>> in_flight;
     TimePoint received_at{};
   };
   struct ReceivedNotice {
@@ -107,7 +120,7 @@
   /// it.
   bool HasLoaded(const EndpointRecord& record, const ModelRef& model) const;
   /// Returns the requests of all nodes in flight at an endpoint.
-  std::uint32_t InFlight(const std::string& id) const;
+  UseCount InFlight(const std::string& id) const;
   bool IsMarkedNotLoaded(const std::string& id, const ModelRef& model) const;
 
   std::string data_centre_;
@@ -125,8 +138,9 @@
   std::map<std::string, ServiceLoadEstimates> load_estimates_;
   std::map<std::string, ReceivedNotice, std::less<>> notices_;
   std::map<std::string, PeerUse> peer_use_;
-  std::map<std::string, std::uint32_t, std::less<>> local_use_;
+  std::map<std::string, UseCount, std::less<>> local_use_;
   std::map<std::string, EndpointHealth, std::less<>> health_;
+  std::map<std::string, PromptSpeed> prompt_speeds_;
   std::map<std::pair<std::string, ModelRef>, TimePoint> not_loaded_until_;
 };
 
--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -20,6 +20,10 @@
 // another one to finish.
 constexpr double kSlotFractionPerReplica = 0.25;
 constexpr double kMinRequestsPerReplica = 2;
+// Fraction of the time for which one replica may read prompts. Its engine reads
+// one prompt at a time, so that more makes the next ones wait, and also has to
+// generate tokens and serve its other models.
+constexpr double kMaxReadingFraction = 0.3;
 // Arrivals per second from which a model is busy and gets a second replica, so
 // that it stays in service if one engine is lost.
 constexpr double kBusyArrivalsPerS = 1.5;
@@ -83,6 +87,7 @@
     sum.running += other.running;
     sum.rate += other.rate;
     sum.concurrency += other.concurrency;
+    sum.prompt_tokens_per_s += other.prompt_tokens_per_s;
     sum.last_arrival_at = std::max(sum.last_arrival_at, other.last_arrival_at);
     if (other.earliest_deadline &&
         (!sum.earliest_deadline ||
@@ -101,6 +106,11 @@
     return it == demand_by_model_.end() ? ModelDemand() : it->second;
   }
 
+  std::uint32_t DesiredReplicasOf(const ModelDemand& demand) const {
+    return DesiredReplicas(demand, input_.spec->slots,
+                           input_.engine_prompt_tokens_per_s);
+  }
+
   std::uint32_t ReplicaCount(const std::string& model) const {
     const auto it = replica_counts_.find(model);
     return it == replica_counts_.end() ? 0 : it->second;
@@ -183,7 +193,7 @@
     std::vector<std::pair<double, std::string>> wanted;
     for (const auto& [model, demand] : demand_by_model_) {
       const auto replica_count = ReplicaCount(model);
-      const auto desired = DesiredReplicas(demand, input_.spec->slots);
+      const auto desired = DesiredReplicasOf(demand);
       if (replica_count > 0 && desired > replica_count && FindSpec(model)) {
         wanted.emplace_back(static_cast<double>(replica_count) / desired,
                             model);
@@ -267,15 +277,23 @@
     return option;
   }
 
-  // Average fraction of an engine's slots in use, if requests are spread evenly
-  // over replicas.
+  // Average fraction of an engine's slots in use, or of its time spent reading
+  // prompts if that is more, if requests are spread evenly over replicas.
   double Utilization(const EngineSnapshot& engine) const {
     double concurrent_requests = 0;
+    double prompt_tokens_per_s = 0;
     for (const auto& [model, adapters] : engine.models) {
-      concurrent_requests +=
-          DemandOf(model).concurrency / std::max(1U, ReplicaCount(model));
-    }
-    return concurrent_requests / std::max(1U, input_.spec->slots);
+      const auto demand = DemandOf(model);
+      const auto replica_count = std::max(1U, ReplicaCount(model));
+      concurrent_requests += demand.concurrency / replica_count;
+      prompt_tokens_per_s += demand.prompt_tokens_per_s / replica_count;
+    }
+    const double reading =
+        input_.engine_prompt_tokens_per_s > 0
+            ? prompt_tokens_per_s / input_.engine_prompt_tokens_per_s
+            : 0;
+    return std::max(concurrent_requests / std::max(1U, input_.spec->slots),
+                    reading);
   }
 
   // Counts the models that are not loaded anywhere and cached on disk only by
@@ -297,7 +315,7 @@
                 bool protect_busy) const {
     const auto demand = DemandOf(victim);
     const auto replica_count = ReplicaCount(victim);
-    const auto desired = DesiredReplicas(demand, input_.spec->slots);
+    const auto desired = DesiredReplicasOf(demand);
     if (demand.waiting > 0 && replica_count <= 1) {
       return false;
     }
@@ -453,8 +471,16 @@
 
 }  // namespace
 
-std::uint32_t DesiredReplicas(const ModelDemand& demand, std::uint32_t slots) {
-  if (demand.rate < kBusyArrivalsPerS) {
+std::uint32_t DesiredReplicas(const ModelDemand& demand,
+                              std::uint32_t slots,
+                              double engine_prompt_tokens_per_s) {
+  const double reading =
+      engine_prompt_tokens_per_s > 0
+          ? demand.prompt_tokens_per_s / engine_prompt_tokens_per_s
+          : 0;
+  const auto replicas_for_prompts =
+      static_cast<std::uint32_t>(std::ceil(reading / kMaxReadingFraction));
+  if (demand.rate < kBusyArrivalsPerS && replicas_for_prompts < 2) {
     return 0;
   }
   const double concurrent_requests =
@@ -462,7 +488,7 @@
                  kMaxRequestsPerReplica);
   const auto replicas_for_load = static_cast<std::uint32_t>(
       std::ceil(demand.concurrency / concurrent_requests));
-  return std::max(2U, replicas_for_load);
+  return std::max({2U, replicas_for_load, replicas_for_prompts});
 }
 
 CheckpointSource FastestSource(const CachedWeights& cached_weights,
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -39,6 +39,8 @@
   std::vector<EngineSnapshot> engines;
   std::map<ModelRef, ModelDemand> demand;
   TimePoint now{};
+  /// Prompt tokens that one engine reads in a second if it does nothing else.
+  double engine_prompt_tokens_per_s = 0;
   std::uint32_t store_loads_allowed = 0;
   /// Concurrent loads that the weight store serves at full speed.
   std::uint32_t store_concurrency = 1;
@@ -73,12 +75,16 @@
 /// rarely used models that are requested one at a time, beside a few busy
 /// models that change over time: a missing model is loaded where it can run
 /// soonest, idle models are evicted in least-recently-used order, and busy
-/// models get replicas by their number of concurrent requests.
+/// models get replicas by their concurrent requests and by the prompt tokens
+/// that have to be read.
 PlacementPlan PlanPlacement(const PlacementInput& input);
 
 /// Returns the replicas that a model should have for its demand, on engines
-/// with `slots` slots; 0 if it is not busy.
-std::uint32_t DesiredReplicas(const ModelDemand& demand, std::uint32_t slots);
+/// with `slots` slots that read `engine_prompt_tokens_per_s`; 0 if it is not
+/// busy. Few requests with long prompts fill an engine long before its slots.
+std::uint32_t DesiredReplicas(const ModelDemand& demand,
+                              std::uint32_t slots,
+                              double engine_prompt_tokens_per_s);
 
 /// Returns the fastest source from which an engine with these cached copies can
 /// load `model`.
--- a/packages/fleet/request_profile.h
+++ b/packages/fleet/request_profile.h
@@ -3,6 +3,7 @@
 #ifndef FLEET_REQUEST_PROFILE_H_
 #define FLEET_REQUEST_PROFILE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,11 @@
     return n;
   }
 
+  /// Returns the number of tokens that no other request has in common.
+  std::uint32_t UnsharedPromptTokens() const {
+    return prompt_tokens - std::min(prompt_tokens, SharedPromptTokens());
+  }
+
   /// Returns a key that identifies the model and the shared parts, to choose an
   /// endpoint that has them cached.
   std::string SharedPromptKey() const {
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include "base/id.h"
 #include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
+#include "fleet/endpoint_selection.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/request_times.h"
 #include "http/http_responder.h"
@@ -164,16 +165,35 @@
 std::optional<ForwardedRequest::Target> ForwardedRequest::ChooseEndpoint() {
   auto candidates =
       deps_.view.Candidates(service_, profile_.model, ExcludedEndpoints());
-  std::erase_if(candidates, [](const EndpointCandidate& it) {
-    return it.in_flight >= kFullLoadFactor * it.record->slots;
-  });
+  std::erase_if(candidates,
+                [this](const EndpointCandidate& it) { return IsFull(it); });
   const auto key = profile_.SharedPromptKey();
   const auto* chosen = SelectEndpoint(
       candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  return Target{chosen->record->id, chosen->record->address};
+  return Target{chosen->record->id, chosen->record->address,
+                PromptTokensAt(*chosen, candidates)};
+}
+
+bool ForwardedRequest::IsFull(const EndpointCandidate& candidate) const {
+  if (candidate.in_flight >= kFullLoadFactor * candidate.record->slots) {
+    return true;
+  }
+  const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
+  return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
+                           deadline_);
+}
+
+std::uint32_t ForwardedRequest::PromptTokensAt(
+    const EndpointCandidate& endpoint,
+    std::span<const EndpointCandidate> candidates) const {
+  const auto cached_at =
+      SharedPromptEndpoints(candidates, profile_.SharedPromptKey());
+  const bool cached =
+      std::ranges::find(cached_at, &endpoint) != cached_at.end();
+  return cached ? profile_.UnsharedPromptTokens() : profile_.prompt_tokens;
 }
 
 TimePoint ForwardedRequest::WaitDeadline() const {
@@ -247,10 +267,15 @@
   EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock,
                           target.address);
   client_->attempt = &attempt;
-  deps_.view.BeginUse(target.id);
+  deps_.view.BeginUse(target.id, target.prompt_tokens);
+  prompt_pending_ = true;
   deps_.demand.BeginRun(service_, profile_.model);
+  deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, target);
   deps_.demand.EndRun(service_, profile_.model);
+  if (std::exchange(prompt_pending_, false)) {
+    deps_.view.EndPrompt(target.id, target.prompt_tokens);
+  }
   deps_.view.EndUse(target.id);
   deps_.view.changed().Signal();
   client_->attempt = nullptr;
@@ -268,6 +293,7 @@
                                           {"endpoint", target.id},
                                           {"send", sends_},
                                           {"age_ms", AgeMs()}});
+  sent_at_ = deps_.clock.Now();
   const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt_id,
                                  ResponseDeadline(target));
   if (!sent) {
@@ -391,6 +417,7 @@
     if (n.assume_value() == 0) {
       return FinishStream(attempt, target);
     }
+    OnPromptRead(target);
     const auto events = event_assembler_.TakeEvents();
     if (!events.empty() && !ForwardEvents(attempt, events)) {
       attempt.Abort();
@@ -400,6 +427,15 @@
   }
 }
 
+void ForwardedRequest::OnPromptRead(const Target& target) {
+  if (!std::exchange(prompt_pending_, false)) {
+    return;
+  }
+  deps_.view.EndPrompt(target.id, target.prompt_tokens);
+  deps_.view.PromptSpeedOf(service_).Observe(profile_.UnsharedPromptTokens(),
+                                             deps_.clock.Now() - sent_at_);
+}
+
 bool ForwardedRequest::ForwardEvents(const EndpointAttempt& attempt,
                                      const std::string& events) {
   if (!responder_.started() &&
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "base/address.h"
@@ -22,6 +23,7 @@
 namespace tanagerloom {
 
 struct ConfigInForce;
+struct EndpointCandidate;
 class HttpResponder;
 
 /// Routes a request, waits for an endpoint that can run it, sends it there and
@@ -48,6 +50,7 @@
   struct Target {
     std::string id;
     Address address;
+    std::uint32_t prompt_tokens = 0;  ///< Expected to be read there.
   };
 
   /// Shared with the callback for a disconnected client, which may outlive the
@@ -73,6 +76,12 @@
   std::optional<Target> ChooseEndpoint();
   /// Returns the endpoints that get no attempt now after an earlier one.
   std::set<std::string> ExcludedEndpoints() const;
+  /// Returns whether an endpoint gets no more requests now.
+  bool IsFull(const EndpointCandidate& candidate) const;
+  /// Returns the tokens of the prompt that an endpoint is expected to read.
+  std::uint32_t PromptTokensAt(
+      const EndpointCandidate& endpoint,
+      std::span<const EndpointCandidate> candidates) const;
   /// Returns the time until which the request may wait for an endpoint.
   TimePoint WaitDeadline() const;
   bool IsLoadTooLate() const;
@@ -87,6 +96,8 @@
   NextStep RelayStream(EndpointAttempt& attempt, const Target& target);
   /// Writes `events` to the client; returns false if it has disconnected.
   bool ForwardEvents(const EndpointAttempt& attempt, const std::string& events);
+  /// The first bytes of an attempt arrived: the endpoint has read the prompt.
+  void OnPromptRead(const Target& target);
   NextStep FinishStream(EndpointAttempt& attempt, const Target& target);
   /// Handles a response that states that the request did not run.
   NextStep OnNotRun(const EndpointAttempt& attempt, const Target& target);
@@ -141,6 +152,10 @@
   bool forwarded_events_ = false;
   /// Error response of an endpoint, relayed if no retry succeeds.
   std::optional<HttpResponse> fallback_response_;
+  TimePoint sent_at_{};  ///< Of the attempt in flight.
+  /// Whether the endpoint of the attempt in flight has still to read the
+  /// prompt.
+  bool prompt_pending_ = false;
   std::int64_t waited_ms_ = 0;  ///< Total time spent waiting for endpoints.
   /// Age of the request when its first event was forwarded; -1 before.
   std::int64_t first_event_ms_ = -1;
--- a/packages/forwarding/request_times.cc
+++ b/packages/forwarding/request_times.cc
@@ -12,6 +12,9 @@
 
 // Fraction of its time for which a request may wait for an endpoint.
 constexpr double kMaxWaitFraction = 0.7;
+// Fraction of the time left that other requests' prompts may take at an
+// endpoint.
+constexpr double kMaxQueueFraction = 0.5;
 // Response-time objectives, and event gaps, after which a silent endpoint times
 // out.
 constexpr int kGoalsUntilTimeout = 3;
@@ -32,6 +35,15 @@
                                                         kMaxWaitFraction);
 }
 
+bool CannotStartInTime(double prompt_tokens,
+                       double tokens_per_ms,
+                       TimePoint now,
+                       TimePoint deadline) {
+  const std::chrono::duration<double, std::milli> queue(prompt_tokens /
+                                                        tokens_per_ms);
+  return queue > (deadline - now) * kMaxQueueFraction;
+}
+
 TimePoint SilenceDeadline(const Route& route,
                           TimePoint now,
                           TimePoint deadline) {
--- a/packages/forwarding/request_times.h
+++ b/packages/forwarding/request_times.h
@@ -21,6 +21,14 @@
 /// its time is reserved for running it.
 TimePoint LatestStart(TimePoint arrival, TimePoint deadline);
 
+/// Returns whether an endpoint that has still to read `prompt_tokens` of other
+/// requests, at `tokens_per_ms`, would answer a new one only after most of its
+/// time. Sending it there would only lengthen the endpoint's queue.
+bool CannotStartInTime(double prompt_tokens,
+                       double tokens_per_ms,
+                       TimePoint now,
+                       TimePoint deadline);
+
 /// Returns the time until which an endpoint with a retryable request may be
 /// silent: a multiple of the response-time objective, but long enough to
 /// process a long prompt, and at most half of the time left, so that another
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -114,7 +114,7 @@
       const auto adapter = PutString(builder, it.adapter);
       entries.push_back(wire::CreateDemandEntry(
           builder, model, version, adapter, it.waiting, it.running, it.rank,
-          it.earliest_deadline_ms, it.arrivals));
+          it.earliest_deadline_ms, it.arrivals, it.prompt_tokens));
     }
     const auto cell = PutString(builder, body.cell);
     const auto list = builder.CreateVector(entries);
@@ -155,8 +155,11 @@
   Encoded operator()(const EndpointUse& body) const {
     const auto endpoints = PutStrings(builder, body.endpoints);
     const auto in_progress = builder.CreateVector(body.in_progress);
-    return {wire::Body::EndpointUse,
-            wire::CreateEndpointUse(builder, endpoints, in_progress).Union()};
+    const auto prompt_tokens = builder.CreateVector(body.prompt_tokens);
+    return {
+        wire::Body::EndpointUse,
+        wire::CreateEndpointUse(builder, endpoints, in_progress, prompt_tokens)
+            .Union()};
   }
   Encoded operator()(const CrashNotice& body) const {
     return {wire::Body::CrashNotice,
@@ -221,10 +224,10 @@
   Demand out{ToString(body.cell()), body.number(), {}};
   if (body.entries() != nullptr) {
     for (const auto* it : *body.entries()) {
-      out.entries.push_back({ToString(it->model()), ToString(it->version()),
-                             ToString(it->adapter()), it->waiting(),
-                             it->running(), it->rank(),
-                             it->earliest_deadline_ms(), it->arrivals()});
+      out.entries.push_back(
+          {ToString(it->model()), ToString(it->version()),
+           ToString(it->adapter()), it->waiting(), it->running(), it->rank(),
+           it->earliest_deadline_ms(), it->arrivals(), it->prompt_tokens()});
     }
   }
   return out;
@@ -272,11 +275,16 @@
 }
 
 Result<EnvelopeBody> DecodeEndpointUse(const wire::EndpointUse& body) {
-  EndpointUse out{ToStrings(body.endpoints()), {}};
+  EndpointUse out{ToStrings(body.endpoints()), {}, {}};
   if (body.in_progress() != nullptr) {
     out.in_progress.assign(body.in_progress()->begin(),
                            body.in_progress()->end());
   }
+  if (body.prompt_tokens() != nullptr) {
+    out.prompt_tokens.assign(body.prompt_tokens()->begin(),
+                             body.prompt_tokens()->end());
+  }
+  out.prompt_tokens.resize(out.endpoints.size());  // Older nodes send none.
   if (out.endpoints.size() != out.in_progress.size()) {
     return MakeError(ErrorKind::kInvalid,
                      "endpoint use with " +
--- a/packages/membership/outbound_queue.cc
+++ b/packages/membership/outbound_queue.cc
@@ -58,8 +58,8 @@
              : a + b;
 }
 
-// Adds the arrivals of `older`, and the entries that only `older` has, to
-// `newer`.
+// Adds the arrivals and prompt tokens of `older`, and the entries that only
+// `older` has, to `newer`.
 void MergeDemand(const Demand& older, Demand& newer) {
   for (const auto& it : older.entries) {
     const auto same = std::ranges::find_if(
@@ -69,6 +69,7 @@
       newer.entries.push_back(it);
     } else {
       same->arrivals = AddSaturating(same->arrivals, it.arrivals);
+      same->prompt_tokens += it.prompt_tokens;
     }
   }
 }
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -151,6 +151,10 @@
   }
   input.demand = demand_.Read(service, now);
   input.now = now;
+  constexpr double kMillisecondsPerSecond = 1000;
+  input.engine_prompt_tokens_per_s =
+      deps_.view.PromptSpeedOf(service).tokens_per_ms() *
+      kMillisecondsPerSecond;
   input.store_concurrency = service_state.concurrency.limit();
   input.engines_settled = service_state.engine_table.IsSettled(now);
   const auto running =
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -20,6 +20,9 @@
   /// Time until the earliest deadline of the waiting requests; 0 if none waits.
   std::uint64_t earliest_deadline_ms = 0;
   std::uint32_t arrivals = 0;  ///< Requests since the last demand message.
+  /// Prompt tokens that engines were sent to read since the last demand
+  /// message.
+  std::uint64_t prompt_tokens = 0;
 };
 
 /// The sender's demand for the models of a cell. A model without further demand
@@ -71,10 +74,13 @@
   std::uint64_t valid_ms = 0;  ///< For how long the notice is valid.
 };
 
-/// The number of requests that the sender has in flight at each endpoint.
+/// The requests that the sender has in flight at each endpoint. The lists have
+/// the same order.
 struct EndpointUse {
   std::vector<std::string> endpoints;
-  std::vector<std::uint32_t> in_progress;  ///< Counts, in the same order.
+  std::vector<std::uint32_t> in_progress;  ///< Numbers of requests.
+  /// Prompt tokens of requests whose first event has not arrived.
+  std::vector<std::uint32_t> prompt_tokens;
 };
 
 /// The fingerprint of a request that crashed endpoints.
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -3,14 +3,18 @@
 // the health of endpoints and the assembly of events.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <random>
 
 #include "fleet/crash_suspects.h"
+#include "fleet/demand_table.h"
 #include "fleet/endpoint_health.h"
 #include "fleet/endpoint_record.h"
 #include "fleet/endpoint_selection.h"
 #include "fleet/load_rate_limiter.h"
+#include "fleet/prompt_speed.h"
 #include "fleet/shared_retry_budget.h"
 #include "fleet/store_concurrency.h"
 #include "forwarding/event_assembler.h"
@@ -109,6 +113,87 @@
   EXPECT_NE(SelectEndpoint(candidates, request)->record->id, id);
 }
 
+// Guards against counting requests only: an engine that reads long prompts is
+// busier than one with more requests that all generate tokens.
+TEST(SelectEndpoint, PromptsToReadCountAsLoad) {
+  const auto a = Endpoint("a");
+  const auto b = Endpoint("b");
+  EXPECT_NEAR(
+      SelectionFractions({{&a, 2, 0, true, 18000}, {&b, 10, 0, true, 0}})["b"],
+      1, 1e-9);
+}
+
+// Guards against a hot shared prompt that fills one engine while others idle,
+// and against prompts that are spread over all engines and read by each.
+TEST(SelectEndpoint, HotSharedPromptsUseAFewEndpoints) {
+  std::vector<EndpointRecord> records;
+  for (int i = 0; i < 12; ++i) {
+    records.push_back(Endpoint("e" + std::to_string(i)));
+  }
+  std::vector<EndpointCandidate> candidates;
+  for (const auto& it : records) {
+    candidates.push_back({&it, 0, 0, true});
+  }
+  std::mt19937_64 random(7);
+  std::map<std::string, int> requests;
+  // Each endpoint has finished its prompts before the next round arrives.
+  for (int round = 0; round < 50; ++round) {
+    for (auto& it : candidates) {
+      it.prompt_tokens = 0;
+      it.in_flight = 0;
+    }
+    for (int i = 0; i < 6; ++i) {
+      const auto* it = SelectEndpoint(candidates, {"hot", 6000, random()});
+      ++requests[it->record->id];
+      auto& chosen = candidates[static_cast<std::size_t>(it - &candidates[0])];
+      ++chosen.in_flight;
+      chosen.prompt_tokens += 3000;
+    }
+  }
+  std::vector<int> counts;
+  for (const auto& [id, n] : requests) {
+    counts.push_back(n);
+  }
+  std::ranges::sort(counts, std::greater<>());
+  EXPECT_LE(counts[0], 150);  // Half of all requests.
+  EXPECT_GE(counts[0] + counts[1] + counts[2], 150);
+}
+
+// Guards against an estimate that follows requests which waited behind others,
+// and takes engines for slower than they are.
+TEST(PromptSpeed, FollowsTheFastestRequests) {
+  constexpr double kTokensPerMs = 40;
+  PromptSpeed speed;
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 500; ++i) {
+    const auto queued = random() % 4 == 0 ? 0 : 100 + random() % 200;
+    speed.Observe(3000, milliseconds(10 + 75 + queued));
+  }
+  EXPECT_NEAR(speed.tokens_per_ms(), kTokensPerMs, kTokensPerMs / 4);
+  const auto before = speed.tokens_per_ms();
+  speed.Observe(10, milliseconds(11));  // Too short to tell.
+  EXPECT_EQ(speed.tokens_per_ms(), before);
+}
+
+// Guards against demand for prompt tokens that is lost or never decays.
+TEST(DemandTable, PromptTokensAreSummedOverNodesAndDecay) {
+  DemandTable table;
+  DemandEntry entry;
+  entry.model = "m";
+  entry.arrivals = 1;
+  entry.prompt_tokens = 9000;
+  for (int i = 0; i < 60; ++i) {
+    const auto now = kStart + milliseconds(500) * i;
+    table.Update("a", {"s", 1, {entry}}, now);
+    table.Update("b", {"s", 1, {entry}}, now);
+  }
+  const auto end = kStart + seconds(30);
+  const auto busy = table.Read("s", end).at({"m", ""}).prompt_tokens_per_s;
+  EXPECT_NEAR(busy, 36000, 6000);
+  const auto later = table.Read("s", end + seconds(12));
+  EXPECT_LT(later.at({"m", ""}).prompt_tokens_per_s, busy / 20);
+}
+
 // Guards against a retry of a request that must run at most once, and against a
 // status 503 for a request that may have run.
 TEST(RetryPolicy, OnlyRetryableRequestsRunTwice) {
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kNow{std::chrono::hours(1)};
+// Prompt tokens that an engine reads in a second.
+constexpr double kReadingSpeed = 40000;
 
 EngineSpec MakeSpec(int models) {
   EngineSpec spec;
@@ -204,14 +206,14 @@
 TEST(PlanPlacement, BusyModelsGetReplicasByTheirConcurrency) {
   ModelDemand demand;
   demand.rate = 1;
-  EXPECT_EQ(DesiredReplicas(demand, 64), 0U);
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 0U);
   demand.rate = 2;
-  EXPECT_EQ(DesiredReplicas(demand, 64), 2U);
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 2U);
   demand.concurrency = 25;
-  EXPECT_EQ(DesiredReplicas(demand, 64), 4U);
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 4U);
   // Engines with few slots need more replicas: with 4, one model would use half
   // of their 12 slots on average.
-  EXPECT_EQ(DesiredReplicas(demand, 12), 9U);
+  EXPECT_EQ(DesiredReplicas(demand, 12, kReadingSpeed), 9U);
   Fixture f;
   f.spec = MakeSpec(6);
   f.input.engines = {MakeEngine("a", {"m0"}),
@@ -230,6 +232,42 @@
   EXPECT_EQ(plan.orders[0].action, OrderAction::kLoad);
 }
 
+// Guards against a model whose few requests have prompts so long that one
+// engine can't read them, although most of its slots are free.
+TEST(PlanPlacement, LongPromptsNeedReplicasBeforeSlotsAreFull) {
+  ModelDemand demand;
+  demand.rate = 4;
+  demand.concurrency = 3;
+  demand.prompt_tokens_per_s = 4 * 9000;  // 0.9 of what an engine reads.
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 3U);
+  demand.rate = 1;  // Rare, but each prompt takes long.
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 3U);
+  demand.prompt_tokens_per_s = 600;
+  EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 0U);
+
+  Fixture f;
+  f.spec = MakeSpec(6);
+  f.input.engine_prompt_tokens_per_s = kReadingSpeed;
+  f.input.engines = {MakeEngine("a", {"m0"}), MakeEngine("b", {"m1"}),
+                     MakeEngine("c", {"m2"})};
+  for (auto& it : f.input.engines) {
+    it.cached_weights.on_disk.insert("m0");
+  }
+  demand.rate = 4;
+  demand.prompt_tokens_per_s = 4 * 9000;
+  demand.last_arrival_at = kNow;
+  f.input.demand[{"m0", ""}] = demand;
+  // The prompts of another model keep engine "b" busy.
+  auto& other = f.input.demand[{"m1", ""}];
+  other.rate = 1;
+  other.prompt_tokens_per_s = 0.2 * kReadingSpeed;
+  other.last_arrival_at = kNow;
+  const auto plan = PlanPlacement(f.input);
+  ASSERT_FALSE(plan.orders.empty());
+  EXPECT_EQ(plan.orders[0].target.model, "m0");
+  EXPECT_EQ(plan.orders[0].engine, "c");
+}
+
 // Guards against more adapters on an engine than it has adapter slots.
 TEST(PlanPlacement, IdleAdapterIsEvictedWhenAllAdapterSlotsAreUsed) {
   Fixture f;
--- a/tests/correctness/request_times_test.cc
+++ b/tests/correctness/request_times_test.cc
@@ -41,6 +41,20 @@
             kNow + seconds(1));
 }
 
+// Guards against a request that is sent to an engine whose queue of prompts it
+// cannot survive, while another engine or the client's retry could serve it.
+TEST(RequestTimes, QueueOfPromptsMustLeaveTimeToRun) {
+  constexpr double kTokensPerMs = 40;
+  const auto deadline = kNow + seconds(4);
+  EXPECT_FALSE(CannotStartInTime(0, kTokensPerMs, kNow, deadline));
+  EXPECT_FALSE(
+      CannotStartInTime(1900 * kTokensPerMs, kTokensPerMs, kNow, deadline));
+  EXPECT_TRUE(
+      CannotStartInTime(2100 * kTokensPerMs, kTokensPerMs, kNow, deadline));
+  EXPECT_TRUE(CannotStartInTime(500 * kTokensPerMs, kTokensPerMs, kNow,
+                                kNow + milliseconds(900)));
+}
+
 // Guards against clients that retry before their model can be loaded, or too
 // late to be served by their deadline.
 TEST(RequestTimes, RetryAfterFollowsTheExpectedLoadTime) {
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -448,6 +448,18 @@
   EXPECT_EQ(site.registry.config()->config.version, 5U);
 }
 
+// Guards against a request that is sent into the queue of an engine that cannot
+// start it in time: it fails at its deadline although another engine is idle.
+TEST_F(Forwarding, EngineWithALongQueueOfPromptsGetsNoRequest) {
+  const EndpointUse use{{"i-a"}, {3}, {2000000}};
+  site.view.OnPeerUse("peer", use);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(site.Send(site.Request("/read/x")).assume_value().status, 200);
+  }
+  EXPECT_EQ(site.a.runs().size(), 0U);
+  EXPECT_EQ(site.b.runs().size(), 6U);
+}
+
 // Guards against a node whose connection to the store is lost and that keeps an
 // old configuration although its peers have a newer one.
 TEST_F(Forwarding, ConfigurationIsRequestedFromAPeerWithoutTheStore) {
--- a/tests/error/peer_refusal_test.cc
+++ b/tests/error/peer_refusal_test.cc
@@ -237,7 +237,7 @@
       return EndpointNotice{text, static_cast<EndpointCondition>(number % 5),
                             number};
     case 5:
-      return EndpointUse{{text, "b"}, {number, 2}};
+      return EndpointUse{{text, "b"}, {number, 2}, {3, 4}};
     case 6:
       return CrashNotice{number, 2, 3};
     default:
