node: exchange counts of requests in flight only in fleets of up to 16 nodes

Cause: with 83 nodes a node announced its counts every 4.15 s, and they were used for 2 s. Ruled out: too few engines (19% of the reading speed of all engines is used).

Change: larger fleets send no counts, so that nodes spread requests at random by what they know themselves; smaller ones use counts for three report intervals.

--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -26,10 +26,10 @@
 /// and its own requests.
 class FleetView {
  public:
-  /// How long the counts of a peer are used after they were received: five
-  /// report intervals of a fleet of up to eight nodes. Larger fleets report
-  /// less often, but older counts would send all nodes to the same endpoints.
-  static constexpr Duration kPeerUseTimeout = std::chrono::seconds(2);
+  /// How long the counts of a peer are used after they were received: three
+  /// report intervals of a fleet of up to eight nodes. Requests last about as
+  /// long, and older counts would send all nodes to the same endpoints.
+  static constexpr Duration kPeerUseTimeout = std::chrono::milliseconds(1200);
   /// How long an endpoint gets no requests for a model that it refused as not
   /// loaded; newer notices about it arrive within this time.
   static constexpr Duration kNotLoadedTimeout = std::chrono::milliseconds(500);
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -41,6 +41,10 @@
 // Max number of nodes that broadcast at this interval. With more nodes each
 // broadcasts less often, so that the rate at which a node receives is constant.
 constexpr std::size_t kMaxNodesAtFullRate = 8;
+// Max number of nodes that broadcast at all. In a larger fleet the counts would
+// be older than most requests: all nodes would choose the endpoint that had few
+// requests a while ago, and then the next one.
+constexpr std::size_t kMaxNodesWithCounts = 16;
 // Interval at which a node reads the list of nodes. The list changes rarely,
 // and a read that may be stale costs little.
 constexpr milliseconds kNodeListInterval{1000};
@@ -278,8 +282,12 @@
 void FleetNode::Parts::BroadcastUseLoop() {
   bool idle = false;
   while (!stopped) {
-    const auto nodes = std::max(kMaxNodesAtFullRate, peers.LiveIds().size());
+    const auto nodes = std::clamp(peers.LiveIds().size(), kMaxNodesAtFullRate,
+                                  kMaxNodesWithCounts);
     clock.SleepFor(kEndpointUseInterval * nodes / kMaxNodesAtFullRate);
+    if (peers.LiveIds().size() > kMaxNodesWithCounts) {
+      continue;
+    }
     auto use = view.LocalUse();
     // An empty list is sent only once, to reset the peers' counts.
     if (!use.endpoints.empty() || !idle) {
