http, forwarding: limit the bytes kept of endless answers and requests

Cause: a response body could take 64 MB for each attempt, and chunk extensions and trailers were kept without limit, where a small VM has 160 MB in all.

Bytes that a connection has received and not parsed have a limit, in the client and in the server. A gauge shows the buffered bytes.

--- /dev/null
+++ b/packages/forwarding/buffer_budget.h
@@ -0,0 +1,61 @@
+// Defines BufferBudget and BufferShare, which limit the memory that all
+// requests of a process together use for responses that are not yet forwarded.
+#ifndef FORWARDING_BUFFER_BUDGET_H_
+#define FORWARDING_BUFFER_BUDGET_H_
+
+#include <cstddef>
+
+namespace tanagerloom {
+
+/// A number of bytes that buffers share. An endpoint may send bytes without
+/// end; without a limit over all requests a few of them would use up a small
+/// VM.
+class BufferBudget {
+ public:
+  /// One response may use this fraction of the budget, so that several endless
+  /// ones leave room for all others.
+  static constexpr std::size_t kMaxShareDivisor = 8;
+
+  explicit BufferBudget(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  std::size_t used_bytes() const { return used_bytes_; }
+  std::size_t max_bytes() const { return max_bytes_; }
+  /// Largest share of one response.
+  std::size_t max_share_bytes() const { return max_bytes_ / kMaxShareDivisor; }
+
+ private:
+  friend class BufferShare;
+
+  std::size_t max_bytes_;
+  std::size_t used_bytes_ = 0;
+};
+
+/// The part of a budget that one buffer uses, until it is destroyed.
+class BufferShare {
+ public:
+  explicit BufferShare(BufferBudget& budget) : budget_(budget) {}
+  ~BufferShare() { budget_.used_bytes_ -= bytes_; }
+  BufferShare(const BufferShare&) = delete;
+  BufferShare& operator=(const BufferShare&) = delete;
+
+  /// Sets the size of the buffer. Returns false, and changes nothing, if the
+  /// buffer may not grow so far.
+  bool Resize(std::size_t bytes) {
+    const auto others = budget_.used_bytes_ - bytes_;
+    if (bytes > bytes_ && (bytes > budget_.max_share_bytes() ||
+                           others + bytes > budget_.max_bytes())) {
+      return false;
+    }
+    budget_.used_bytes_ = others + bytes;
+    bytes_ = bytes;
+    return true;
+  }
+
+ private:
+  BufferBudget& budget_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_BUFFER_BUDGET_H_
--- a/packages/forwarding/endpoint_attempt.cc
+++ b/packages/forwarding/endpoint_attempt.cc
@@ -24,6 +24,8 @@
       return "broken";
     case AttemptFailure::kSilent:
       return "silent";
+    case AttemptFailure::kOversized:
+      return "oversized";
     case AttemptFailure::kForeign:
       return "foreign";
     case AttemptFailure::kAborted:
@@ -35,10 +37,12 @@
 EndpointAttempt::EndpointAttempt(boost::asio::io_context& io,
                                  const RequestProtocol& protocol,
                                  const Clock& clock,
+                                 BufferBudget& buffers,
                                  const Address& endpoint)
     : protocol_(protocol),
       clock_(clock),
-      connection_(std::make_unique<HttpConnection>(io, endpoint)) {}
+      connection_(std::make_unique<HttpConnection>(io, endpoint)),
+      share_(buffers) {}
 
 EndpointAttempt::~EndpointAttempt() = default;
 
@@ -92,6 +96,12 @@
   if (!n) {
     return Failure(n.assume_error());
   }
+  if (!share_.Resize(out.size())) {
+    connection_->Close();
+    return AttemptError{
+        AttemptFailure::kOversized, Verdict::kMayHaveRun,
+        "unfinished after " + std::to_string(out.size()) + " buffered bytes"};
+  }
   return n.assume_value();
 }
 
--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -8,6 +8,7 @@
 
 #include "base/address.h"
 #include "base/verdict.h"
+#include "forwarding/buffer_budget.h"
 #include "forwarding/request_protocol.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
@@ -26,6 +27,7 @@
   kUnreachable,  ///< No connection; nothing was sent.
   kBroken,       ///< The connection broke before the response was complete.
   kSilent,       ///< No response, or no further bytes of it, in time.
+  kOversized,    ///< The response uses up the memory that it may use.
   kForeign,  ///< The response is not the endpoint's response to this request.
   kAborted,  ///< This node ended it because the client disconnected.
 };
@@ -53,6 +55,7 @@
   EndpointAttempt(boost::asio::io_context& io,
                   const RequestProtocol& protocol,
                   const Clock& clock,
+                  BufferBudget& buffers,
                   const Address& endpoint);
   ~EndpointAttempt();
 
@@ -66,7 +69,8 @@
                            TimePoint deadline);
 
   /// Appends the next bytes of the response body to `out` and returns their
-  /// number; 0 at the end of a complete body. May be called again after it
+  /// number; 0 at the end of a complete body. Fails with kOversized if `out`
+  /// would outgrow its share of the buffer budget. May be called again after it
   /// failed with kSilent.
   AttemptResult<std::size_t> Read(std::string& out, TimePoint deadline);
 
@@ -84,6 +88,7 @@
   const RequestProtocol& protocol_;
   const Clock& clock_;
   std::unique_ptr<HttpConnection> connection_;
+  BufferShare share_;  ///< Of the bytes that were read and not yet taken.
   ResponseTraits traits_;
   bool aborted_ = false;
 };
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -264,7 +264,7 @@
 }
 
 ForwardedRequest::NextStep ForwardedRequest::RunAttempt(const Target& target) {
-  EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock,
+  EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
                           target.address);
   client_->attempt = &attempt;
   deps_.view.BeginUse(target.id, target.prompt_tokens);
@@ -575,7 +575,8 @@
 void ForwardedRequest::ProbeForCrash(const Target& target) {
   const auto fingerprint = StableHash(request_.target + "\n" + request_.body);
   boost::fibers::fiber([&deps = deps_, target, fingerprint] {
-    EndpointAttempt probe(deps.io, deps.protocol, deps.clock, target.address);
+    EndpointAttempt probe(deps.io, deps.protocol, deps.clock, deps.buffers,
+                          target.address);
     const auto now = deps.clock.Now();
     if (!probe.Connect(now + kCrashProbeTimeout)) {
       deps.on_crash(fingerprint);
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -16,6 +16,7 @@
 
 namespace tanagerloom {
 
+class BufferBudget;
 class Clock;
 class CrashSuspects;
 class DemandTracker;
@@ -46,6 +47,8 @@
   /// Called when an endpoint crashed after it was sent a request with this
   /// fingerprint.
   std::function<void(std::uint64_t fingerprint)> on_crash;
+  /// Memory for responses of endpoints.
+  BufferBudget& buffers;
 };
 
 }  // namespace tanagerloom
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -22,6 +22,9 @@
 
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
+// Max number of bytes that are received and not yet parsed. The parser keeps a
+// header, a chunk extension or the trailers until they are complete.
+constexpr std::size_t kMaxUnparsedBytes = 2UL * kMaxHeaderBytes;
 
 HttpFailure Failure(boost::system::error_code ec,
                     std::string_view what,
@@ -49,7 +52,7 @@
 
   beast::tcp_stream stream;
   IoWatchdog watchdog;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
 };
 
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -26,6 +26,9 @@
 
 namespace {
 
+// Half of the bytes that may be received and not yet parsed, or the max size of
+// a header if that is more.
+constexpr std::uint32_t kMinUnparsedBytes = 64 * 1024;
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 
 HttpRequest ToRequest(const bhttp::request<bhttp::string_body>& message) {
@@ -311,7 +314,10 @@
   beast::tcp_stream stream(std::move(socket));
   boost::system::error_code ec;
   stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-  beast::flat_buffer buffer;
+  // The parser keeps a header, a chunk extension or the trailers until they are
+  // complete.
+  beast::flat_buffer buffer(
+      2UL * std::max(limits.max_header_bytes, kMinUnparsedBytes));
   connections.insert(&stream);
   while (!stopping && ServeOne(stream, buffer)) {
   }
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -11,6 +11,7 @@
 #include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
+#include "forwarding/buffer_budget.h"
 #include "forwarding/request_forwarder.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
@@ -68,6 +69,9 @@
 // Min read timeout of a request with its body, since a client may be slow to
 // send a long body. The header has a limit of its own.
 constexpr milliseconds kMinReadTimeout{15000};
+// Fraction of the VM's memory for responses that are not yet forwarded. Strings
+// grow by doubling, so that twice as much may be allocated.
+constexpr std::uint64_t kBufferMemoryDivisor = 5;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -132,6 +136,7 @@
         log(event_log),
         view(settings.data_centre, clock),
         demand(clock),
+        buffers(settings.memory_bytes / kBufferMemoryDivisor),
         nodes(ports.store, ports.collections, clock, SelfAsVm(settings)),
         peers(Runtime::Get().io(), nodes, clock, log, PeerSettings(settings)),
         registry(ports.collections,
@@ -154,7 +159,7 @@
                    suspects, clock, log, settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
                    [this] { return stop_waiting_at; },
-                   [this](std::uint64_t it) { OnCrash(it); }}),
+                   [this](std::uint64_t it) { OnCrash(it); }, buffers}),
         client_server(
             Runtime::Get().io(),
             HttpServerLimits{},
@@ -189,6 +194,7 @@
   FleetView view;
   DemandTracker demand;
   CrashSuspects suspects;
+  BufferBudget buffers;
   NodeRegistry nodes;
   PeerService peers;
   FleetRegistry registry;
@@ -219,6 +225,10 @@
       "tanagerloom_endpoints", "Endpoints that the store lists.", [this] {
         return static_cast<double>(view.directory().records().size());
       });
+  metrics.AddGaugeReader(
+      "tanagerloom_response_buffer_bytes",
+      "Bytes of endpoints' responses that are not yet forwarded.",
+      [this] { return static_cast<double>(buffers.used_bytes()); });
   metrics.AddGaugeReader("tanagerloom_holds_order_lease",
                          "1 while this node orders engines.",
                          [this] { return lease.is_holder() ? 1.0 : 0.0; });
--- a/packages/node/fleet_settings.h
+++ b/packages/node/fleet_settings.h
@@ -41,6 +41,8 @@
   Address peer_listen;
   Address store;  ///< Of the platform's object store.
   FleetBounds bounds;
+  /// Memory of the VM, which the process must not exceed.
+  std::uint64_t memory_bytes = 160ULL * 1024 * 1024;
 };
 
 }  // namespace tanagerloom
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -5,25 +5,9 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
-#include "base/event_log.h"
 #include "base/id.h"
-#include "fleet/crash_suspects.h"
-#include "fleet/demand_tracker.h"
-#include "fleet/fleet_view.h"
-#include "forwarding/request_forwarder.h"
-#include "http/http_client.h"
 #include "http/http_connection.h"
-#include "http/http_server.h"
-#include "platform/entry_decoder.h"
-#include "platform/header_protocol.h"
-#include "platform/store_client.h"
-#include "registry/fleet_registry.h"
-#include "runtime/runtime.h"
-#include "runtime/steady_clock.h"
-#include "testing/fleet_standin/endpoint_standin.h"
-#include "testing/fleet_standin/store_standin.h"
-#include "testing/harness/wait.h"
-#include "tests/fakes/fake_peers.h"
+#include "tests/support/forwarding_site.h"
 
 namespace tanagerloom {
 namespace {
@@ -32,129 +16,11 @@
 using std::chrono::seconds;
 using testing_support::WaitUntil;
 
-nlohmann::json RouteJson(const std::string& prefix,
-                         const std::string& kind,
-                         int attempts,
-                         bool resumable) {
-  return {{"name", prefix},          {"host", "h.example"},
-          {"pathPrefix", prefix},    {"kind", kind},
-          {"timeoutMs", 2000},       {"goalMs", 100},
-          {"priority", 0},           {"service", "s"},
-          {"maxAttempts", attempts}, {"resumable", resumable},
-          {"gapTargetMs", 400}};
-}
-
-nlohmann::json ConfigJson() {
-  return {
-      {"version", 1},
-      {"routes",
-       {RouteJson("/read/", "idempotent", 2, false),
-        RouteJson("/book/", "non_idempotent", 1, false),
-        RouteJson("/stream-on/", "streaming", 2, true),
-        RouteJson("/stream-once/", "streaming", 1, false)}},
-      {"services",
-       {{{"name", "s"},
-         {"engine",
-          {{"slots", 8},
-           {"weightsMb", 1000},
-           {"models", {{{"name", "m"}, {"weightsMb", 10}, {"loadS", 1}}}}}}}}},
-      {"limits", nlohmann::json::object()}};
-}
-
-// A node's request path with two endpoints. Tests leak it, because the fibers
-// of its servers run until the process ends.
-struct Site {
-  explicit Site(RetryLimits retry_limits = {})
-      : a(store, "i-a", "s"),
-        b(store, "i-b", "s"),
-        client(Runtime::Get().io()),
-        adapter(client, clock, store.address()),
-        view("z", clock),
-        demand(clock),
-        peers(cluster, "n", "z"),
-        registry(adapter,
-                 peers,
-                 view,
-                 clock,
-                 log,
-                 platform::MakeRegistryFormat(),
-                 {{milliseconds(500), milliseconds(10), milliseconds(50)},
-                  {milliseconds(500), milliseconds(10), milliseconds(50)}}),
-        forwarder(
-            {Runtime::Get().io(), registry, view, demand, protocol, suspects,
-             clock, log, retry_limits, [] { return std::size_t{1}; },
-             [this] { return stop_waiting_at; },
-             [this](std::uint64_t it) { suspects.OnCrash(it, clock.Now()); }}),
-        server(Runtime::Get().io(),
-               HttpServerLimits{},
-               [this](const HttpRequest& request, HttpResponder& responder) {
-                 forwarder.Handle(request, responder);
-               }),
-        address(server.Listen({"127.0.0.1", 0}).value()) {}
-
-  // Stores the configuration, registers both endpoints and waits until the node
-  // knows them.
-  void Start() {
-    store.Set("config", "main", ConfigJson());
-    a.Register();
-    b.Register();
-    registry.Start();
-    ASSERT_TRUE(WaitUntil([&] {
-      return registry.config() != nullptr &&
-             view.directory().records().size() == 2;
-    }));
-  }
-
-  // Sets the request handler of both endpoints.
-  void SetServe(const EndpointStandin::RequestHandler& serve) {
-    a.serve = serve;
-    b.serve = serve;
-  }
-
-  HttpRequest Request(const std::string& path) const {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.body = "body of " + path;
-    request.headers = {
-        {"Host", "h.example"}, {"Attempt-Id", "id-1"}, {"Deadline-Ms", "5000"}};
-    return request;
-  }
-
-  HttpResult<HttpResponse> Send(const HttpRequest& request) {
-    return client.Call(
-        address, request,
-        {.deadline = clock.Now() + seconds(8), .fresh_connection = true});
-  }
-
-  // Number of requests that the endpoints ran.
-  std::size_t Runs() const { return a.runs().size() + b.runs().size(); }
-
-  EventLog log{"test", 1000, MakeNullLogger()};
-  SteadyClock clock;
-  StoreStandin store;
-  EndpointStandin a;
-  EndpointStandin b;
-  HttpClient client;
-  platform::StoreClient adapter;
-  platform::HeaderProtocol protocol;
-  FleetView view;
-  DemandTracker demand;
-  CrashSuspects suspects;
-  FakeCluster cluster;
-  FakePeers peers;
-  FleetRegistry registry;
-  TimePoint stop_waiting_at = TimePoint::max();
-  RequestForwarder forwarder;
-  HttpServer server;
-  Address address;
-};
-
 class Forwarding : public testing::Test {
  protected:
   void SetUp() override { site.Start(); }
 
-  Site& site = *new Site();
+  ForwardingSite& site = *new ForwardingSite();
 };
 
 // Guards against a request or an answer that forwarding changes.
@@ -176,7 +42,7 @@
 // an unknown route once it is known.
 TEST_F(Forwarding, UnknownRouteGives404AndMissingConfigurationGives503) {
   EXPECT_EQ(site.Send(site.Request("/none/")).assume_value().status, 404);
-  auto& unconfigured = *new Site();
+  auto& unconfigured = *new ForwardingSite();
   const auto answer = unconfigured.Send(unconfigured.Request("/read/x"));
   EXPECT_EQ(answer.assume_value().status, 503);
   EXPECT_TRUE(answer.assume_value().headers.Find("Retry-After"));
@@ -317,7 +183,7 @@
 // Guards against a node that aborts a stream because the endpoint is silent for
 // longer than the gap target and the retry budget is used up.
 TEST_F(Forwarding, SilentStreamIsKeptIfNoRetryIsLeft) {
-  auto& limited = *new Site(RetryLimits{0, seconds(10), 0});
+  auto& limited = *new ForwardingSite(RetryLimits{0, seconds(10), 0});
   limited.Start();
   limited.SetServe([](const HttpRequest& request, HttpResponder& responder) {
     (void)responder.StartStream(200, EndpointStandin::SealedHeaders(request));
@@ -393,7 +259,7 @@
   EXPECT_EQ(site.Send(request).assume_value().status, 200);
   load.join();
 
-  auto& slow_site = *new Site();
+  auto& slow_site = *new ForwardingSite();
   slow_site.Start();
   LoadEstimate estimate{"s", 1, 1, {"m"}, {60000}};
   slow_site.view.OnLoadEstimates(estimate);
