forwarding: only whole events are progress of a stream

Cause: the deadline of a read was counted from the last bytes, so an endpoint that stalled within an event and sent a byte now and then kept its stream until the request's deadline, although it could have resumed elsewhere. Shown by a test that fails before: one run instead of two, and no stream.

Change: deadlines of an attempt count from its last whole event, or from the last part of a whole response.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -294,6 +294,7 @@
                                           {"send", sends_},
                                           {"age_ms", AgeMs()}});
   sent_at_ = deps_.clock.Now();
+  progress_at_ = sent_at_;
   const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt_id,
                                  ResponseDeadline(target));
   if (!sent) {
@@ -345,14 +346,14 @@
   if (!MayStillRetry() || !HasOtherEndpoint(target)) {
     return deadline_;
   }
-  return SilenceDeadline(*route_, deps_.clock.Now(), deadline_);
+  return SilenceDeadline(*route_, progress_at_, deadline_);
 }
 
 TimePoint ForwardedRequest::EventDeadline(const Target& target) const {
   if (!MayStillRetry() || !HasOtherEndpoint(target)) {
     return deadline_;
   }
-  return EventGapDeadline(*route_, deps_.clock.Now(), deadline_);
+  return EventGapDeadline(*route_, progress_at_, deadline_);
 }
 
 // ---- whole answers
@@ -368,6 +369,7 @@
     if (!n) {
       return OnAttemptFailed(target, n.assume_error());
     }
+    progress_at_ = deps_.clock.Now();
     if (n.assume_value() == 0) {
       break;
     }
@@ -409,6 +411,7 @@
         event_assembler_.input(),
         awaits_first_event ? ResponseDeadline(target) : EventDeadline(target));
     if (!n && ShouldKeepWaiting(target, n.assume_error())) {
+      progress_at_ = deps_.clock.Now();
       continue;
     }
     if (!n) {
@@ -419,11 +422,15 @@
     }
     OnPromptRead(target);
     const auto events = event_assembler_.TakeEvents();
-    if (!events.empty() && !ForwardEvents(attempt, events)) {
+    if (events.empty()) {
+      continue;
+    }
+    if (!ForwardEvents(attempt, events)) {
       attempt.Abort();
       Finish(attempt.status(), "client_gone");
       return NextStep::kDone;
     }
+    progress_at_ = deps_.clock.Now();
   }
 }
 
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -153,6 +153,9 @@
   /// Error response of an endpoint, relayed if no retry succeeds.
   std::optional<HttpResponse> fallback_response_;
   TimePoint sent_at_{};  ///< Of the attempt in flight.
+  /// When the attempt in flight was sent, or its last whole event or part of a
+  /// whole response arrived. Single bytes of an event are no progress.
+  TimePoint progress_at_{};
   /// Whether the endpoint of the attempt in flight has still to read the
   /// prompt.
   bool prompt_pending_ = false;
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -160,6 +160,46 @@
   EXPECT_EQ(answer.assume_value().body, expected);
 }
 
+// Guards against a stalled stream that never ends because its endpoint sends a
+// byte now and then.
+TEST_F(Forwarding, TrickleOfBytesIsNoProgressOfAStream) {
+  int n = 0;
+  site.SetServe([&](const HttpRequest& request, HttpResponder& responder) {
+    (void)responder.StartStream(200, EndpointStandin::SealedHeaders(request));
+    if (n++ == 0) {
+      (void)responder.Write(EndpointStandin::StreamEvent(1) + "id: 2\ndata: ");
+      while (responder.Write("x")) {
+        boost::this_fiber::sleep_for(milliseconds(50));
+      }
+      return;
+    }
+    (void)responder.Write(EndpointStandin::StreamEvent(2));
+    (void)responder.Finish();
+  });
+  const auto answer = site.Send(site.Request("/stream-on/x"));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer.assume_value().body,
+            EndpointStandin::StreamEvent(1) + EndpointStandin::StreamEvent(2));
+  EXPECT_EQ(site.Runs(), 2U);
+}
+
+// Guards against cutting a slow but sound stream, whose events arrive just
+// within the allowed pause.
+TEST_F(Forwarding, SlowSoundStreamStaysWithItsEndpoint) {
+  site.SetServe([](const HttpRequest& request, HttpResponder& responder) {
+    (void)responder.StartStream(200, EndpointStandin::SealedHeaders(request));
+    for (int i = 1; i <= 4; ++i) {
+      (void)responder.Write(EndpointStandin::StreamEvent(i));
+      boost::this_fiber::sleep_for(milliseconds(390));
+    }
+    (void)responder.Finish();
+  });
+  const auto answer = site.Send(site.Request("/stream-on/x"));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer.assume_value().status, 200);
+  EXPECT_EQ(site.Runs(), 1U);
+}
+
 // Guards against a node that aborts a stream because the only endpoint that can
 // serve it is silent for longer than the gap target.
 TEST_F(Forwarding, SilentStreamIsKeptIfThereIsNoOtherEndpoint) {
