forwarding: choose endpoints in a class of its own

The choice of the endpoint for an attempt, with the endpoints that an earlier attempt excluded, is a job of its own. No behaviour changes.

--- /dev/null
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -0,0 +1,86 @@
+#include "forwarding/endpoint_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/id.h"
+#include "fleet/endpoint_selection.h"
+#include "fleet/fleet_view.h"
+#include "fleet/request_profile.h"
+#include "forwarding/forwarding_dependencies.h"
+#include "forwarding/request_times.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// Ratio of requests in flight to slots from which an endpoint gets no more
+// requests. They wait at this node instead, where they can still go to another
+// endpoint.
+constexpr double kFullLoadFactor = 2.0;
+}  // namespace
+
+EndpointChooser::EndpointChooser(const ForwardingDependencies& deps,
+                                 const RequestProfile& profile,
+                                 std::string service,
+                                 TimePoint deadline)
+    : deps_(deps),
+      profile_(profile),
+      service_(std::move(service)),
+      deadline_(deadline) {}
+
+void EndpointChooser::Exclude(const std::string& id, TimePoint until) {
+  excluded_until_[id] = until;
+}
+
+std::set<std::string> EndpointChooser::Excluded() const {
+  std::set<std::string> out;
+  const auto now = deps_.clock.Now();
+  for (const auto& [id, until] : excluded_until_) {
+    if (now < until) {
+      out.insert(id);
+    }
+  }
+  return out;
+}
+
+std::optional<EndpointTarget> EndpointChooser::Choose() const {
+  auto candidates = deps_.view.Candidates(service_, profile_.model, Excluded());
+  std::erase_if(candidates,
+                [this](const EndpointCandidate& it) { return IsFull(it); });
+  const auto key = profile_.SharedPromptKey();
+  const auto* chosen = SelectEndpoint(
+      candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  return EndpointTarget{chosen->record->id, chosen->record->address,
+                        PromptTokensAt(*chosen, candidates)};
+}
+
+bool EndpointChooser::IsFull(const EndpointCandidate& candidate) const {
+  if (candidate.in_flight >= kFullLoadFactor * candidate.record->slots) {
+    return true;
+  }
+  const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
+  return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
+                           deadline_);
+}
+
+std::uint32_t EndpointChooser::PromptTokensAt(
+    const EndpointCandidate& endpoint,
+    std::span<const EndpointCandidate> candidates) const {
+  const auto cached_at =
+      SharedPromptEndpoints(candidates, profile_.SharedPromptKey());
+  const bool cached =
+      std::ranges::find(cached_at, &endpoint) != cached_at.end();
+  return cached ? profile_.UnsharedPromptTokens() : profile_.prompt_tokens;
+}
+
+bool EndpointChooser::HasOther(const std::string& id) const {
+  auto excluded = Excluded();
+  excluded.insert(id);
+  return !deps_.view.Candidates(service_, profile_.model, excluded).empty();
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/forwarding/endpoint_chooser.h
@@ -0,0 +1,68 @@
+// Defines EndpointChooser, which chooses the endpoint for each attempt of one
+// request.
+#ifndef FORWARDING_ENDPOINT_CHOOSER_H_
+#define FORWARDING_ENDPOINT_CHOOSER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+#include "base/address.h"
+#include "runtime/clock.h"
+
+namespace tanagerloom {
+
+struct EndpointCandidate;
+struct ForwardingDependencies;
+struct RequestProfile;
+
+/// The endpoint chosen for an attempt.
+struct EndpointTarget {
+  std::string id;
+  Address address;
+  std::uint32_t prompt_tokens = 0;  ///< Expected to be read there.
+};
+
+/// Chooses among the endpoints that can take the request now, except those that
+/// failed it a short time ago.
+class EndpointChooser {
+ public:
+  /// `deps` and `profile` must outlive the chooser. `deadline` is that of the
+  /// request.
+  EndpointChooser(const ForwardingDependencies& deps,
+                  const RequestProfile& profile,
+                  std::string service,
+                  TimePoint deadline);
+
+  /// Returns an endpoint that can take the request now; nothing if none can.
+  std::optional<EndpointTarget> Choose() const;
+
+  /// Returns whether an endpoint other than `id` can take the request now.
+  bool HasOther(const std::string& id) const;
+
+  /// Chooses the endpoint only after `until` again.
+  void Exclude(const std::string& id, TimePoint until);
+
+ private:
+  /// Returns the endpoints that get no attempt now after an earlier one.
+  std::set<std::string> Excluded() const;
+  /// Returns whether an endpoint gets no more requests now.
+  bool IsFull(const EndpointCandidate& candidate) const;
+  /// Returns the tokens of the prompt that an endpoint is expected to read.
+  std::uint32_t PromptTokensAt(
+      const EndpointCandidate& endpoint,
+      std::span<const EndpointCandidate> candidates) const;
+
+  const ForwardingDependencies& deps_;
+  const RequestProfile& profile_;
+  std::string service_;
+  TimePoint deadline_;
+  std::map<std::string, TimePoint> excluded_until_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_ENDPOINT_CHOOSER_H_
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -9,7 +9,6 @@
 #include "base/id.h"
 #include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
-#include "fleet/endpoint_selection.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/request_times.h"
 #include "http/http_responder.h"
@@ -35,10 +34,6 @@
 // after an attempt failed.
 constexpr milliseconds kExcludeNotRun{100};
 constexpr milliseconds kExcludeFailed{1500};
-// Ratio of requests in flight to slots from which an endpoint gets no more
-// requests. They wait at this node instead, where they can still go to another
-// endpoint.
-constexpr double kFullLoadFactor = 2.0;
 // Timeout of the probe for a crash: a crashed endpoint refuses connections
 // within this time.
 constexpr milliseconds kCrashProbeTimeout{300};
@@ -113,6 +108,7 @@
     time = std::min(time, route_->timeout);
   }
   deadline_ = arrived_at_ + time - kResponseMargin;
+  chooser_.emplace(deps_, profile_, service_, deadline_);
   return true;
 }
 
@@ -151,51 +147,6 @@
 
 // ---- choice of the endpoint
 
-std::set<std::string> ForwardedRequest::ExcludedEndpoints() const {
-  std::set<std::string> out;
-  const auto now = deps_.clock.Now();
-  for (const auto& [id, until] : excluded_until_) {
-    if (now < until) {
-      out.insert(id);
-    }
-  }
-  return out;
-}
-
-std::optional<ForwardedRequest::Target> ForwardedRequest::ChooseEndpoint() {
-  auto candidates =
-      deps_.view.Candidates(service_, profile_.model, ExcludedEndpoints());
-  std::erase_if(candidates,
-                [this](const EndpointCandidate& it) { return IsFull(it); });
-  const auto key = profile_.SharedPromptKey();
-  const auto* chosen = SelectEndpoint(
-      candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
-  if (chosen == nullptr) {
-    return std::nullopt;
-  }
-  return Target{chosen->record->id, chosen->record->address,
-                PromptTokensAt(*chosen, candidates)};
-}
-
-bool ForwardedRequest::IsFull(const EndpointCandidate& candidate) const {
-  if (candidate.in_flight >= kFullLoadFactor * candidate.record->slots) {
-    return true;
-  }
-  const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
-  return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
-                           deadline_);
-}
-
-std::uint32_t ForwardedRequest::PromptTokensAt(
-    const EndpointCandidate& endpoint,
-    std::span<const EndpointCandidate> candidates) const {
-  const auto cached_at =
-      SharedPromptEndpoints(candidates, profile_.SharedPromptKey());
-  const bool cached =
-      std::ranges::find(cached_at, &endpoint) != cached_at.end();
-  return cached ? profile_.UnsharedPromptTokens() : profile_.prompt_tokens;
-}
-
 TimePoint ForwardedRequest::WaitDeadline() const {
   if (forwarded_events_) {
     return deadline_;  // The client would lose a stream that has already
@@ -211,8 +162,8 @@
   return ready_at && *ready_at > WaitDeadline();
 }
 
-std::optional<ForwardedRequest::Target> ForwardedRequest::AwaitEndpoint() {
-  auto target = ChooseEndpoint();
+std::optional<EndpointTarget> ForwardedRequest::AwaitEndpoint() {
+  auto target = chooser_->Choose();
   if (target) {
     return target;
   }
@@ -223,7 +174,7 @@
   while (!target && !IsClientGone() && deps_.clock.Now() < wait_deadline &&
          deps_.clock.Now() < deps_.stop_waiting_at()) {
     const auto seen = changed.count();
-    target = ChooseEndpoint();
+    target = chooser_->Choose();
     if (!target && IsLoadTooLate()) {
       break;
     }
@@ -250,7 +201,7 @@
 
 // ---- one attempt
 
-HttpRequest ForwardedRequest::MakeAttempt(const Target& target) const {
+HttpRequest ForwardedRequest::MakeAttempt(const EndpointTarget& target) const {
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(deadline_ - deps_.clock.Now());
   AttemptParameters parameters;
@@ -263,7 +214,8 @@
   return deps_.protocol.MakeAttempt(request_, parameters);
 }
 
-ForwardedRequest::NextStep ForwardedRequest::RunAttempt(const Target& target) {
+ForwardedRequest::NextStep ForwardedRequest::RunAttempt(
+    const EndpointTarget& target) {
   EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
                           target.address);
   client_->attempt = &attempt;
@@ -282,8 +234,9 @@
   return next;
 }
 
-ForwardedRequest::NextStep ForwardedRequest::Exchange(EndpointAttempt& attempt,
-                                                      const Target& target) {
+ForwardedRequest::NextStep ForwardedRequest::Exchange(
+    EndpointAttempt& attempt,
+    const EndpointTarget& target) {
   const auto connected = attempt.Connect(deadline_);
   if (!connected) {
     return OnAttemptFailed(target, connected.assume_error());
@@ -318,39 +271,35 @@
   return route_->IsRetryable() && runs < route_->max_attempts;
 }
 
-bool ForwardedRequest::HasOtherEndpoint(const Target& target) const {
-  auto excluded = ExcludedEndpoints();
-  excluded.insert(target.id);
-  return !deps_.view.Candidates(service_, profile_.model, excluded).empty();
-}
-
 // Returns whether to keep waiting for a silent endpoint. A stream that has
 // started leaves a silent endpoint only if it can continue elsewhere now; with
 // no retry or endpoint left, the rest may still arrive. Before the stream has
 // started, a client that is told of the failure early can retry itself.
-bool ForwardedRequest::ShouldKeepWaiting(const Target& target,
+bool ForwardedRequest::ShouldKeepWaiting(const EndpointTarget& target,
                                          const AttemptError& error) {
   const auto now = deps_.clock.Now();
   if (!forwarded_events_ || error.failure != AttemptFailure::kSilent ||
       now >= deadline_ || IsClientGone()) {
     return false;
   }
-  return !MayStillRetry() || sends_ >= kMaxSends || !HasOtherEndpoint(target) ||
+  return !MayStillRetry() || sends_ >= kMaxSends ||
+         !chooser_->HasOther(target.id) ||
          !budgets_[service_].AllowsRetry(deps_.retry_limits, deps_.live_nodes(),
                                          now);
 }
 
 // Returns the time until which an endpoint may be silent. If the request cannot
 // be retried elsewhere, silence alone does not end it before its deadline.
-TimePoint ForwardedRequest::ResponseDeadline(const Target& target) const {
-  if (!MayStillRetry() || !HasOtherEndpoint(target)) {
+TimePoint ForwardedRequest::ResponseDeadline(
+    const EndpointTarget& target) const {
+  if (!MayStillRetry() || !chooser_->HasOther(target.id)) {
     return deadline_;
   }
   return SilenceDeadline(*route_, progress_at_, deadline_);
 }
 
-TimePoint ForwardedRequest::EventDeadline(const Target& target) const {
-  if (!MayStillRetry() || !HasOtherEndpoint(target)) {
+TimePoint ForwardedRequest::EventDeadline(const EndpointTarget& target) const {
+  if (!MayStillRetry() || !chooser_->HasOther(target.id)) {
     return deadline_;
   }
   return EventGapDeadline(*route_, progress_at_, deadline_);
@@ -360,7 +309,7 @@
 
 ForwardedRequest::NextStep ForwardedRequest::RelayWholeResponse(
     EndpointAttempt& attempt,
-    const Target& target) {
+    const EndpointTarget& target) {
   HttpResponse response;
   response.status = attempt.status();
   response.headers = deps_.protocol.ForwardedHeaders(attempt.headers());
@@ -404,7 +353,7 @@
 
 ForwardedRequest::NextStep ForwardedRequest::RelayStream(
     EndpointAttempt& attempt,
-    const Target& target) {
+    const EndpointTarget& target) {
   while (true) {
     const bool awaits_first_event = first_event_ms_ < 0;
     const auto n = attempt.Read(
@@ -434,7 +383,7 @@
   }
 }
 
-void ForwardedRequest::OnPromptRead(const Target& target) {
+void ForwardedRequest::OnPromptRead(const EndpointTarget& target) {
   if (!std::exchange(prompt_pending_, false)) {
     return;
   }
@@ -459,7 +408,7 @@
 
 ForwardedRequest::NextStep ForwardedRequest::FinishStream(
     EndpointAttempt& attempt,
-    const Target& target) {
+    const EndpointTarget& target) {
   const auto rest = event_assembler_.TakeRemainder();
   if ((!rest.empty() || !responder_.started()) &&
       !ForwardEvents(attempt, rest)) {
@@ -476,7 +425,7 @@
 
 ForwardedRequest::NextStep ForwardedRequest::OnNotRun(
     const EndpointAttempt& attempt,
-    const Target& target) {
+    const EndpointTarget& target) {
   history_.last_verdict = Verdict::kNotRun;
   deps_.log.Record(events::kForwardAttemptFailed,
                    {{"request", profile_.attempt_id},
@@ -487,12 +436,12 @@
   if (attempt.traits().wrong_endpoint) {
     deps_.view.OnModelNotLoaded(target.id, profile_.model);
   }
-  excluded_until_[target.id] = deps_.clock.Now() + kExcludeNotRun;
+  chooser_->Exclude(target.id, deps_.clock.Now() + kExcludeNotRun);
   return Retry(target, /*reached_endpoint=*/true);
 }
 
 ForwardedRequest::NextStep ForwardedRequest::OnAttemptFailed(
-    const Target& target,
+    const EndpointTarget& target,
     const AttemptError& error) {
   const auto now = deps_.clock.Now();
   if (error.failure == AttemptFailure::kAborted || IsClientGone()) {
@@ -527,12 +476,12 @@
   if (now >= deadline_) {
     return Abandon(/*timed_out=*/true);
   }
-  excluded_until_[target.id] = now + kExcludeFailed;
+  chooser_->Exclude(target.id, now + kExcludeFailed);
   event_assembler_.DiscardPartialEvent();
   return Retry(target, error.failure != AttemptFailure::kUnreachable);
 }
 
-ForwardedRequest::NextStep ForwardedRequest::Retry(const Target& target,
+ForwardedRequest::NextStep ForwardedRequest::Retry(const EndpointTarget& target,
                                                    bool reached_endpoint) {
   const auto now = deps_.clock.Now();
   if (!MayRetry(*route_, history_) || sends_ >= kMaxSends) {
@@ -579,7 +528,7 @@
   return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
 }
 
-void ForwardedRequest::ProbeForCrash(const Target& target) {
+void ForwardedRequest::ProbeForCrash(const EndpointTarget& target) {
   const auto fingerprint = StableHash(request_.target + "\n" + request_.body);
   boost::fibers::fiber([&deps = deps_, target, fingerprint] {
     EndpointAttempt probe(deps.io, deps.protocol, deps.clock, deps.buffers,
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -4,16 +4,13 @@
 #define FORWARDING_FORWARDED_REQUEST_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
-#include <span>
 #include <string>
 
-#include "base/address.h"
 #include "fleet/request_profile.h"
 #include "forwarding/endpoint_attempt.h"
+#include "forwarding/endpoint_chooser.h"
 #include "forwarding/event_assembler.h"
 #include "forwarding/forwarding_dependencies.h"
 #include "forwarding/retry_policy.h"
@@ -23,7 +20,6 @@
 namespace tanagerloom {
 
 struct ConfigInForce;
-struct EndpointCandidate;
 class HttpResponder;
 
 /// Routes a request, waits for an endpoint that can run it, sends it there and
@@ -46,13 +42,6 @@
   /// What to do after an attempt.
   enum class NextStep { kDone, kRetry };
 
-  /// The endpoint chosen for an attempt.
-  struct Target {
-    std::string id;
-    Address address;
-    std::uint32_t prompt_tokens = 0;  ///< Expected to be read there.
-  };
-
   /// Shared with the callback for a disconnected client, which may outlive the
   /// request.
   struct ClientState {
@@ -71,56 +60,48 @@
 
   /// Waits for an endpoint. Returns nothing if the request was answered or
   /// aborted instead.
-  std::optional<Target> AwaitEndpoint();
-  /// Returns an endpoint that can take the request now; nothing if none can.
-  std::optional<Target> ChooseEndpoint();
-  /// Returns the endpoints that get no attempt now after an earlier one.
-  std::set<std::string> ExcludedEndpoints() const;
-  /// Returns whether an endpoint gets no more requests now.
-  bool IsFull(const EndpointCandidate& candidate) const;
-  /// Returns the tokens of the prompt that an endpoint is expected to read.
-  std::uint32_t PromptTokensAt(
-      const EndpointCandidate& endpoint,
-      std::span<const EndpointCandidate> candidates) const;
+  std::optional<EndpointTarget> AwaitEndpoint();
   /// Returns the time until which the request may wait for an endpoint.
   TimePoint WaitDeadline() const;
   bool IsLoadTooLate() const;
 
   /// Runs one attempt and counts it as in flight meanwhile.
-  NextStep RunAttempt(const Target& target);
+  NextStep RunAttempt(const EndpointTarget& target);
   /// Connects, sends the request and handles the response.
-  NextStep Exchange(EndpointAttempt& attempt, const Target& target);
+  NextStep Exchange(EndpointAttempt& attempt, const EndpointTarget& target);
   /// Reads the whole response and sends it to the client.
-  NextStep RelayWholeResponse(EndpointAttempt& attempt, const Target& target);
+  NextStep RelayWholeResponse(EndpointAttempt& attempt,
+                              const EndpointTarget& target);
   /// Forwards the events of a stream to the client as they arrive.
-  NextStep RelayStream(EndpointAttempt& attempt, const Target& target);
+  NextStep RelayStream(EndpointAttempt& attempt, const EndpointTarget& target);
   /// Writes `events` to the client; returns false if it has disconnected.
   bool ForwardEvents(const EndpointAttempt& attempt, const std::string& events);
   /// The first bytes of an attempt arrived: the endpoint has read the prompt.
-  void OnPromptRead(const Target& target);
-  NextStep FinishStream(EndpointAttempt& attempt, const Target& target);
+  void OnPromptRead(const EndpointTarget& target);
+  NextStep FinishStream(EndpointAttempt& attempt, const EndpointTarget& target);
   /// Handles a response that states that the request did not run.
-  NextStep OnNotRun(const EndpointAttempt& attempt, const Target& target);
-  NextStep OnAttemptFailed(const Target& target, const AttemptError& error);
+  NextStep OnNotRun(const EndpointAttempt& attempt,
+                    const EndpointTarget& target);
+  NextStep OnAttemptFailed(const EndpointTarget& target,
+                           const AttemptError& error);
   /// Returns kRetry if the request may be retried now; otherwise abandons it.
-  NextStep Retry(const Target& target, bool reached_endpoint);
+  NextStep Retry(const EndpointTarget& target, bool reached_endpoint);
   /// Ends the request without a further attempt: breaks off a started stream,
   /// relays the error response of an endpoint, or refuses the request.
   NextStep Abandon(bool timed_out);
 
-  HttpRequest MakeAttempt(const Target& target) const;
-  TimePoint ResponseDeadline(const Target& target) const;
+  HttpRequest MakeAttempt(const EndpointTarget& target) const;
+  TimePoint ResponseDeadline(const EndpointTarget& target) const;
   /// Returns the time until which an endpoint may be silent within a stream.
-  TimePoint EventDeadline(const Target& target) const;
-  /// Returns whether an endpoint other than `target` can take the request now.
-  bool HasOtherEndpoint(const Target& target) const;
-  bool ShouldKeepWaiting(const Target& target, const AttemptError& error);
+  TimePoint EventDeadline(const EndpointTarget& target) const;
+  bool ShouldKeepWaiting(const EndpointTarget& target,
+                         const AttemptError& error);
   /// Returns whether the request may be retried if the attempt in flight fails.
   bool MayStillRetry() const;
   /// Returns the delay after which the client may retry.
   std::chrono::milliseconds RetryAfter() const;
   /// Connects to the endpoint once more and reports a crash if that fails.
-  void ProbeForCrash(const Target& target);
+  void ProbeForCrash(const EndpointTarget& target);
 
   /// Sends a response of this node's own.
   void Refuse(int status,
@@ -144,10 +125,10 @@
   std::string service_;
   RequestProfile profile_;
   TimePoint deadline_{};
+  std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
 
   RequestHistory history_;
   std::uint32_t sends_ = 0;  ///< Number of times the request was sent.
-  std::map<std::string, TimePoint> excluded_until_;
   EventAssembler event_assembler_;
   bool forwarded_events_ = false;
   /// Error response of an endpoint, relayed if no retry succeeds.
