node: notice a silent watch within the time for which it is excused

Cause: a watch without an answer lasted 2.5 s and 0.6 s more, and the next one was sent only 0.3 s later: 3.4 s, where a node must be up to date after 3 s. The watch's time was calculated without its answer timeout and without the pause that follows. After a series of changes all nodes watch in step, so that no peer is ahead and can help.

Change: the timing of the registry is a function of its own, which subtracts both parts; a failed call that lasted longer than the retry interval is followed by the next one at once.

--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -18,6 +18,7 @@
 #include "membership/peer_counters.h"
 #include "membership/peer_service.h"
 #include "node/event_metrics.h"
+#include "node/registry_timing.h"
 #include "ordering/order_coordinator.h"
 #include "ordering/order_lease.h"
 #include "ports/object_store.h"
@@ -59,13 +60,6 @@
 // and its client retries at another node.
 constexpr milliseconds kMinServiceTime{2000};
 constexpr milliseconds kShutdownPollInterval{20};
-// Part of the time for which a silent connection is excused that remains for
-// the call that follows the silent watch.
-constexpr milliseconds kWatchMargin{500};
-// Max number of configurations that a node reads within the time in which a new
-// one must be in force. Each is read as a whole, so a series of changes would
-// otherwise take all of the link.
-constexpr int kReadsPerConfigDelay = 8;
 // Min read timeout of a request with its body, since a client may be slow to
 // send a long body. The header has a limit of its own.
 constexpr milliseconds kMinReadTimeout{15000};
@@ -76,22 +70,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
-// Returns the timing of the registry's watches. A watch that has gone silent is
-// noticed within the time for which such a fault is excused. In a large fleet
-// the list of endpoints changes all the time and each watch is answered at
-// once; the pause between two watches takes half of the time within which all
-// nodes must know that an endpoint drains.
-RegistryTiming RegistryTimingFor(const FleetBounds& bounds) {
-  RegistryTiming out;
-  out.config.watch_timeout =
-      std::max(milliseconds(1000), bounds.max_contact_loss - kWatchMargin);
-  out.config.watch_interval = bounds.max_config_delay / kReadsPerConfigDelay;
-  out.max_config_lag = bounds.max_config_delay / 2;
-  out.endpoints.watch_timeout = bounds.max_drain_delay / 2 + kWatchMargin;
-  out.endpoints.watch_interval = bounds.max_drain_delay / 2;
-  return out;
-}
-
 LeaseTiming LeaseTimingFor(const FleetBounds& bounds) {
   LeaseTiming out;
   out.handover_gap = bounds.order_handover_gap;
--- a/packages/ports/object_collection.h
+++ b/packages/ports/object_collection.h
@@ -3,6 +3,7 @@
 #ifndef PORTS_OBJECT_COLLECTION_H_
 #define PORTS_OBJECT_COLLECTION_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -41,6 +42,9 @@
 /// Whether a list must be current or may be some seconds old, which costs less.
 enum class Freshness { kCurrent, kMayBeStale };
 
+/// A watch without an answer fails this long after the time for which it waits.
+inline constexpr std::chrono::milliseconds kWatchAnswerTimeout{600};
+
 /// Reads and watches collections of the object store.
 class ObjectCollection {
  public:
@@ -51,7 +55,8 @@
                                          Freshness freshness) = 0;
 
   /// Waits for changes after `revision`, at most for `wait`, and returns them.
-  /// Fails with kHistoryGone if the store no longer has these changes.
+  /// Fails with kHistoryGone if the store no longer has these changes, and
+  /// after `wait` and kWatchAnswerTimeout if it does not answer.
   virtual Result<CollectionChanges> WatchAll(std::string_view collection,
                                              std::uint64_t revision,
                                              Duration wait) = 0;
--- a/packages/registry/collection_follower.cc
+++ b/packages/registry/collection_follower.cc
@@ -1,5 +1,6 @@
 #include "registry/collection_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -43,23 +44,29 @@
   handlers_.on_available();
 }
 
-bool CollectionFollower::ReadAll() {
+void CollectionFollower::AwaitRetry(TimePoint called_at) {
+  clock_.SleepUntil(std::max(clock_.Now(), called_at + timing_.retry_interval));
+}
+
+void CollectionFollower::ReadAll() {
+  const auto called_at = clock_.Now();
   const auto list = collections_.ReadAll(collection_, Freshness::kCurrent);
   if (stopping_) {
-    return false;
+    return;
   }
   if (!list) {
     OnFailure(list.assume_error());
-    return false;
+    AwaitRetry(called_at);
+    return;
   }
   OnSuccess();
   has_list_ = true;
   revision_ = list.assume_value().revision;
   handlers_.on_list(list.assume_value());
-  return true;
 }
 
 void CollectionFollower::WatchOnce() {
+  const auto called_at = clock_.Now();
   const auto changes =
       collections_.WatchAll(collection_, revision_, timing_.watch_timeout);
   if (stopping_) {
@@ -71,7 +78,7 @@
       return;
     }
     OnFailure(changes.assume_error());
-    clock_.SleepFor(timing_.retry_delay);
+    AwaitRetry(called_at);
     return;
   }
   OnSuccess();
@@ -86,8 +93,8 @@
   while (!stopping_) {
     if (has_list_) {
       WatchOnce();
-    } else if (!ReadAll()) {
-      clock_.SleepFor(timing_.retry_delay);
+    } else {
+      ReadAll();
     }
   }
 }
--- a/packages/registry/collection_follower.h
+++ b/packages/registry/collection_follower.h
@@ -22,8 +22,9 @@
   Duration watch_timeout = std::chrono::milliseconds(1200);
   /// Pause after a watch that returned changes.
   Duration watch_interval = std::chrono::milliseconds(300);
-  /// Pause after a failed call.
-  Duration retry_delay = std::chrono::milliseconds(300);
+  /// Min time between a failed call and the next one. A call that took longer
+  /// is followed by the next one at once.
+  Duration retry_interval = std::chrono::milliseconds(300);
 };
 
 /// Callbacks of a follower.
@@ -51,12 +52,15 @@
   void Stop() { stopping_ = true; }
 
  private:
-  /// Reads the whole collection; returns false if that failed.
-  bool ReadAll();
+  /// Reads the whole collection.
+  void ReadAll();
   /// Waits for changes once. A whole read follows if the history is gone.
   void WatchOnce();
   void OnFailure(const Error& error);
   void OnSuccess();
+  /// Waits until the next call may follow a failed one that was made at
+  /// `called_at`.
+  void AwaitRetry(TimePoint called_at);
 
   ObjectCollection& collections_;
   Clock& clock_;
