forwarding: count crashes of requests without a body

Cause: requests without a body were left out of the crash counts, both where a crash is counted and where a request is refused.

Change: a request is identified by method, host, target and body, and every request counts. As lookups repeat, sound ones run beside others when endpoints crash: a run to its end resets the count of a request, at all nodes, and CrashSuspects sets recent runs against later crashes. CrashGuard joins counting, log and notices.

--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -1,70 +1,76 @@
-// Defines CrashSuspects, which counts how many endpoint crashes followed each
-// request, over all nodes. A request that crashes every endpoint it reaches is
-// refused instead of taking down one endpoint after another.
+// Defines CrashSuspects, which counts how many endpoint crashes followed the
+// same kind of request, over all nodes. Requests that crash every endpoint they
+// reach are refused instead of taking down one endpoint after another.
 #ifndef FLEET_CRASH_SUSPECTS_H_
 #define FLEET_CRASH_SUSPECTS_H_
 
 #include <cstdint>
 #include <map>
-#include <string_view>
 
 #include "runtime/clock.h"
 
 namespace tanagerloom {
 
-/// Crash counts by request fingerprint. Nodes exchange the counts, so that a
-/// request which crashes endpoints is refused at every node once it reaches
-/// kCrashLimit.
+/// Crash counts by fingerprint: of a whole request, or of a part of it that
+/// other requests share. Nodes exchange the counts, so that a fingerprint which
+/// reaches kCrashLimit at one node is refused at every node.
+///
+/// A run without a crash proves a fingerprint harmless: its count starts again
+/// at zero, and recent proofs are set against later crashes. So requests that
+/// run beside one that crashes their endpoint are not refused with it.
 class CrashSuspects {
  public:
-  /// Crashes after which a request is refused. Fewer could be a coincidence
+  /// Crashes after which a fingerprint is refused. Fewer could be a coincidence
   /// with an endpoint that crashed for another reason.
   static constexpr std::uint32_t kCrashLimit = 3;
-  /// How long a count is valid after the last crash or notice.
+  /// How long a count is valid after the last crash.
   static constexpr Duration kRetention = std::chrono::minutes(5);
+  /// Time in which the weight of a proof halves.
+  static constexpr Duration kProofHalfLife = std::chrono::seconds(5);
+  /// How long a proof rules out counts of other nodes.
+  static constexpr Duration kProofValidity = std::chrono::seconds(2);
   /// Maximum number of fingerprints kept, which bounds the memory used.
   static constexpr std::size_t kMaxFingerprints = 4096;
 
-  /// Counts a crash that followed the request. Returns the new count, which the
-  /// caller announces to the other nodes.
-  std::uint32_t OnCrash(std::uint64_t fingerprint, TimePoint now) {
-    MakeRoom(now);
-    auto& entry = entries_[fingerprint];
-    entry.expires_at = now + kRetention;
-    return ++entry.crashes;
-  }
+  /// Counts a crash that followed a request with the fingerprint, unless one
+  /// was counted within `min_interval`. Returns the count that the caller
+  /// announces to the other nodes; 0 if recent proofs outweigh it.
+  std::uint32_t OnCrash(std::uint64_t fingerprint,
+                        TimePoint now,
+                        Duration min_interval = Duration(0));
 
-  /// Merges the count of another node; the higher count wins.
+  /// A request with the fingerprint ran without a crash. Returns whether this
+  /// reset a count that was announced before.
+  bool OnProof(std::uint64_t fingerprint, TimePoint now);
+
+  /// Merges the count of another node, which is valid for `valid`; the higher
+  /// count wins. 0 resets the count.
   void OnNotice(std::uint64_t fingerprint,
                 std::uint32_t crashes,
-                TimePoint now) {
-    MakeRoom(now);
-    auto& entry = entries_[fingerprint];
-    entry.crashes = entry.crashes < crashes ? crashes : entry.crashes;
-    entry.expires_at = now + kRetention;
-  }
+                Duration valid,
+                TimePoint now);
+
+  /// Returns whether a crash was counted since the last proof.
+  bool IsSuspected(std::uint64_t fingerprint) const;
 
-  /// Returns whether the request has reached kCrashLimit and must be refused.
-  bool IsQuarantined(std::uint64_t fingerprint) const {
-    const auto it = entries_.find(fingerprint);
-    return it != entries_.end() && it->second.crashes >= kCrashLimit;
-  }
+  /// Returns whether requests with the fingerprint must be refused.
+  bool IsQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
  private:
   struct Entry {
-    std::uint32_t crashes = 0;
+    std::uint32_t crashes = 0;  ///< Since the last proof.
+    TimePoint crashed_at{};
+    double proofs = 0;  ///< Weight of the proofs at `proven_at`.
+    TimePoint proven_at{};
+    bool announced = false;  ///< Other nodes may know the count.
     TimePoint expires_at{};
   };
 
-  /// Removes expired entries once the table is full, and others if needed.
-  void MakeRoom(TimePoint now) {
-    if (entries_.size() >= kMaxFingerprints) {
-      std::erase_if(entries_, [&](const auto& it) {
-        return it.second.expires_at <= now ||
-               entries_.size() >= kMaxFingerprints;
-      });
-    }
-  }
+  /// Returns the crashes that recent proofs do not outweigh.
+  static std::uint32_t EffectiveCrashes(const Entry& entry, TimePoint now);
+  static double ProofWeight(const Entry& entry, TimePoint now);
+  /// Returns the entry of a fingerprint after making room for it.
+  Entry& EntryOf(std::uint64_t fingerprint, TimePoint now);
 
   std::map<std::uint64_t, Entry> entries_;
 };
--- /dev/null
+++ b/packages/forwarding/crash_guard.h
@@ -0,0 +1,65 @@
+// Defines CrashGuard, which recognises requests that crash endpoints, together
+// with the other nodes, and tells which requests must not be sent any more.
+#ifndef FORWARDING_CRASH_GUARD_H_
+#define FORWARDING_CRASH_GUARD_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "fleet/crash_suspects.h"
+
+namespace tanagerloom {
+
+class Clock;
+class EventLog;
+class PeerNetwork;
+struct CrashNotice;
+struct HttpRequest;
+
+/// What identifies a request in crash counts.
+struct RequestFingerprints {
+  std::uint64_t request = 0;  ///< Equal for equal requests.
+};
+
+/// Returns the fingerprints of a client request.
+RequestFingerprints FingerprintsOf(const HttpRequest& request);
+
+/// A crash of an endpoint that ran a request.
+struct EndpointCrash {
+  std::string request;  ///< Id of the request.
+  std::string endpoint;
+  RequestFingerprints fingerprints;
+};
+
+/// Counts crashes, announces the counts to the peers, and applies those of the
+/// peers.
+class CrashGuard {
+ public:
+  CrashGuard(PeerNetwork& peers, Clock& clock, EventLog& log)
+      : peers_(peers), clock_(clock), log_(log) {}
+
+  /// Returns whether the request must be refused.
+  bool IsQuarantined(const RequestFingerprints& fingerprints) const;
+
+  /// Counts a crash for the request that ran at the endpoint.
+  void OnCrash(const EndpointCrash& crash);
+
+  /// The request ran to its end without crashing its endpoint.
+  void OnCompleted(const RequestFingerprints& fingerprints);
+
+  /// Applies the count of a peer.
+  void OnNotice(const CrashNotice& notice);
+
+ private:
+  void Announce(std::uint64_t fingerprint, std::uint32_t crashes);
+
+  PeerNetwork& peers_;
+  Clock& clock_;
+  EventLog& log_;
+  CrashSuspects suspects_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_CRASH_GUARD_H_
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -7,7 +7,6 @@
 #include "base/event_log.h"
 #include "base/events.h"
 #include "base/id.h"
-#include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/request_times.h"
@@ -63,7 +62,8 @@
       client_(std::make_shared<ClientState>()),
       arrived_at_(deps.clock.Now()),
       config_(deps.registry.config()),
-      profile_(deps.protocol.ReadRequest(request)) {}
+      profile_(deps.protocol.ReadRequest(request)),
+      fingerprints_(FingerprintsOf(request)) {}
 
 ForwardedRequest::~ForwardedRequest() {
   client_->attempt = nullptr;
@@ -123,8 +123,7 @@
     Refuse(kUnavailable, "unknown_model", kRetryAfterModel);
     return false;
   }
-  if (!request_.body.empty() && deps_.suspects.IsQuarantined(StableHash(
-                                    request_.target + "\n" + request_.body))) {
+  if (deps_.crashes.IsQuarantined(fingerprints_)) {
     Refuse(kUnavailable, "crashes_endpoints", milliseconds(0));
     return false;
   }
@@ -323,6 +322,7 @@
       break;
     }
   }
+  deps_.crashes.OnCompleted(fingerprints_);
   auto& health = deps_.view.Health(target.id);
   if (response.status < kFirstServerError) {
     health.OnSuccess(deps_.clock.Now());
@@ -416,6 +416,7 @@
     return NextStep::kDone;
   }
   (void)responder_.Finish();
+  deps_.crashes.OnCompleted(fingerprints_);
   deps_.view.Health(target.id).OnSuccess(deps_.clock.Now());
   Finish(attempt.status(), "streamed");
   return NextStep::kDone;
@@ -470,7 +471,7 @@
   } else {
     health.OnFailure(now);
   }
-  if (error.failure == AttemptFailure::kBroken && !request_.body.empty()) {
+  if (error.failure == AttemptFailure::kBroken) {
     ProbeForCrash(target);
   }
   if (now >= deadline_) {
@@ -529,13 +530,13 @@
 }
 
 void ForwardedRequest::ProbeForCrash(const EndpointTarget& target) {
-  const auto fingerprint = StableHash(request_.target + "\n" + request_.body);
-  boost::fibers::fiber([&deps = deps_, target, fingerprint] {
+  boost::fibers::fiber([&deps = deps_, address = target.address,
+                        crash = EndpointCrash{profile_.attempt_id, target.id,
+                                              fingerprints_}] {
     EndpointAttempt probe(deps.io, deps.protocol, deps.clock, deps.buffers,
-                          target.address);
-    const auto now = deps.clock.Now();
-    if (!probe.Connect(now + kCrashProbeTimeout)) {
-      deps.on_crash(fingerprint);
+                          address);
+    if (!probe.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
+      deps.crashes.OnCrash(crash);
     }
   }).detach();
 }
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "fleet/request_profile.h"
+#include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_attempt.h"
 #include "forwarding/endpoint_chooser.h"
 #include "forwarding/event_assembler.h"
@@ -124,6 +125,7 @@
   const Route* route_ = nullptr;
   std::string service_;
   RequestProfile profile_;
+  RequestFingerprints fingerprints_;
   TimePoint deadline_{};
   std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
 
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -18,7 +18,7 @@
 
 class BufferBudget;
 class Clock;
-class CrashSuspects;
+class CrashGuard;
 class DemandTracker;
 class EventLog;
 class FleetRegistry;
@@ -36,7 +36,7 @@
   FleetView& view;
   DemandTracker& demand;
   const RequestProtocol& protocol;
-  CrashSuspects& suspects;
+  CrashGuard& crashes;
   Clock& clock;
   EventLog& log;
   RetryLimits retry_limits;
@@ -44,9 +44,6 @@
   std::function<std::size_t()> live_nodes;
   /// Returns the time from which no request may wait because the node stops.
   std::function<TimePoint()> stop_waiting_at;
-  /// Called when an endpoint crashed after it was sent a request with this
-  /// fingerprint.
-  std::function<void(std::uint64_t fingerprint)> on_crash;
   /// Memory for responses of endpoints.
   BufferBudget& buffers;
 };
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -8,10 +8,10 @@
 #include "base/events.h"
 #include "config/settings.h"
 #include "control/metrics.h"
-#include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/buffer_budget.h"
+#include "forwarding/crash_guard.h"
 #include "forwarding/request_forwarder.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
@@ -117,6 +117,7 @@
         buffers(settings.memory_bytes / kBufferMemoryDivisor),
         nodes(ports.store, ports.collections, clock, SelfAsVm(settings)),
         peers(Runtime::Get().io(), nodes, clock, log, PeerSettings(settings)),
+        crashes(peers, clock, log),
         registry(ports.collections,
                  peers,
                  view,
@@ -134,10 +135,9 @@
             {lease, ports.engines, peers, registry, view, demand, clock, log},
             settings.bounds.load_rate_window),
         forwarder({Runtime::Get().io(), registry, view, demand, ports.protocol,
-                   suspects, clock, log, settings.bounds.retry_limits,
+                   crashes, clock, log, settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
-                   [this] { return stop_waiting_at; },
-                   [this](std::uint64_t it) { OnCrash(it); }, buffers}),
+                   [this] { return stop_waiting_at; }, buffers}),
         client_server(
             Runtime::Get().io(),
             HttpServerLimits{},
@@ -158,7 +158,6 @@
 
   void AddMetrics();
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
-  void OnCrash(std::uint64_t fingerprint);
   void ApplyClientLimits();
   void BroadcastUseLoop();
   bool IsReady() const;
@@ -171,10 +170,10 @@
   SteadyClock clock;
   FleetView view;
   DemandTracker demand;
-  CrashSuspects suspects;
   BufferBudget buffers;
   NodeRegistry nodes;
   PeerService peers;
+  CrashGuard crashes;
   FleetRegistry registry;
   OrderLease lease;
   OrderCoordinator orders;
@@ -222,9 +221,8 @@
   OrderLease& lease;
   OrderCoordinator& orders;
   FleetRegistry& registry;
-  CrashSuspects& suspects;
+  CrashGuard& crashes;
   std::string node;  ///< Id of the sender.
-  TimePoint now;
 
   void operator()(const Demand& it) const { orders.OnDemand(node, it); }
   void operator()(const LeaseNotice& it) const { lease.OnNotice(it); }
@@ -237,9 +235,7 @@
   void operator()(const ConfigRequest& it) const {
     registry.OnConfigRequest(node, it);
   }
-  void operator()(const CrashNotice& it) const {
-    suspects.OnNotice(it.fingerprint, it.crashes, now);
-  }
+  void operator()(const CrashNotice& it) const { crashes.OnNotice(it); }
   // Sent only by nodes that keep placement records, which a registered fleet
   // does not have.
   void operator()(const DemandAck&) const {}
@@ -252,19 +248,9 @@
 
 void FleetNode::Parts::OnPeerMessage(const std::string& from,
                                      const PeerMessage& message) {
-  std::visit(MessageHandler{view, lease, orders, registry, suspects,
-                            NodeIdOf(from), clock.Now()},
-             message);
-}
-
-void FleetNode::Parts::OnCrash(std::uint64_t fingerprint) {
-  const auto crashes = suspects.OnCrash(fingerprint, clock.Now());
-  log.Record(events::kRequestCrashedEndpoint,
-             {{"fingerprint", fingerprint}, {"crashes", crashes}});
-  const auto validity =
-      std::chrono::duration_cast<milliseconds>(CrashSuspects::kRetention);
-  peers.Broadcast(CrashNotice{fingerprint, crashes,
-                              static_cast<std::uint64_t>(validity.count())});
+  std::visit(
+      MessageHandler{view, lease, orders, registry, crashes, NodeIdOf(from)},
+      message);
 }
 
 void FleetNode::Parts::BroadcastUseLoop() {
--- a/packages/node/registry_timing.cc
+++ b/packages/node/registry_timing.cc
@@ -28,9 +28,9 @@
 // of the time within which all nodes must know that an endpoint drains.
 RegistryTiming RegistryTimingFor(const FleetBounds& bounds) {
   RegistryTiming out;
-  out.config.watch_timeout = std::max(
-      kMinConfigWatch,
-      bounds.max_contact_loss - kWatchAnswerTimeout - kNextCallTime);
+  out.config.watch_timeout =
+      std::max(kMinConfigWatch,
+               bounds.max_contact_loss - kWatchAnswerTimeout - kNextCallTime);
   out.config.watch_interval = bounds.max_config_delay / kReadsPerConfigDelay;
   out.max_config_lag = bounds.max_config_delay / 2;
   out.endpoints.watch_timeout = bounds.max_drain_delay / 2 + kNextCallTime;
--- a/testing/fleet_standin/endpoint_standin.cc
+++ b/testing/fleet_standin/endpoint_standin.cc
@@ -37,14 +37,26 @@
       store_(store),
       id_(std::move(id)),
       service_(std::move(service)),
-      server_(std::make_unique<HttpServer>(
-          Runtime::Get().io(),
-          HttpServerLimits{},
-          [this](const HttpRequest& request, HttpResponder& responder) {
-            Handle(request, responder);
-          })),
+      server_(MakeServer()),
       address_(server_->Listen({"127.0.0.1", 0}).value()) {}
 
+std::unique_ptr<HttpServer> EndpointStandin::MakeServer() {
+  return std::make_unique<HttpServer>(
+      Runtime::Get().io(), HttpServerLimits{},
+      [this](const HttpRequest& request, HttpResponder& responder) {
+        Handle(request, responder);
+      });
+}
+
+void EndpointStandin::Crash() {
+  server_->StopAccepting();
+}
+
+void EndpointStandin::Recover() {
+  server_ = MakeServer();
+  (void)server_->Listen(address_).value();
+}
+
 HttpHeaders EndpointStandin::SealedHeaders(const HttpRequest& request) {
   return {{"Attempt-Id",
            std::string(request.headers.Find("Attempt-Id").value_or(""))},
--- a/testing/fleet_standin/endpoint_standin.h
+++ b/testing/fleet_standin/endpoint_standin.h
@@ -50,6 +50,13 @@
   /// the entry has a new start time.
   void Restart();
 
+  /// Simulates a crash of the process: nothing listens at the address any more.
+  /// The caller aborts the requests that run.
+  void Crash();
+
+  /// Ends a simulated crash.
+  void Recover();
+
   /// Serves a request. The default sends one sealed answer or, if the path
   /// contains "stream", a sealed stream of four events.
   RequestHandler serve;
@@ -84,6 +91,7 @@
   static std::string StreamEvent(int id);
 
  private:
+  std::unique_ptr<HttpServer> MakeServer();
   void Handle(const HttpRequest& request, HttpResponder& responder);
   void SendReport(HttpResponder& responder) const;
   void HandleOrder(const HttpRequest& request, HttpResponder& responder);
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -307,11 +307,65 @@
 TEST(CrashSuspects, QuarantinesAfterTheCrashLimitOfAllNodes) {
   CrashSuspects suspects;
   suspects.OnCrash(7, kStart);
-  suspects.OnNotice(7, 2, kStart);
-  EXPECT_FALSE(suspects.IsQuarantined(7));
+  suspects.OnNotice(7, 2, CrashSuspects::kRetention, kStart);
+  EXPECT_FALSE(suspects.IsQuarantined(7, kStart));
   EXPECT_EQ(suspects.OnCrash(7, kStart), 3U);
-  EXPECT_TRUE(suspects.IsQuarantined(7));
-  EXPECT_FALSE(suspects.IsQuarantined(8));
+  EXPECT_TRUE(suspects.IsQuarantined(7, kStart));
+  EXPECT_FALSE(suspects.IsQuarantined(8, kStart));
+  EXPECT_FALSE(
+      suspects.IsQuarantined(7, kStart + 2 * CrashSuspects::kRetention));
+}
+
+// Guards against refusing a fingerprint that also runs without a crash, also
+// when many crashes follow each other before the next run ends.
+TEST(CrashSuspects, RunsWithoutACrashOutweighCrashes) {
+  CrashSuspects suspects;
+  auto now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_FALSE(suspects.OnProof(7, now));
+    now += milliseconds(100);
+  }
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(suspects.OnCrash(7, now), 0U);
+  }
+  EXPECT_FALSE(suspects.IsQuarantined(7, now));
+  EXPECT_TRUE(suspects.IsQuarantined(7, now + std::chrono::minutes(1)));
+  suspects.OnNotice(7, 0, Duration(0), now);
+  EXPECT_FALSE(suspects.IsQuarantined(7, now + std::chrono::minutes(1)));
+}
+
+// Guards against a wrong count of one node that spreads to nodes where the same
+// requests run without a crash, and against a quarantine that nothing ends.
+TEST(CrashSuspects, ProofRulesOutCountsOfOtherNodes) {
+  CrashSuspects suspects;
+  suspects.OnProof(7, kStart);
+  suspects.OnNotice(7, 9, CrashSuspects::kRetention, kStart);
+  EXPECT_FALSE(suspects.IsSuspected(7));
+  suspects.OnNotice(8, 9, CrashSuspects::kRetention, kStart);
+  EXPECT_TRUE(suspects.IsQuarantined(8, kStart));
+  EXPECT_TRUE(suspects.OnProof(8, kStart));
+  EXPECT_FALSE(suspects.IsQuarantined(8, kStart));
+}
+
+// Guards against counting endpoints that fail together for another reason.
+TEST(CrashSuspects, CrashesCloseTogetherCountOnce) {
+  CrashSuspects suspects;
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(suspects.OnCrash(7, kStart + milliseconds(i), milliseconds(100)),
+              1U);
+  }
+}
+
+// Guards against a table that grows without bound.
+TEST(CrashSuspects, KeepsCrashCountsRatherThanProofs) {
+  CrashSuspects suspects;
+  for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
+    suspects.OnCrash(1, kStart);
+  }
+  for (std::uint64_t i = 2; i < 2 * CrashSuspects::kMaxFingerprints; ++i) {
+    suspects.OnProof(i, kStart);
+  }
+  EXPECT_TRUE(suspects.IsQuarantined(1, kStart));
 }
 
 // Guards against partial events: only complete ones are forwarded, wherever the
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -426,14 +426,57 @@
 // Guards against a request that crashes one endpoint after another.
 TEST_F(Forwarding, RequestThatCrashedEndpointsIsRefused) {
   const auto request = site.Request("/read/crash");
-  const auto fingerprint = StableHash(request.target + "\n" + request.body);
   for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
-    site.suspects.OnCrash(fingerprint, site.clock.Now());
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
   }
   EXPECT_EQ(site.Send(request).assume_value().status, 503);
   EXPECT_EQ(site.Runs(), 0U);
   EXPECT_EQ(site.Send(site.Request("/read/x")).assume_value().status, 200);
 }
 
+// Returns how many times an endpoint crashes under one request that a client
+// sends again and again.
+int CrashesUnder(ForwardingSite& site, const HttpRequest& request) {
+  constexpr int kRequests = 8;
+  int crashes = 0;
+  site.SetServe([&](const HttpRequest&, HttpResponder& responder) {
+    ++crashes;
+    site.a.Crash();
+    site.b.Crash();
+    responder.Abort();
+  });
+  for (int i = 0; i < kRequests; ++i) {
+    (void)site.Send(request);
+    // The crash is counted once the endpoint is found to be unreachable.
+    boost::this_fiber::sleep_for(milliseconds(50));
+    site.a.Recover();
+    site.b.Recover();
+  }
+  return crashes;
+}
+
+// Guards against lookups, which have no body, that crash endpoints without end.
+TEST_F(Forwarding, LookupThatCrashesEndpointsIsRefused) {
+  auto request = site.Request("/read/crash");
+  request.method = "GET";
+  request.body.clear();
+  EXPECT_EQ(CrashesUnder(site, request), 3);
+  site.SetServe([](const HttpRequest& it, HttpResponder& responder) {
+    (void)responder.Send({200, EndpointStandin::SealedHeaders(it), "done"});
+  });
+  request.target = "/read/sound";
+  EXPECT_EQ(site.Send(request).assume_value().status, 200);
+}
+
+// Guards against refusing a request that only ran beside others when endpoints
+// crashed.
+TEST_F(Forwarding, RequestThatRanWithoutACrashIsNotRefused) {
+  const auto request = site.Request("/read/popular");
+  for (int i = 0; i < 5; ++i) {
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+    EXPECT_EQ(site.Send(request).assume_value().status, 200);
+  }
+}
+
 }  // namespace
 }  // namespace tanagerloom
--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -8,10 +8,10 @@
 #include <string>
 
 #include "base/event_log.h"
-#include "fleet/crash_suspects.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/buffer_budget.h"
+#include "forwarding/crash_guard.h"
 #include "forwarding/request_forwarder.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -81,12 +81,10 @@
               std::chrono::milliseconds(50)},
              {std::chrono::milliseconds(500), std::chrono::milliseconds(10),
               std::chrono::milliseconds(50)}}),
-        forwarder(
-            {Runtime::Get().io(), registry, view, demand, protocol, suspects,
-             clock, log, retry_limits, [] { return std::size_t{1}; },
-             [this] { return stop_waiting_at; },
-             [this](std::uint64_t it) { suspects.OnCrash(it, clock.Now()); },
-             buffers}),
+        forwarder({Runtime::Get().io(), registry, view, demand, protocol,
+                   crashes, clock, log, retry_limits,
+                   [] { return std::size_t{1}; },
+                   [this] { return stop_waiting_at; }, buffers}),
         server(Runtime::Get().io(),
                HttpServerLimits{},
                [this](const HttpRequest& request, HttpResponder& responder) {
@@ -142,10 +140,10 @@
   platform::HeaderProtocol protocol;
   FleetView view;
   DemandTracker demand;
-  CrashSuspects suspects;
   BufferBudget buffers{kBufferBytes};
   FakeCluster cluster;
   FakePeers peers;
+  CrashGuard crashes{peers, clock, log};
   FleetRegistry registry;
   TimePoint stop_waiting_at = TimePoint::max();
   RequestForwarder forwarder;
