forwarding: tell nodes that start later which requests are refused

Cause: each count was told to the peers once, at the crash. A node that starts later, or is cut off at that moment, needs as many crashes of its own.

Change: nodes announce the counts of refused requests again, about eight times a second in the whole fleet, with the time for which they are still valid, so that announcements do not prolong a quarantine. A gauge tells the number of refused kinds of requests.

--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -102,4 +102,15 @@
          EffectiveCrashes(it->second, now) >= kCrashLimit;
 }
 
+std::vector<SuspectCount> CrashSuspects::Quarantined(TimePoint now) const {
+  std::vector<SuspectCount> out;
+  for (const auto& [fingerprint, entry] : entries_) {
+    const auto crashes = EffectiveCrashes(entry, now);
+    if (crashes >= kCrashLimit) {
+      out.push_back({fingerprint, crashes, entry.expires_at - now});
+    }
+  }
+  return out;
+}
+
 }  // namespace tanagerloom
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -6,11 +6,19 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "runtime/clock.h"
 
 namespace tanagerloom {
 
+/// The crash count of one fingerprint.
+struct SuspectCount {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t crashes = 0;
+  Duration valid{};  ///< Time until the count expires.
+};
+
 /// Crash counts by fingerprint: of a whole request, or of a part of it that
 /// other requests share. Nodes exchange the counts, so that a fingerprint which
 /// reaches kCrashLimit at one node is refused at every node.
@@ -56,6 +64,9 @@
   /// Returns whether requests with the fingerprint must be refused.
   bool IsQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
+  /// Returns the counts of the fingerprints that must be refused.
+  std::vector<SuspectCount> Quarantined(TimePoint now) const;
+
  private:
   struct Entry {
     std::uint32_t crashes = 0;  ///< Since the last proof.
--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -1,5 +1,6 @@
 #include "forwarding/crash_guard.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "base/event_log.h"
@@ -10,6 +11,14 @@
 
 namespace tanagerloom {
 
+namespace {
+
+// Max number of counts that are announced again at one time; the others follow
+// the next time.
+constexpr std::size_t kMaxAnnounced = 64;
+
+}  // namespace
+
 RequestFingerprints FingerprintsOf(const HttpRequest& request) {
   StableHasher hasher;
   for (const auto text :
@@ -26,13 +35,29 @@
   return suspects_.IsQuarantined(fingerprints.request, clock_.Now());
 }
 
-void CrashGuard::Announce(std::uint64_t fingerprint, std::uint32_t crashes) {
-  const auto valid = std::chrono::duration_cast<std::chrono::milliseconds>(
-      CrashSuspects::kRetention);
-  peers_.Broadcast(CrashNotice{fingerprint, crashes,
+bool CrashGuard::IsSuspected(const RequestFingerprints& fingerprints) const {
+  return suspects_.IsSuspected(fingerprints.request);
+}
+
+void CrashGuard::Announce(const SuspectCount& count) {
+  const auto valid =
+      std::chrono::duration_cast<std::chrono::milliseconds>(count.valid);
+  peers_.Broadcast(CrashNotice{count.fingerprint, count.crashes,
                                static_cast<std::uint64_t>(valid.count())});
 }
 
+void CrashGuard::AnnounceQuarantined() {
+  const auto counts = suspects_.Quarantined(clock_.Now());
+  for (std::size_t i = 0; i < std::min(counts.size(), kMaxAnnounced); ++i) {
+    Announce(counts[(next_announced_ + i) % counts.size()]);
+  }
+  next_announced_ += kMaxAnnounced;
+}
+
+std::size_t CrashGuard::QuarantinedCount() const {
+  return suspects_.Quarantined(clock_.Now()).size();
+}
+
 void CrashGuard::OnCrash(const EndpointCrash& crash) {
   const auto fingerprint = crash.fingerprints.request;
   const auto crashes = suspects_.OnCrash(fingerprint, clock_.Now());
@@ -41,7 +66,7 @@
                                                 {"fingerprint", fingerprint},
                                                 {"crashes", crashes}});
   if (crashes > 0) {
-    Announce(fingerprint, crashes);
+    Announce({fingerprint, crashes, CrashSuspects::kRetention});
   }
 }
 
@@ -50,7 +75,7 @@
   // no use.
   if (suspects_.IsSuspected(fingerprints.request) &&
       suspects_.OnProof(fingerprints.request, clock_.Now())) {
-    Announce(fingerprints.request, 0);
+    Announce({fingerprints.request, 0, CrashSuspects::kRetention});
   }
 }
 
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -3,6 +3,7 @@
 #ifndef FORWARDING_CRASH_GUARD_H_
 #define FORWARDING_CRASH_GUARD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -42,22 +43,34 @@
   /// Returns whether the request must be refused.
   bool IsQuarantined(const RequestFingerprints& fingerprints) const;
 
+  /// Returns whether a crash was counted for the request.
+  bool IsSuspected(const RequestFingerprints& fingerprints) const;
+
   /// Counts a crash for the request that ran at the endpoint.
   void OnCrash(const EndpointCrash& crash);
 
   /// The request ran to its end without crashing its endpoint.
   void OnCompleted(const RequestFingerprints& fingerprints);
 
+  /// Announces the counts of all requests that are refused. Call it from time
+  /// to time: a peer that started later, or that a notice did not reach, would
+  /// send such requests to endpoints until they have crashed as many again.
+  void AnnounceQuarantined();
+
+  /// Number of fingerprints that are refused.
+  std::size_t QuarantinedCount() const;
+
   /// Applies the count of a peer.
   void OnNotice(const CrashNotice& notice);
 
  private:
-  void Announce(std::uint64_t fingerprint, std::uint32_t crashes);
+  void Announce(const SuspectCount& count);
 
   PeerNetwork& peers_;
   Clock& clock_;
   EventLog& log_;
   CrashSuspects suspects_;
+  std::size_t next_announced_ = 0;  ///< Of the list of refused requests.
 };
 
 }  // namespace tanagerloom
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -40,7 +40,10 @@
 constexpr std::string_view kFleetPeerKey = "registered fleet";
 // Interval at which a node broadcasts its requests in flight to its peers.
 constexpr milliseconds kEndpointUseInterval{400};
-// Max number of nodes that broadcast at this interval. With more nodes each
+// Interval at which a node announces again which requests are refused because
+// they crash endpoints.
+constexpr milliseconds kQuarantineInterval{1000};
+// Max number of nodes that broadcast at these intervals. With more nodes each
 // broadcasts less often, so that the rate at which a node receives is constant.
 constexpr std::size_t kMaxNodesAtFullRate = 8;
 // Max number of nodes that broadcast at all. In a larger fleet the counts would
@@ -160,6 +163,7 @@
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
   void ApplyClientLimits();
   void BroadcastUseLoop();
+  void AnnounceQuarantineLoop();
   bool IsReady() const;
   void AnswerReadiness(HttpResponder& responder);
   void AnswerControl(const HttpRequest& request, HttpResponder& responder);
@@ -206,6 +210,10 @@
       "tanagerloom_response_buffer_bytes",
       "Bytes of endpoints' responses that are not yet forwarded.",
       [this] { return static_cast<double>(buffers.used_bytes()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_quarantined_fingerprints",
+      "Kinds of requests that are refused because they crash endpoints.",
+      [this] { return static_cast<double>(crashes.QuarantinedCount()); });
   metrics.AddGaugeReader("tanagerloom_holds_order_lease",
                          "1 while this node orders engines.",
                          [this] { return lease.is_holder() ? 1.0 : 0.0; });
@@ -271,6 +279,15 @@
   }
 }
 
+void FleetNode::Parts::AnnounceQuarantineLoop() {
+  while (!stopped) {
+    // Beyond this number of nodes, each announces less often.
+    const auto nodes = std::max(peers.LiveIds().size(), kMaxNodesAtFullRate);
+    clock.SleepFor(kQuarantineInterval * nodes / kMaxNodesAtFullRate);
+    crashes.AnnounceQuarantined();
+  }
+}
+
 // ---- client limits, readiness and control listeners
 
 void FleetNode::Parts::ApplyClientLimits() {
@@ -364,6 +381,7 @@
   boost::fibers::fiber([&parts] { parts.lease.Run(); }).detach();
   parts.orders.Start();
   boost::fibers::fiber([&parts] { parts.BroadcastUseLoop(); }).detach();
+  boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
   BOOST_OUTCOME_TRYV(parts.client_server.Listen(parts.settings.client_listen));
   parts.log.Record(events::kNodeStarted, {{"node", parts.settings.node_id},
                                           {"incarnation", parts.peers.self()}});
