forwarding: check the quarantine before each attempt

A request that waited for an endpoint or was tried again was sent although its limit had been reached meanwhile.

Change: it is checked while a request waits and before each attempt; a request that is suspected already awaits the check for a crash before it is tried again. On the code before, both new tests fail: two endpoints crash where one is allowed, and the waiting request ends only with its own time.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -80,7 +80,8 @@
   budgets_[service_].OnRequest(arrived_at_);
   while (true) {
     const auto target = AwaitEndpoint();
-    if (!target || RunAttempt(*target) == NextStep::kDone) {
+    if (!target || RejectQuarantined() ||
+        RunAttempt(*target) == NextStep::kDone) {
       return;
     }
   }
@@ -123,10 +124,18 @@
     Refuse(kUnavailable, "unknown_model", kRetryAfterModel);
     return false;
   }
-  if (deps_.crashes.IsQuarantined(fingerprints_)) {
-    Refuse(kUnavailable, "crashes_endpoints", milliseconds(0));
+  return !RejectQuarantined();
+}
+
+bool ForwardedRequest::RejectQuarantined() {
+  if (!deps_.crashes.IsQuarantined(fingerprints_)) {
     return false;
   }
+  if (history_.runs == 0) {
+    Refuse(kUnavailable, "crashes_endpoints", milliseconds(0));
+  } else {
+    Abandon(/*timed_out=*/false);
+  }
   return true;
 }
 
@@ -171,7 +180,8 @@
   auto& changed = deps_.view.changed();
   deps_.demand.BeginWait(service_, profile_.model, wait_deadline);
   while (!target && !IsClientGone() && deps_.clock.Now() < wait_deadline &&
-         deps_.clock.Now() < deps_.stop_waiting_at()) {
+         deps_.clock.Now() < deps_.stop_waiting_at() &&
+         !deps_.crashes.IsQuarantined(fingerprints_)) {
     const auto seen = changed.count();
     target = chooser_->Choose();
     if (!target && IsLoadTooLate()) {
@@ -192,7 +202,7 @@
     responder_.Abort();
     return std::nullopt;
   }
-  if (!target) {
+  if (!target && !RejectQuarantined()) {
     Abandon(/*timed_out=*/false);
   }
   return target;
@@ -472,7 +482,7 @@
     health.OnFailure(now);
   }
   if (error.failure == AttemptFailure::kBroken) {
-    ProbeForCrash(target);
+    CheckForCrash(target);
   }
   if (now >= deadline_) {
     return Abandon(/*timed_out=*/true);
@@ -529,16 +539,22 @@
   return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
 }
 
-void ForwardedRequest::ProbeForCrash(const EndpointTarget& target) {
-  boost::fibers::fiber([&deps = deps_, address = target.address,
-                        crash = EndpointCrash{profile_.attempt_id, target.id,
-                                              fingerprints_}] {
-    EndpointAttempt probe(deps.io, deps.protocol, deps.clock, deps.buffers,
-                          address);
-    if (!probe.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
-      deps.crashes.OnCrash(crash);
-    }
-  }).detach();
+void ForwardedRequest::CheckForCrash(const EndpointTarget& target) {
+  const auto probe =
+      [&deps = deps_, address = target.address,
+       crash = EndpointCrash{profile_.attempt_id, target.id, fingerprints_}] {
+        EndpointAttempt attempt(deps.io, deps.protocol, deps.clock,
+                                deps.buffers, address);
+        if (!attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
+          deps.crashes.OnCrash(crash);
+        }
+      };
+  if (deps_.crashes.IsSuspected(fingerprints_)) {
+    // The outcome decides whether the request may be retried.
+    probe();
+  } else {
+    boost::fibers::fiber(probe).detach();
+  }
 }
 
 // ---- answers of this node
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -56,6 +56,9 @@
   /// Refuses the request and returns false if its service or model is unknown
   /// or if it is quarantined.
   bool CheckServable();
+  /// Ends the request and returns true if it is quarantined. Checked before
+  /// each attempt, since the last crash may come while the request waits.
+  bool RejectQuarantined();
   /// Aborts the attempt in flight when the client disconnects.
   void WatchClient();
 
@@ -102,7 +105,8 @@
   /// Returns the delay after which the client may retry.
   std::chrono::milliseconds RetryAfter() const;
   /// Connects to the endpoint once more and reports a crash if that fails.
-  void ProbeForCrash(const EndpointTarget& target);
+  /// Waits for the outcome if the request is suspected already.
+  void CheckForCrash(const EndpointTarget& target);
 
   /// Sends a response of this node's own.
   void Refuse(int status,
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -2,6 +2,7 @@
 // endpoints. They check what the client receives and what the endpoints ran.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
@@ -468,6 +469,49 @@
   EXPECT_EQ(site.Send(request).assume_value().status, 200);
 }
 
+// Guards against a retry that crashes one more endpoint, though the attempt
+// before it reached the limit.
+TEST_F(Forwarding, RequestIsNotRetriedOnceItIsQuarantined) {
+  const auto request = site.Request("/read/crash");
+  for (std::uint32_t i = 1; i < CrashSuspects::kCrashLimit; ++i) {
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+  }
+  site.a.serve = [&](const HttpRequest&, HttpResponder& responder) {
+    site.a.Crash();
+    responder.Abort();
+  };
+  site.b.serve = [&](const HttpRequest&, HttpResponder& responder) {
+    site.b.Crash();
+    responder.Abort();
+  };
+  EXPECT_EQ(site.Send(request).assume_value().status, 502);
+  EXPECT_EQ(site.Runs(), 1U);
+}
+
+// Guards against a request that waits for an endpoint and is sent although it
+// was quarantined meanwhile.
+TEST_F(Forwarding, WaitingRequestIsRefusedOnceItIsQuarantined) {
+  site.a.draining = true;
+  site.b.draining = true;
+  site.a.Register();
+  site.b.Register();
+  ASSERT_TRUE(WaitUntil([&] {
+    const auto& records = site.view.directory().records();
+    return std::ranges::all_of(
+        records, [](const auto& it) { return it.second.draining; });
+  }));
+  const auto request = site.Request("/read/crash");
+  boost::fibers::fiber([&] {
+    boost::this_fiber::sleep_for(milliseconds(100));
+    for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
+      site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+    }
+  }).detach();
+  const auto sent_at = site.clock.Now();
+  EXPECT_EQ(site.Send(request).assume_value().status, 503);
+  EXPECT_LT(site.clock.Now() - sent_at, milliseconds(500));
+}
+
 // Guards against refusing a request that only ran beside others when endpoints
 // crashed.
 TEST_F(Forwarding, RequestThatRanWithoutACrashIsNotRefused) {
