forwarding: refuse requests by the part of the prompt that crashes engines

Callers saw: while one part of a prompt crashed each engine that began to answer a request with it, requests of one kind took down one engine after the other.

Cause: crashes were counted by the whole request, and no two of these requests are alike.

Evidence: the log of such a request has two attempts whose response breaks off before the first event, each followed by 411 with count 1 or 2 of a fingerprint that no other request has.

Change: each shared part of a prompt has a crash count of its own. An engine that begins to answer has read the whole prompt, so the first event proves its parts: it resets their counts at all nodes, and recent proofs are set against later crashes. So the parts that sound requests share are not refused, though these run beside and break off at the same moment.

--- a/packages/fleet/request_profile.h
+++ b/packages/fleet/request_profile.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -30,11 +31,16 @@
   std::uint32_t max_output_tokens = 0;
   std::vector<PromptPart> prompt;  ///< All parts but the last may be shared.
 
+  /// Returns the parts that other requests may share.
+  std::span<const PromptPart> SharedPromptParts() const {
+    return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
+  }
+
   /// Returns the number of tokens of the shared parts.
   std::uint32_t SharedPromptTokens() const {
     std::uint32_t n = 0;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-      n += prompt[i].tokens;
+    for (const auto& it : SharedPromptParts()) {
+      n += it.tokens;
     }
     return n;
   }
@@ -48,9 +54,9 @@
   /// endpoint that has them cached.
   std::string SharedPromptKey() const {
     std::string key = model.ToString();
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    for (const auto& it : SharedPromptParts()) {
       key += '\n';
-      key += prompt[i].id;
+      key += it.id;
     }
     return key;
   }
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "fleet/crash_suspects.h"
 
@@ -17,20 +18,32 @@
 class PeerNetwork;
 struct CrashNotice;
 struct HttpRequest;
+struct RequestProfile;
 
-/// What identifies a request in crash counts.
+/// A part of a prompt in crash counts.
+struct PromptPartFingerprint {
+  std::string part;  ///< Id of the part.
+  std::uint64_t value = 0;
+};
+
+/// What may crash endpoints again and again: the whole request, or a part of
+/// its prompt that other requests share.
 struct RequestFingerprints {
   std::uint64_t request = 0;  ///< Equal for equal requests.
+  std::vector<PromptPartFingerprint> prompt_parts;
 };
 
 /// Returns the fingerprints of a client request.
-RequestFingerprints FingerprintsOf(const HttpRequest& request);
+RequestFingerprints FingerprintsOf(const HttpRequest& request,
+                                   const RequestProfile& profile);
 
 /// A crash of an endpoint that ran a request.
 struct EndpointCrash {
   std::string request;  ///< Id of the request.
   std::string endpoint;
   RequestFingerprints fingerprints;
+  /// The endpoint had begun to answer, so it had read the whole prompt before.
+  bool answering = false;
 };
 
 /// Counts crashes, announces the counts to the peers, and applies those of the
@@ -49,6 +62,10 @@
   /// Counts a crash for the request that ran at the endpoint.
   void OnCrash(const EndpointCrash& crash);
 
+  /// An endpoint began to answer the request, so that no part of its prompt
+  /// crashes endpoints.
+  void OnAnswering(const RequestFingerprints& fingerprints);
+
   /// The request ran to its end without crashing its endpoint.
   void OnCompleted(const RequestFingerprints& fingerprints);
 
@@ -64,7 +81,10 @@
   void OnNotice(const CrashNotice& notice);
 
  private:
+  /// Counts a crash for one fingerprint and returns the count.
+  std::uint32_t Count(std::uint64_t fingerprint, Duration min_interval);
   void Announce(const SuspectCount& count);
+  void Prove(std::uint64_t fingerprint);
 
   PeerNetwork& peers_;
   Clock& clock_;
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -63,7 +63,7 @@
       arrived_at_(deps.clock.Now()),
       config_(deps.registry.config()),
       profile_(deps.protocol.ReadRequest(request)),
-      fingerprints_(FingerprintsOf(request)) {}
+      fingerprints_(FingerprintsOf(request, profile_)) {}
 
 ForwardedRequest::~ForwardedRequest() {
   client_->attempt = nullptr;
@@ -230,6 +230,7 @@
   client_->attempt = &attempt;
   deps_.view.BeginUse(target.id, target.prompt_tokens);
   prompt_pending_ = true;
+  answering_ = false;
   deps_.demand.BeginRun(service_, profile_.model);
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, target);
@@ -332,6 +333,7 @@
       break;
     }
   }
+  deps_.crashes.OnAnswering(fingerprints_);
   deps_.crashes.OnCompleted(fingerprints_);
   auto& health = deps_.view.Health(target.id);
   if (response.status < kFirstServerError) {
@@ -384,6 +386,9 @@
     if (events.empty()) {
       continue;
     }
+    if (!std::exchange(answering_, true)) {
+      deps_.crashes.OnAnswering(fingerprints_);
+    }
     if (!ForwardEvents(attempt, events)) {
       attempt.Abort();
       Finish(attempt.status(), "client_gone");
@@ -540,15 +545,15 @@
 }
 
 void ForwardedRequest::CheckForCrash(const EndpointTarget& target) {
-  const auto probe =
-      [&deps = deps_, address = target.address,
-       crash = EndpointCrash{profile_.attempt_id, target.id, fingerprints_}] {
-        EndpointAttempt attempt(deps.io, deps.protocol, deps.clock,
-                                deps.buffers, address);
-        if (!attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
-          deps.crashes.OnCrash(crash);
-        }
-      };
+  const auto probe = [&deps = deps_, address = target.address,
+                      crash = EndpointCrash{profile_.attempt_id, target.id,
+                                            fingerprints_, answering_}] {
+    EndpointAttempt attempt(deps.io, deps.protocol, deps.clock, deps.buffers,
+                            address);
+    if (!attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
+      deps.crashes.OnCrash(crash);
+    }
+  };
   if (deps_.crashes.IsSuspected(fingerprints_)) {
     // The outcome decides whether the request may be retried.
     probe();
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -143,6 +143,8 @@
   /// When the attempt in flight was sent, or its last whole event or part of a
   /// whole response arrived. Single bytes of an event are no progress.
   TimePoint progress_at_{};
+  /// Whether an event of the attempt in flight has arrived.
+  bool answering_ = false;
   /// Whether the endpoint of the attempt in flight has still to read the
   /// prompt.
   bool prompt_pending_ = false;
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -428,7 +428,7 @@
 TEST_F(Forwarding, RequestThatCrashedEndpointsIsRefused) {
   const auto request = site.Request("/read/crash");
   for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
-    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request, {}), false});
   }
   EXPECT_EQ(site.Send(request).assume_value().status, 503);
   EXPECT_EQ(site.Runs(), 0U);
@@ -474,7 +474,7 @@
 TEST_F(Forwarding, RequestIsNotRetriedOnceItIsQuarantined) {
   const auto request = site.Request("/read/crash");
   for (std::uint32_t i = 1; i < CrashSuspects::kCrashLimit; ++i) {
-    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request, {}), false});
   }
   site.a.serve = [&](const HttpRequest&, HttpResponder& responder) {
     site.a.Crash();
@@ -504,7 +504,7 @@
   boost::fibers::fiber([&] {
     boost::this_fiber::sleep_for(milliseconds(100));
     for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
-      site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+      site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request, {}), false});
     }
   }).detach();
   const auto sent_at = site.clock.Now();
@@ -517,7 +517,7 @@
 TEST_F(Forwarding, RequestThatRanWithoutACrashIsNotRefused) {
   const auto request = site.Request("/read/popular");
   for (int i = 0; i < 5; ++i) {
-    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request)});
+    site.crashes.OnCrash({"id-1", "i-a", FingerprintsOf(request, {}), false});
     EXPECT_EQ(site.Send(request).assume_value().status, 200);
   }
 }
