forwarding: a stream that ends within an event has been broken off

Cause: the bytes that were left at the end of a response were forwarded as the last part of the stream.

Change: if a part of an event is left, the attempt has failed; the stream is resumed elsewhere or broken off. Responses that end with their connection and are whole are forwarded; this held before. RawEndpoint, which gives its responses byte by byte, moves out of the test of endless answers.

--- a/packages/forwarding/event_assembler.cc
+++ b/packages/forwarding/event_assembler.cc
@@ -33,6 +33,10 @@
   return out;
 }
 
+bool EventAssembler::HasPartialEvent() const {
+  return pending_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 std::string EventAssembler::TakeRemainder() {
   UpdateLastEventId(pending_);
   return std::exchange(pending_, {});
--- a/packages/forwarding/event_assembler.h
+++ b/packages/forwarding/event_assembler.h
@@ -19,6 +19,10 @@
   /// Removes and returns the complete events; empty if there are none.
   std::string TakeEvents();
 
+  /// Returns whether a part of an event is left. A stream that ends then has
+  /// been broken off.
+  bool HasPartialEvent() const;
+
   /// Removes and returns the remaining bytes at the end of a complete stream.
   std::string TakeRemainder();
 
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -424,6 +424,11 @@
 ForwardedRequest::NextStep ForwardedRequest::FinishStream(
     EndpointAttempt& attempt,
     const EndpointTarget& target) {
+  if (event_assembler_.HasPartialEvent()) {
+    return OnAttemptFailed(target,
+                           {AttemptFailure::kBroken, Verdict::kMayHaveRun,
+                            "the stream ends within an event"});
+  }
   const auto rest = event_assembler_.TakeRemainder();
   if ((!rest.empty() || !responder_.started()) &&
       !ForwardEvents(attempt, rest)) {
--- a/tests/error/endless_answer_test.cc
+++ b/tests/error/endless_answer_test.cc
@@ -3,20 +3,13 @@
 // that keeps such a request beyond its time, or that fails other requests.
 #include <gtest/gtest.h>
 
-// Boost 1.74's Asio uses std::exchange without including its header.
-#include <utility>
-// Keep this after <utility>.
 #include <unistd.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
+
 #include <boost/fiber/fiber.hpp>
 #include <fstream>
 
-#include "runtime/await.h"
 #include "tests/support/forwarding_site.h"
+#include "tests/support/raw_endpoint.h"
 
 namespace tanagerloom {
 namespace {
@@ -25,81 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Bytes that follow a request: `head` once, and then `repeat` without end.
-struct EndlessAnswer {
-  const char* name;
-  std::string head;
-  std::string repeat;
-};
-
-// A server that gives each request an endless answer until the connection is
-// closed. It must live until the process ends.
-class EndlessEndpoint {
- public:
-  explicit EndlessEndpoint(EndlessAnswer answer)
-      : answer_(std::move(answer)),
-        acceptor_(Runtime::Get().io(),
-                  {asio::ip::make_address("127.0.0.1"), 0}) {
-    boost::fibers::fiber([this] { AcceptLoop(); }).detach();
-  }
-
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  int open_connections() const { return open_connections_; }
-  int requests() const { return requests_; }
-
- private:
-  void AcceptLoop() {
-    while (true) {
-      auto socket =
-          std::make_shared<asio::ip::tcp::socket>(Runtime::Get().io());
-      const auto accepted =
-          AwaitIo([&](auto done) { acceptor_.async_accept(*socket, done); });
-      if (accepted.ec) {
-        return;
-      }
-      boost::fibers::fiber([this, socket] { Serve(*socket); }).detach();
-    }
-  }
-
-  void Serve(asio::ip::tcp::socket& socket) {
-    ++open_connections_;
-    asio::streambuf input;
-    const auto read = AwaitIo([&](auto done) {
-      asio::async_read_until(socket, input, "\r\n\r\n", done);
-    });
-    if (!read.ec) {
-      ++requests_;
-      std::string next = WithAttemptId(answer_.head, input);
-      while (true) {
-        const auto written = AwaitIo([&](auto done) {
-          asio::async_write(socket, asio::buffer(next), done);
-        });
-        if (written.ec) {
-          break;
-        }
-        next = answer_.repeat;
-      }
-    }
-    --open_connections_;
-  }
-
-  // Replaces "ID" in the head by the id of the request.
-  static std::string WithAttemptId(std::string head, asio::streambuf& input) {
-    const std::string request(asio::buffers_begin(input.data()),
-                              asio::buffers_end(input.data()));
-    const std::string_view field = "Attempt-Id: ";
-    const auto start = request.find(field) + field.size();
-    const auto id = request.substr(start, request.find('\r', start) - start);
-    const auto position = head.find("ID");
-    return position == std::string::npos ? head : head.replace(position, 2, id);
-  }
-
-  EndlessAnswer answer_;
-  asio::ip::tcp::acceptor acceptor_;
-  int open_connections_ = 0;
-  int requests_ = 0;
-};
-
 // Memory of this process, in bytes.
 std::size_t ResidentBytes() {
   std::ifstream statm("/proc/self/statm");
@@ -114,7 +32,7 @@
     "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: seal\r\n";
 const std::string kChunked = kSealed + "Transfer-Encoding: chunked\r\n\r\n";
 
-class EndlessAnswers : public testing::TestWithParam<EndlessAnswer> {
+class EndlessAnswers : public testing::TestWithParam<RawAnswer> {
  protected:
   static constexpr int kRequests = 12;
   // Half of the memory of the smallest VM.
@@ -148,7 +66,7 @@
   }
 
   ForwardingSite& site = *new ForwardingSite();
-  EndlessEndpoint& endless = *new EndlessEndpoint(GetParam());
+  RawEndpoint& endless = *new RawEndpoint(GetParam());
   std::size_t peak_bytes = 0;
 };
 
@@ -179,21 +97,19 @@
     Answers,
     EndlessAnswers,
     testing::Values(
-        EndlessAnswer{"HeaderFields", "HTTP/1.1 200 OK\r\n",
-                      "X-Field: " + kBlock + "\r\n"},
-        EndlessAnswer{"HeaderLine", "HTTP/1.1 200 OK\r\nX-Field: ", kBlock},
-        EndlessAnswer{"NoAnswer", "\x01\x02", kBlock},
-        EndlessAnswer{"InformationalAnswers", "",
-                      "HTTP/1.1 100 Continue\r\n\r\n"},
-        EndlessAnswer{"ChunkedBody", kChunked, "fa0\r\n" + kBlock + "\r\n"},
-        EndlessAnswer{"BodyWithoutLength", kSealed + "\r\n", kBlock},
-        EndlessAnswer{"LongBody",
-                      kSealed + "Content-Length: 9000000000000\r\n\r\n",
-                      kBlock},
-        EndlessAnswer{"ChunkExtension", kChunked + "5;x=", kBlock},
-        EndlessAnswer{"Trailers", kChunked + "0\r\n",
-                      "X-Field: " + kBlock + "\r\n"},
-        EndlessAnswer{
+        RawAnswer{"HeaderFields", "HTTP/1.1 200 OK\r\n",
+                  "X-Field: " + kBlock + "\r\n"},
+        RawAnswer{"HeaderLine", "HTTP/1.1 200 OK\r\nX-Field: ", kBlock},
+        RawAnswer{"NoAnswer", "\x01\x02", kBlock},
+        RawAnswer{"InformationalAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        RawAnswer{"ChunkedBody", kChunked, "fa0\r\n" + kBlock + "\r\n"},
+        RawAnswer{"BodyWithoutLength", kSealed + "\r\n", kBlock},
+        RawAnswer{"LongBody", kSealed + "Content-Length: 9000000000000\r\n\r\n",
+                  kBlock},
+        RawAnswer{"ChunkExtension", kChunked + "5;x=", kBlock},
+        RawAnswer{"Trailers", kChunked + "0\r\n",
+                  "X-Field: " + kBlock + "\r\n"},
+        RawAnswer{
             "Event",
             kSealed + "Content-Type: text/event-stream\r\n\r\ndata: ", kBlock}),
     [](const auto& info) { return std::string(info.param.name); });
