forwarding: a response of another type is no stream of events

If it stated another type and its text ended with an empty line, it could be forwarded in the middle of a stream that had begun at another endpoint.

The case ObjectWithStatus200 shows it.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -44,6 +44,13 @@
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
 
+// Returns whether the headers of a response allow a stream of events. An
+// endpoint that states no type is taken at its route's word.
+bool IsEventStream(const HttpHeaders& headers) {
+  const auto type = headers.Find("Content-Type");
+  return !type || type->starts_with("text/event-stream");
+}
+
 // Returns whether a status promises that the request did not run.
 bool PromisesNotRun(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -268,7 +275,8 @@
   }
   ++history_.runs;
   history_.last_verdict = Verdict::kRan;
-  if (route_->kind == RequestKind::kStreaming && attempt.status() == kOk) {
+  if (route_->kind == RequestKind::kStreaming && attempt.status() == kOk &&
+      IsEventStream(attempt.headers())) {
     return RelayStream(attempt, target);
   }
   return RelayWholeResponse(attempt, target);
--- a/tests/error/unframed_answer_test.cc
+++ b/tests/error/unframed_answer_test.cc
@@ -114,6 +114,10 @@
         SecondAnswer{"InternalError", 500, {}, "internal error\n\n"},
         SecondAnswer{"Unavailable", 503, {{"Not-Executed", "1"}}, "full\n\n"},
         SecondAnswer{"NotFound", 404, {}, "no such stream\n\n"},
+        SecondAnswer{"ObjectWithStatus200",
+                     200,
+                     {{"Content-Type", "application/json"}},
+                     "{\"error\":\"failed\"}\n\n"},
         SecondAnswer{"TextWithStatus200", 200, {}, R"({"error":"failed"})"}),
     [](const auto& it) { return it.param.name; });
 
