routing: use no connection again on which an endpoint refused a call

Callers could see: a call that an endpoint ran was answered 'not run', because the endpoint wrote its refusal of an earlier attempt once more on a connection that was kept open (a report of other operators).

Cause: the attempts of a service call have the same id, and a retry may use the connection on which the attempt before it was refused. So the id does not tell the repeated refusal from the answer.

Change: such a connection is closed. Attempts of model calls have ids of their own, and forwarding uses a connection for one attempt; neither is affected.

--- a/packages/routing/service_dispatcher.cc
+++ b/packages/routing/service_dispatcher.cc
@@ -28,6 +28,11 @@
   return it == request.estate->services.end() ? "" : it->second.pool;
 }
 
+// Whether an endpoint refused a call or failed to serve it.
+bool IsRefusal(int status) {
+  return status == 429 || status >= 500;
+}
+
 }  // namespace
 
 struct ServiceDispatcher::Progress {
@@ -171,6 +176,11 @@
       if (!read) {
         return std::move(read.assume_error());
       }
+      if (IsRefusal(response.status)) {
+        // All attempts of a call have the same id, so a refusal that the
+        // endpoint repeats could be taken for the answer to the next attempt.
+        exchange->Abort();
+      }
       return response;
     }
   }
@@ -180,7 +190,7 @@
     const HttpResponse& response,
     const ServiceCall& call,
     Progress& progress) {
-  if (response.status != 429 && response.status < 500) {
+  if (!IsRefusal(response.status)) {
     return std::nullopt;
   }
   const auto reply =
