forwarding: heed what endpoints say of themselves in responses

An endpoint that leaves says so in all its responses, and one that refuses a request may ask for a pause. Neither was read: a node that had lost the store, or heard late of the change, went on sending to an endpoint that had told it in person.

The adapter decodes both headers once, into EndpointStatement, which the older request path uses too. EndpointStatements applies them when the head of a response is read: leaving holds for that start of the endpoint, outlasts its entry in the list, and is told to the peers with the start time; a pause holds for the node that was asked, by the runtime's clock. The choice is checked again before a request is written. A request that cannot wait for the earliest end of all pauses is refused at once, and clients return spread over a fifth of the pause.

--- a/packages/fleet/endpoint_directory.cc
+++ b/packages/fleet/endpoint_directory.cc
@@ -16,10 +16,36 @@
   }
 }
 
+void EndpointDirectory::RememberDraining(const std::string& id,
+                                         std::uint64_t boot) {
+  if (draining_boots_.size() >= kMaxRememberedDraining) {
+    std::erase_if(draining_boots_, [this](const auto& it) {
+      return !records_.contains(it.first);
+    });
+  }
+  draining_boots_[id] = boot;
+}
+
+bool EndpointDirectory::OnLeaving(const std::string& id, std::uint64_t boot) {
+  const auto it = records_.find(id);
+  if (it == records_.end() || it->second.boot != boot || it->second.draining) {
+    return false;
+  }
+  it->second.draining = true;
+  RememberDraining(id, boot);
+  return true;
+}
+
 void EndpointDirectory::Insert(EndpointRecord record,
                                TimePoint now,
                                DirectoryChange& change) {
   removal_at_.erase(record.id);
+  const auto draining = draining_boots_.find(record.id);
+  if (draining != draining_boots_.end() && draining->second == record.boot) {
+    record.draining = true;
+  } else if (record.draining) {
+    RememberDraining(record.id, record.boot);
+  }
   const auto it = records_.find(record.id);
   if (it == records_.end()) {
     change.listed.push_back(record.id);
--- a/packages/fleet/endpoint_directory.h
+++ b/packages/fleet/endpoint_directory.h
@@ -37,6 +37,8 @@
   /// within this time.
   static constexpr Duration kReregistrationGrace =
       std::chrono::milliseconds(1800);
+  /// Max number of draining endpoints that are remembered.
+  static constexpr std::size_t kMaxRememberedDraining = 4096;
 
   /// Replaces all entries by a complete list. Endpoints missing from it are
   /// removed, or kept for the grace time after an outage.
@@ -45,6 +47,10 @@
   /// Adds or updates one entry.
   DirectoryChange Update(EndpointRecord record, TimePoint now);
 
+  /// An endpoint itself says that this start of it leaves. Returns whether this
+  /// is news.
+  bool OnLeaving(const std::string& id, std::uint64_t boot);
+
   /// Removes an entry that was deleted or no longer describes a usable
   /// endpoint. It is kept for the grace time after an outage unless it was
   /// draining.
@@ -80,6 +86,12 @@
 
   std::map<std::string, EndpointRecord, std::less<>> records_;
   std::map<std::string, TimePoint, std::less<>> changed_at_;
+  /// Marks the start of an endpoint as draining, also in later entries.
+  void RememberDraining(const std::string& id, std::uint64_t boot);
+
+  /// Starts of endpoints that drain, by id. Kept after the entry is gone: it
+  /// may come back and say that the endpoint is ready.
+  std::map<std::string, std::uint64_t, std::less<>> draining_boots_;
   /// Endpoints missing from the list, with the time at which they are removed.
   std::map<std::string, TimePoint, std::less<>> removal_at_;
   bool list_unavailable_ = false;
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -85,6 +85,64 @@
   return it != not_loaded_until_.end() && clock_.Now() < it->second;
 }
 
+bool FleetView::OnLeaving(const std::string& id, std::uint64_t boot) {
+  const bool news = directory_.OnLeaving(id, boot);
+  if (news) {
+    changed_.Signal();
+  }
+  return news;
+}
+
+bool FleetView::OnPause(const std::string& id,
+                        std::uint64_t boot,
+                        TimePoint until) {
+  auto& pause = pauses_[id];
+  if (boot < pause.boot || (boot == pause.boot && until <= pause.until)) {
+    return false;
+  }
+  pause = {boot, until};
+  changed_.Signal();
+  return true;
+}
+
+bool FleetView::IsPaused(const EndpointRecord& record) const {
+  const auto it = pauses_.find(record.id);
+  return it != pauses_.end() && it->second.boot == record.boot &&
+         clock_.Now() < it->second.until;
+}
+
+bool FleetView::AcceptsRequests(const std::string& id,
+                                std::uint64_t boot) const {
+  const auto* record = directory_.Find(id);
+  return record != nullptr && record->boot == boot && !record->draining &&
+         !IsPaused(*record);
+}
+
+std::optional<TimePoint> FleetView::PausedUntil(std::string_view service,
+                                                const ModelRef& model) const {
+  std::optional<TimePoint> out;
+  for (const auto& [id, record] : directory_.records()) {
+    if (record.service != service || record.draining ||
+        !HasLoaded(record, model)) {
+      continue;
+    }
+    if (!IsPaused(record)) {
+      return std::nullopt;
+    }
+    const auto until = pauses_.find(id)->second.until;
+    out = out ? std::min(*out, until) : until;
+  }
+  return out;
+}
+
+std::size_t FleetView::SetAsideCount() const {
+  const auto& records = directory_.records();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(records, [this](const auto& it) {
+        return it.second.draining || IsPaused(it.second);
+      }));
+}
+
 void FleetView::BeginUse(const std::string& id, std::uint32_t prompt_tokens) {
   auto& use = local_use_[id];
   ++use.requests;
@@ -150,7 +208,7 @@
   std::vector<EndpointCandidate> out;
   for (const auto& [id, record] : directory_.records()) {
     if (record.service != service || record.draining || excluded.contains(id) ||
-        !HasLoaded(record, model)) {
+        IsPaused(record) || !HasLoaded(record, model)) {
       continue;
     }
     const auto use = InFlight(id);
@@ -176,6 +234,7 @@
   };
   std::erase_if(notices_, unknown);
   std::erase_if(health_, unknown);
+  std::erase_if(pauses_, unknown);
   std::erase_if(not_loaded_until_,
                 [&](const auto& it) { return it.second <= now; });
   std::erase_if(peer_use_, [&](const auto& it) {
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -74,6 +74,26 @@
   /// The endpoint refused a request because it has not loaded the model.
   void OnModelNotLoaded(const std::string& id, const ModelRef& model);
 
+  /// An endpoint says that this start of it leaves. Returns whether this is
+  /// news.
+  bool OnLeaving(const std::string& id, std::uint64_t boot);
+
+  /// An endpoint wants no requests of this node until `until`. Returns whether
+  /// this is longer than known.
+  bool OnPause(const std::string& id, std::uint64_t boot, TimePoint until);
+
+  /// Returns whether this start of an endpoint may get new requests: it neither
+  /// leaves nor wants a pause.
+  bool AcceptsRequests(const std::string& id, std::uint64_t boot) const;
+
+  /// If all endpoints of `service` that could run a request for `model` want a
+  /// pause, returns when the first of the pauses ends.
+  std::optional<TimePoint> PausedUntil(std::string_view service,
+                                       const ModelRef& model) const;
+
+  /// Number of endpoints that are listed and get no requests by their own word.
+  std::size_t SetAsideCount() const;
+
   /// Counts a request of this node at an endpoint, until EndUse(), and the
   /// tokens that the endpoint has to read, until EndPrompt().
   void BeginUse(const std::string& id, std::uint32_t prompt_tokens);
@@ -116,6 +136,13 @@
     TimePoint received_at{};
   };
 
+  /// The pause that one start of an endpoint asked for.
+  struct Pause {
+    std::uint64_t boot = 0;
+    TimePoint until{};
+  };
+
+  bool IsPaused(const EndpointRecord& record) const;
   /// Returns whether an endpoint has loaded `model` and has not just refused
   /// it.
   bool HasLoaded(const EndpointRecord& record, const ModelRef& model) const;
@@ -140,6 +167,7 @@
   std::map<std::string, PeerUse> peer_use_;
   std::map<std::string, UseCount, std::less<>> local_use_;
   std::map<std::string, EndpointHealth, std::less<>> health_;
+  std::map<std::string, Pause, std::less<>> pauses_;
   std::map<std::string, PromptSpeed> prompt_speeds_;
   std::map<std::pair<std::string, ModelRef>, TimePoint> not_loaded_until_;
 };
--- a/packages/forwarding/endpoint_chooser.cc
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -54,7 +54,8 @@
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  return EndpointTarget{chosen->record->id, chosen->record->address,
+  return EndpointTarget{chosen->record->id, chosen->record->boot,
+                        chosen->record->address,
                         PromptTokensAt(*chosen, candidates)};
 }
 
--- a/packages/forwarding/endpoint_chooser.h
+++ b/packages/forwarding/endpoint_chooser.h
@@ -22,6 +22,7 @@
 /// The endpoint chosen for an attempt.
 struct EndpointTarget {
   std::string id;
+  std::uint64_t boot = 0;  ///< Start of the endpoint that was chosen.
   Address address;
   std::uint32_t prompt_tokens = 0;  ///< Expected to be read there.
 };
--- /dev/null
+++ b/packages/forwarding/endpoint_statements.cc
@@ -0,0 +1,63 @@
+#include "forwarding/endpoint_statements.h"
+
+#include <chrono>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "fleet/fleet_view.h"
+#include "forwarding/request_protocol.h"
+#include "ports/peer_network.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// Validity of the notice that an endpoint leaves. By then the list of endpoints
+// surely says so.
+constexpr std::chrono::milliseconds kNoticeValidity{60000};
+
+}  // namespace
+
+void EndpointStatements::OnResponse(const EndpointInstance& endpoint,
+                                    const ResponseTraits& traits,
+                                    const std::string& request) {
+  if (traits.wrong_endpoint) {
+    return;  // Another instance made the statements.
+  }
+  if (!traits.invalid_statement.empty()) {
+    log_.Record(events::kEndpointStatementInvalid,
+                {{"endpoint", endpoint.id},
+                 {"request", request},
+                 {"header", traits.invalid_statement}});
+  }
+  if (traits.statement.leaving && view_.OnLeaving(endpoint.id, endpoint.boot)) {
+    log_.Record(events::kEndpointSaidLeaving, {{"endpoint", endpoint.id},
+                                               {"boot", endpoint.boot},
+                                               {"request", request}});
+    peers_.Broadcast(EndpointNotice{
+        endpoint.id, EndpointCondition::kLeaving,
+        static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot});
+  }
+  if (traits.statement.pause &&
+      view_.OnPause(endpoint.id, endpoint.boot,
+                    clock_.Now() + *traits.statement.pause)) {
+    log_.Record(events::kEndpointSaidPause,
+                {{"endpoint", endpoint.id},
+                 {"boot", endpoint.boot},
+                 {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            *traits.statement.pause)
+                            .count()},
+                 {"request", request}});
+  }
+}
+
+void EndpointStatements::OnNotice(const EndpointNotice& notice) {
+  if (notice.condition == EndpointCondition::kLeaving && notice.boot != 0 &&
+      view_.OnLeaving(notice.endpoint, notice.boot)) {
+    log_.Record(events::kEndpointSaidLeaving, {{"endpoint", notice.endpoint},
+                                               {"boot", notice.boot},
+                                               {"request", ""}});
+  }
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/forwarding/endpoint_statements.h
@@ -0,0 +1,52 @@
+// Defines EndpointStatements, which applies what endpoints say of themselves in
+// their responses to this node's view, and tells the other nodes.
+#ifndef FORWARDING_ENDPOINT_STATEMENTS_H_
+#define FORWARDING_ENDPOINT_STATEMENTS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace tanagerloom {
+
+class Clock;
+class EventLog;
+class FleetView;
+class PeerNetwork;
+struct EndpointNotice;
+struct ResponseTraits;
+
+/// One start of an endpoint.
+struct EndpointInstance {
+  std::string id;
+  std::uint64_t boot = 0;
+};
+
+/// Applies statements from the moment at which the head of a response is read.
+/// A statement holds for the instance that made it.
+class EndpointStatements {
+ public:
+  EndpointStatements(FleetView& view,
+                     PeerNetwork& peers,
+                     const Clock& clock,
+                     EventLog& log)
+      : view_(view), peers_(peers), clock_(clock), log_(log) {}
+
+  /// Applies the statements of a response of `endpoint` to the request with id
+  /// `request`. Logs each that changes what this node assumes.
+  void OnResponse(const EndpointInstance& endpoint,
+                  const ResponseTraits& traits,
+                  const std::string& request);
+
+  /// A peer learnt from an endpoint that it leaves.
+  void OnNotice(const EndpointNotice& notice);
+
+ private:
+  FleetView& view_;
+  PeerNetwork& peers_;
+  const Clock& clock_;
+  EventLog& log_;
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_ENDPOINT_STATEMENTS_H_
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include "base/id.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
+#include "forwarding/endpoint_statements.h"
 #include "forwarding/request_times.h"
 #include "http/http_responder.h"
 #include "registry/fleet_registry.h"
@@ -177,6 +178,11 @@
   return ready_at && *ready_at > WaitDeadline();
 }
 
+bool ForwardedRequest::IsPauseTooLong() const {
+  const auto until = deps_.view.PausedUntil(service_, profile_.model);
+  return until && *until > WaitDeadline();
+}
+
 std::optional<EndpointTarget> ForwardedRequest::AwaitEndpoint() {
   auto target = chooser_->Choose();
   if (target) {
@@ -191,7 +197,7 @@
          !deps_.crashes.IsQuarantined(fingerprints_)) {
     const auto seen = changed.count();
     target = chooser_->Choose();
-    if (!target && IsLoadTooLate()) {
+    if (!target && (IsLoadTooLate() || IsPauseTooLong())) {
       break;
     }
     if (!target) {
@@ -258,6 +264,10 @@
   if (!connected) {
     return OnAttemptFailed(target, connected.assume_error());
   }
+  if (!deps_.view.AcceptsRequests(target.id, target.boot)) {
+    // It has said so while the connection was opened.
+    return NextStep::kRetry;
+  }
   ++sends_;
   deps_.log.Record(events::kForwardSent, {{"request", profile_.attempt_id},
                                           {"endpoint", target.id},
@@ -270,6 +280,8 @@
   if (!sent) {
     return OnAttemptFailed(target, sent.assume_error());
   }
+  deps_.statements.OnResponse({target.id, target.boot}, attempt.traits(),
+                              profile_.attempt_id);
   if (attempt.traits().not_run) {
     return OnNotRun(attempt, target);
   }
@@ -550,6 +562,9 @@
 }
 
 milliseconds ForwardedRequest::RetryAfter() const {
+  if (const auto until = deps_.view.PausedUntil(service_, profile_.model)) {
+    return RetryAfterPause(*until, deps_.clock.Now(), RandomUnit());
+  }
   const auto ready_at = deps_.view.ReadyAt(service_, profile_.model.model);
   if (ready_at) {
     return RetryAfterLoad(*ready_at, deps_.clock.Now(), deadline_);
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -68,6 +68,9 @@
   /// Returns the time until which the request may wait for an endpoint.
   TimePoint WaitDeadline() const;
   bool IsLoadTooLate() const;
+  /// Returns whether all endpoints want a pause that ends only after the
+  /// request may still wait.
+  bool IsPauseTooLong() const;
 
   /// Runs one attempt and counts it as in flight meanwhile.
   NextStep RunAttempt(const EndpointTarget& target);
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -20,6 +20,7 @@
 class Clock;
 class CrashGuard;
 class DemandTracker;
+class EndpointStatements;
 class EventLog;
 class FleetRegistry;
 class FleetView;
@@ -37,6 +38,7 @@
   DemandTracker& demand;
   const RequestProtocol& protocol;
   CrashGuard& crashes;
+  EndpointStatements& statements;
   Clock& clock;
   EventLog& log;
   RetryLimits retry_limits;
--- a/packages/forwarding/request_protocol.h
+++ b/packages/forwarding/request_protocol.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "fleet/request_profile.h"
+#include "http/endpoint_statement.h"
 #include "http/http_message.h"
 
 namespace tanagerloom {
@@ -34,6 +35,10 @@
   bool encoded = false;
   /// It is not the expected endpoint or lacks the model.
   bool wrong_endpoint = false;
+  /// What the endpoint says of itself.
+  EndpointStatement statement;
+  /// Name and value of a header with an invalid statement; empty if none is.
+  std::string invalid_statement;
 };
 
 /// Reads and writes the platform's headers.
--- a/packages/forwarding/request_times.cc
+++ b/packages/forwarding/request_times.cc
@@ -26,6 +26,8 @@
 // A client is asked to wait for at most the time that it has left divided by
 // this.
 constexpr int kRetryAfterDivisor = 3;
+// Part of a pause over which the clients return after it.
+constexpr double kPauseSpread = 0.2;
 
 }  // namespace
 
@@ -73,4 +75,9 @@
       std::clamp<Duration>(ready_at - now, kRetryAfterModel, max_wait));
 }
 
+milliseconds RetryAfterPause(TimePoint until, TimePoint now, double random) {
+  const auto left = std::max<Duration>(until - now, kRetryAfterBusy);
+  return std::chrono::ceil<milliseconds>(left * (1 + kPauseSpread * random));
+}
+
 }  // namespace tanagerloom
--- a/packages/forwarding/request_times.h
+++ b/packages/forwarding/request_times.h
@@ -50,6 +50,13 @@
                                          TimePoint now,
                                          TimePoint deadline);
 
+/// Returns the delay after which a client may retry whose endpoints all want a
+/// pause until `until`. `random`, from 0 to 1, spreads the clients over a fifth
+/// of the pause, so that they do not return at one moment.
+std::chrono::milliseconds RetryAfterPause(TimePoint until,
+                                          TimePoint now,
+                                          double random);
+
 }  // namespace tanagerloom
 
 #endif  // FORWARDING_REQUEST_TIMES_H_
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -149,7 +149,7 @@
     return {wire::Body::EndpointNotice,
             wire::CreateEndpointNotice(
                 builder, endpoint, static_cast<std::uint8_t>(body.condition),
-                body.valid_ms)
+                body.valid_ms, body.boot)
                 .Union()};
   }
   Encoded operator()(const EndpointUse& body) const {
@@ -269,9 +269,10 @@
     return MakeError(ErrorKind::kInvalid, "unknown endpoint condition " +
                                               std::to_string(body.condition()));
   }
-  return EnvelopeBody(PeerMessage(EndpointNotice{
-      ToString(body.endpoint()),
-      static_cast<EndpointCondition>(body.condition()), body.valid_ms()}));
+  return EnvelopeBody(PeerMessage(
+      EndpointNotice{ToString(body.endpoint()),
+                     static_cast<EndpointCondition>(body.condition()),
+                     body.valid_ms(), body.boot()}));
 }
 
 Result<EnvelopeBody> DecodeEndpointUse(const wire::EndpointUse& body) {
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -12,6 +12,7 @@
 #include "fleet/fleet_view.h"
 #include "forwarding/buffer_budget.h"
 #include "forwarding/crash_guard.h"
+#include "forwarding/endpoint_statements.h"
 #include "forwarding/request_forwarder.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
@@ -121,6 +122,7 @@
         nodes(ports.store, ports.collections, clock, SelfAsVm(settings)),
         peers(Runtime::Get().io(), nodes, clock, log, PeerSettings(settings)),
         crashes(peers, clock, log),
+        statements(view, peers, clock, log),
         registry(ports.collections,
                  peers,
                  view,
@@ -138,7 +140,8 @@
             {lease, ports.engines, peers, registry, view, demand, clock, log},
             settings.bounds.load_rate_window),
         forwarder({Runtime::Get().io(), registry, view, demand, ports.protocol,
-                   crashes, clock, log, settings.bounds.retry_limits,
+                   crashes, statements, clock, log,
+                   settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
                    [this] { return stop_waiting_at; }, buffers}),
         client_server(
@@ -178,6 +181,7 @@
   NodeRegistry nodes;
   PeerService peers;
   CrashGuard crashes;
+  EndpointStatements statements;
   FleetRegistry registry;
   OrderLease lease;
   OrderCoordinator orders;
@@ -214,6 +218,10 @@
       "tanagerloom_quarantined_fingerprints",
       "Kinds of requests that are refused because they crash endpoints.",
       [this] { return static_cast<double>(crashes.QuarantinedCount()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_endpoints_set_aside",
+      "Listed endpoints that drain or want a pause.",
+      [this] { return static_cast<double>(view.SetAsideCount()); });
   metrics.AddGaugeReader("tanagerloom_holds_order_lease",
                          "1 while this node orders engines.",
                          [this] { return lease.is_holder() ? 1.0 : 0.0; });
@@ -230,6 +238,7 @@
   OrderCoordinator& orders;
   FleetRegistry& registry;
   CrashGuard& crashes;
+  EndpointStatements& statements;
   std::string node;  ///< Id of the sender.
 
   void operator()(const Demand& it) const { orders.OnDemand(node, it); }
@@ -244,11 +253,11 @@
     registry.OnConfigRequest(node, it);
   }
   void operator()(const CrashNotice& it) const { crashes.OnNotice(it); }
+  void operator()(const EndpointNotice& it) const { statements.OnNotice(it); }
   // Sent only by nodes that keep placement records, which a registered fleet
   // does not have.
   void operator()(const DemandAck&) const {}
   void operator()(const RecordUpdate&) const {}
-  void operator()(const EndpointNotice&) const {}
   void operator()(const OrderDone&) const {}
 };
 
@@ -256,9 +265,9 @@
 
 void FleetNode::Parts::OnPeerMessage(const std::string& from,
                                      const PeerMessage& message) {
-  std::visit(
-      MessageHandler{view, lease, orders, registry, crashes, NodeIdOf(from)},
-      message);
+  std::visit(MessageHandler{view, lease, orders, registry, crashes, statements,
+                            NodeIdOf(from)},
+             message);
 }
 
 void FleetNode::Parts::BroadcastUseLoop() {
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -72,6 +72,8 @@
   std::string endpoint;
   EndpointCondition condition = EndpointCondition::kLeaving;
   std::uint64_t valid_ms = 0;  ///< For how long the notice is valid.
+  /// Start of the endpoint that the notice is about; 0 if it is about any.
+  std::uint64_t boot = 0;
 };
 
 /// The requests that the sender has in flight at each endpoint. The lists have
--- a/packages/routing/endpoint_reply.cc
+++ b/packages/routing/endpoint_reply.cc
@@ -1,7 +1,6 @@
 #include "routing/endpoint_reply.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -9,27 +8,9 @@
 
 namespace {
 
-// Backpressure applied after a refusal for overload without Retry-After.
+// Pause after a refusal for overload without Retry-After.
 constexpr Duration kDefaultBackpressure = std::chrono::milliseconds(500);
 
-// The value of Retry-After in seconds, at most an hour; empty if the header is
-// missing or not a number.
-std::optional<Duration> RetryAfter(const HttpHeaders& headers) {
-  const auto header = headers.Find("Retry-After");
-  if (!header) {
-    return std::nullopt;
-  }
-  double seconds = 0;
-  const auto* end = header->data() + header->size();
-  const auto parsed = std::from_chars(header->data(), end, seconds);
-  if (parsed.ec != std::errc() || parsed.ptr != end || !(seconds >= 0)) {
-    return std::nullopt;
-  }
-  constexpr double kMaxSeconds = 3600;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
-}
-
 // The field "reason" of a refusal's JSON body; empty if there is none.
 std::string ReadReason(std::string_view body) {
   const auto json =
@@ -70,15 +51,16 @@
   bool overloaded = status == 429;
   if (status == 503) {
     const auto reason = ReadReason(body);
-    refusal.leaving = reason == "leaving";
+    refusal.statement.leaving = reason == "leaving";
     refusal.model_missing = reason == "not_loaded";
     overloaded = reason == "overloaded";
   }
   if (status == 503 || status == 429) {
-    refusal.backpressure = RetryAfter(headers);
+    refusal.statement.pause =
+        ParsePause(headers.Find("Retry-After").value_or(""));
   }
-  if (overloaded && !refusal.backpressure) {
-    refusal.backpressure = kDefaultBackpressure;
+  if (overloaded && !refusal.statement.pause) {
+    refusal.statement.pause = kDefaultBackpressure;
   }
   return refusal;
 }
--- a/packages/routing/endpoint_reply.h
+++ b/packages/routing/endpoint_reply.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string_view>
 
+#include "http/endpoint_statement.h"
 #include "http/http_message.h"
 #include "runtime/clock.h"
 
@@ -15,9 +16,7 @@
 struct EndpointRefusal {
   /// Whether the header `X-Not-Run: true` states that the request did not run.
   bool states_not_run = false;
-  /// How long the endpoint asks not to be sent new work, if it does.
-  std::optional<Duration> backpressure;
-  bool leaving = false;  ///< Whether the endpoint drains and takes no new work.
+  EndpointStatement statement;  ///< What the endpoint says of itself.
   bool model_missing = false;  ///< Whether the engine has not loaded the model.
 };
 
--- a/packages/routing/model_attempt.cc
+++ b/packages/routing/model_attempt.cc
@@ -324,8 +324,7 @@
       reply.states_not_run || response.status == 429 || reply.model_missing;
   failed.verdict = not_run ? Verdict::kNotRun : Verdict::kMayHaveRun;
   failed.cause = "status " + std::to_string(response.status);
-  failed.backpressure = reply.backpressure;
-  failed.leaving = reply.leaving;
+  failed.statement = reply.statement;
   failed.model_missing = reply.model_missing;
   failed.endpoint_fault = !not_run;
   return failed;
--- a/packages/routing/model_attempt.h
+++ b/packages/routing/model_attempt.h
@@ -10,6 +10,7 @@
 
 #include "base/address.h"
 #include "base/verdict.h"
+#include "http/endpoint_statement.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
 #include "routing/cancel_source.h"
@@ -35,10 +36,8 @@
 struct AttemptFailed {
   Verdict verdict = Verdict::kMayHaveRun;
   std::string cause;
-  /// How long the endpoint asks not to be sent new work, if it does.
-  std::optional<Duration> backpressure;
-  bool leaving = false;        ///< The endpoint drains.
-  bool model_missing = false;  ///< The engine has not loaded the model.
+  EndpointStatement statement;  ///< What the endpoint says of itself.
+  bool model_missing = false;   ///< The engine has not loaded the model.
   /// Whether the failure counts against the endpoint's circuit breaker.
   bool endpoint_fault = true;
   /// Whether the connection broke as it does in a crash of the engine.
--- a/packages/routing/model_dispatcher.cc
+++ b/packages/routing/model_dispatcher.cc
@@ -193,14 +193,14 @@
                     {"endpoint", progress.endpoint},
                     {"verdict", VerdictName(failed.verdict)},
                     {"cause", failed.cause}});
-  if (failed.leaving) {
+  if (failed.statement.leaving) {
     endpoints_.OnLeaving(progress.endpoint);
   } else if (failed.model_missing) {
     deps_.placement.ReportMissingReplica(progress.endpoint, call.key);
     scheduler_.ExcludeEndpoint(ModelTarget{call.key, call.cell},
                                progress.endpoint);
-  } else if (failed.backpressure) {
-    endpoints_.OnBackpressure(progress.endpoint, *failed.backpressure);
+  } else if (failed.statement.pause) {
+    endpoints_.OnBackpressure(progress.endpoint, *failed.statement.pause);
   } else if (failed.endpoint_fault) {
     endpoints_.OnFailure(progress.endpoint);
   }
@@ -224,8 +224,8 @@
     return false;
   }
   // An endpoint that is excluded gets no retries, so these need no budget.
-  const bool endpoint_excluded =
-      failed.leaving || failed.model_missing || failed.backpressure;
+  const bool endpoint_excluded = failed.statement.leaving ||
+                                 failed.model_missing || failed.statement.pause;
   if (!endpoint_excluded && !budget_.TakeRetry()) {
     answer.Refuse(
         {503, "retry_budget_exhausted",
--- a/packages/routing/service_dispatcher.cc
+++ b/packages/routing/service_dispatcher.cc
@@ -195,12 +195,13 @@
   }
   const auto reply =
       ParseRefusal(response.status, response.headers, response.body);
-  if (reply.leaving) {
+  if (reply.statement.leaving) {
     endpoints_.OnLeaving(progress.endpoint);
-  } else if (reply.backpressure) {
-    endpoints_.OnBackpressure(progress.endpoint, *reply.backpressure);
+  } else if (reply.statement.pause) {
+    endpoints_.OnBackpressure(progress.endpoint, *reply.statement.pause);
   }
-  progress.endpoint_excluded = reply.leaving || reply.backpressure.has_value();
+  progress.endpoint_excluded =
+      reply.statement.leaving || reply.statement.pause.has_value();
   // A 429 or 5xx of the endpoint is passed on as the answer of a call that is
   // not retryable, unless it states that the call did not run.
   if (!reply.states_not_run && !call.retryable) {
--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -12,6 +12,7 @@
 #include "fleet/fleet_view.h"
 #include "forwarding/buffer_budget.h"
 #include "forwarding/crash_guard.h"
+#include "forwarding/endpoint_statements.h"
 #include "forwarding/request_forwarder.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -82,7 +83,7 @@
              {std::chrono::milliseconds(500), std::chrono::milliseconds(10),
               std::chrono::milliseconds(50)}}),
         forwarder({Runtime::Get().io(), registry, view, demand, protocol,
-                   crashes, clock, log, retry_limits,
+                   crashes, statements, clock, log, retry_limits,
                    [] { return std::size_t{1}; },
                    [this] { return stop_waiting_at; }, buffers}),
         server(Runtime::Get().io(),
@@ -144,6 +145,7 @@
   FakeCluster cluster;
   FakePeers peers;
   CrashGuard crashes{peers, clock, log};
+  EndpointStatements statements{view, peers, clock, log};
   FleetRegistry registry;
   TimePoint stop_waiting_at = TimePoint::max();
   RequestForwarder forwarder;
