--- a/packages/forwarding/endpoint_statements.cc
+++ b/packages/forwarding/endpoint_statements.cc
@@ -25,7 +25,7 @@
     return;  // Another instance made the statements.
   }
   if (!traits.invalid_statement.empty()) {
-    log_.Record(events::kEndpointStatementInvalid,
+    log_.Record(events::kStatementInvalid,
                 {{"endpoint", endpoint.id},
                  {"request", request},
                  {"header", traits.invalid_statement}});
