tests: play statements of endpoints in the soak

Endpoints say in their answers alone that they leave, or ask for pauses, beside the soak's other faults. A checker holds the two rules with their times, from what endpoints and clients see: at most two requests of a node between half a second after a refusal with a pause and its end, and none that a client sent 2 s after the node had passed on an answer of an endpoint that leaves; a stop, start, kill or suspension of the node excuses it. The injection draws its own random numbers, so that the seeds of earlier faults keep theirs.

--- a/testing/fleet_standin/endpoint_standin.cc
+++ b/testing/fleet_standin/endpoint_standin.cc
@@ -140,6 +140,9 @@
     (void)responder.Send(NotExecuted(421));
     return;
   }
+  if (refuse(request, responder)) {
+    return;
+  }
   runs_.emplace_back(request.headers.Find("Attempt-Id").value_or(""));
   serve(request, responder);
 }
--- a/testing/fleet_standin/endpoint_standin.h
+++ b/testing/fleet_standin/endpoint_standin.h
@@ -60,6 +60,10 @@
   /// Serves a request. The default sends one sealed answer or, if the path
   /// contains "stream", a sealed stream of four events.
   RequestHandler serve;
+  /// Called for each request before it runs. Returns true if it has refused the
+  /// request, which then counts as not run.
+  std::function<bool(const HttpRequest&, HttpResponder&)> refuse =
+      [](const HttpRequest&, HttpResponder&) { return false; };
   /// Whether the entry reports the state "draining" instead of "ready".
   bool draining = false;
   /// Time that the load of a model takes.
@@ -75,6 +79,8 @@
   std::uint16_t advertised_port = 0;
 
   const std::string& id() const { return id_; }
+  /// Time of the latest start, Unix time in ms.
+  std::uint64_t started_ms() const { return started_ms_; }
   const Address& address() const { return address_; }
   /// Attempt ids of the requests that the endpoint ran, in order.
   const std::vector<std::string>& runs() const { return runs_; }
--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -26,6 +26,7 @@
 #include "testing/harness/wait.h"
 #include "testing/support/standin.h"
 #include "tests/support/soak_calls.h"
+#include "tests/support/statement_checks.h"
 
 namespace tanagerloom::testing_support {
 namespace {
@@ -170,6 +171,11 @@
                           HttpResponder& responder) {
       Serve(n, request, responder);
     };
+    it->refuse = [this, n](const HttpRequest& request,
+                           HttpResponder& responder) {
+      return RefuseWithPause(n, request, responder);
+    };
+    statements_by_endpoint_.emplace_back();
     endpoints_.push_back(it);
     it->Register();
   }
@@ -201,6 +207,43 @@
 
   // ---- Endpoints
 
+  SoakEndpoint InstanceOf(std::size_t n) const {
+    return {endpoints_[n]->id(), endpoints_[n]->started_ms()};
+  }
+
+  // Refuses a request while endpoint `n` asks for pauses.
+  bool RefuseWithPause(std::size_t n,
+                       const HttpRequest& request,
+                       HttpResponder& responder) {
+    const std::string attempt(request.headers.Find("Attempt-Id").value_or(""));
+    const auto now = NowMs() - start_ms_;
+    statement_checks_.OnArrival(InstanceOf(n), attempt, now);
+    const auto pause_ms = statements_by_endpoint_[n].pause_ms;
+    if (pause_ms == 0) {
+      return false;
+    }
+    statement_checks_.OnPause(InstanceOf(n), attempt, now, pause_ms);
+    (void)responder.Send(
+        {503,
+         {{"Not-Executed", "1"},
+          {"Retry-After",
+           std::to_string(static_cast<double>(pause_ms) / 1000)}},
+         ""});
+    return true;
+  }
+
+  // Headers of an answer of endpoint `n`, with what it says of itself.
+  HttpHeaders AnswerHeaders(std::size_t n, const HttpRequest& request) {
+    auto headers = EndpointStandin::SealedHeaders(request);
+    if (statements_by_endpoint_[n].leaving) {
+      headers.Add("Server-Leaving", "1");
+      statement_checks_.OnLeaving(
+          InstanceOf(n),
+          std::string(request.headers.Find("Attempt-Id").value_or("")));
+    }
+    return headers;
+  }
+
   void Serve(std::size_t n,
              const HttpRequest& request,
              HttpResponder& responder) {
@@ -214,23 +257,23 @@
     if (fault == EndpointFault::kLosesAnswers) {
       responder.Abort();
     } else if (fault == EndpointFault::kFails) {
-      (void)responder.Send(
-          {500, EndpointStandin::SealedHeaders(request), "failed"});
+      (void)responder.Send({500, AnswerHeaders(n, request), "failed"});
     } else if (n < kEngines) {
-      WriteStream(request, responder, attempt,
+      WriteStream(request, responder, attempt, AnswerHeaders(n, request),
                   fault == EndpointFault::kTruncatesStream);
     } else {
-      (void)responder.Send({200, EndpointStandin::SealedHeaders(request),
-                            "answer to " + attempt});
+      (void)responder.Send(
+          {200, AnswerHeaders(n, request), "answer to " + attempt});
     }
   }
 
   static void WriteStream(const HttpRequest& request,
                           HttpResponder& responder,
                           const std::string& attempt,
+                          const HttpHeaders& headers,
                           bool truncate) {
     const std::string last(request.headers.Find("Last-Event-Id").value_or("0"));
-    if (!responder.StartStream(200, EndpointStandin::SealedHeaders(request))) {
+    if (!responder.StartStream(200, headers)) {
       return;
     }
     for (int i = std::stoi(last) + 1; i <= kSoakEvents; ++i) {
@@ -290,6 +333,7 @@
     }
     sent_attempts_.insert(call.attempt);
     call.sent_ms = NowMs() - start_ms_;
+    statement_checks_.OnSent(call.attempt, call.node, call.sent_ms);
     constexpr auto kClientTimeout = milliseconds(3000);
     const auto answer = client_.Call(
         node.front(), request,
@@ -298,6 +342,7 @@
     if (answer) {
       call.status = answer.assume_value().status;
       call.body = answer.assume_value().body;
+      statement_checks_.OnAnswered(call.attempt, call.ended_ms);
     }
     calls_.calls.push_back(call);
     return call.status;
@@ -359,6 +404,7 @@
     if (!graceful) {
       RecordFault(node.id(), from);
     }
+    statement_checks_.OnNodeFault(node.id(), from, NowMs() - start_ms_);
     signalled_nodes_.erase(node.id());
   }
 
@@ -459,6 +505,31 @@
     endpoint_faults_[n] = EndpointFault::kNone;
   }
 
+  // Lets endpoints say in their answers that they leave, or ask for pauses, one
+  // after the other. Draws its own random numbers, so that the other faults of
+  // a seed stay the same.
+  void InjectStatements(std::int64_t for_ms) {
+    std::mt19937_64 random(seed_);
+    const auto draw = [&](int below) {
+      return std::uniform_int_distribution<int>(0, below - 1)(random);
+    };
+    while (NowMs() < start_ms_ + for_ms) {
+      const auto n =
+          static_cast<std::size_t>(draw(static_cast<int>(endpoints_.size())));
+      auto& statements = statements_by_endpoint_[n];
+      const bool leaves = draw(2) == 0;
+      LogFault(endpoints_[n]->id() + (leaves ? " leaves" : " wants pauses"));
+      statements.leaving = leaves;
+      statements.pause_ms = leaves ? 0 : 300 + draw(2000);
+      SleepMs(leaves ? 2500 + draw(2000) : 500 + draw(1500));
+      if (leaves) {
+        endpoints_[n]->Restart();
+      }
+      statements = {};
+      SleepMs(draw(1500));
+    }
+  }
+
   void ChangeConfig(double) {
     LogFault("configuration " + std::to_string(++config_version_));
     store_.Set("config", "main", ConfigJson(config_version_));
@@ -558,7 +629,15 @@
   std::int64_t start_ms_ = 0;
   int request_count_ = 0;
   std::set<std::string> sent_attempts_;
+  // What an endpoint says of itself at present.
+  struct Statements {
+    bool leaving = false;
+    std::int64_t pause_ms = 0;
+  };
+
   SoakCalls calls_;
+  std::vector<Statements> statements_by_endpoint_;
+  StatementChecks statement_checks_;
   std::string violations_;
   std::set<std::string>
       signalled_nodes_;  ///< Nodes whose signal sequence is running.
@@ -577,8 +656,12 @@
     clients.emplace_back([this] { RunClient(); });
   }
   boost::fibers::fiber memory([this] { WatchMemory(); });
-  InjectFaults(static_cast<std::int64_t>(
-      1000 * FromEnvironment("TANAGERLOOM_SOAK_SECONDS", kDefaultSeconds)));
+  const auto duration_ms = static_cast<std::int64_t>(
+      1000 * FromEnvironment("TANAGERLOOM_SOAK_SECONDS", kDefaultSeconds));
+  boost::fibers::fiber statements(
+      [this, duration_ms] { InjectStatements(duration_ms); });
+  InjectFaults(duration_ms);
+  statements.join();
   stop_clients_ = true;
   for (auto& it : clients) {
     it.join();
@@ -594,11 +677,15 @@
   CheckOrders();
   EXPECT_EQ(violations_, "");
   EXPECT_EQ(calls_.Violations(), "");
+  EXPECT_EQ(statement_checks_.Violations(), "");
   int served = 0;
   for (const auto& it : calls_.calls) {
     served += it.status == 200 ? 1 : 0;
   }
-  std::cout << calls_.calls.size() << " requests, " << served << " served\n";
+  std::cout << calls_.calls.size() << " requests, " << served << " served, "
+            << statement_checks_.pauses() << " pauses, "
+            << statement_checks_.leaving_answers()
+            << " answers of leaving endpoints\n";
   EXPECT_GT(served, 0);
 }
 
