forwarding: write the events of a request in a class of its own

The lines are the same, but that forward_client_gone of a request that waited has an empty endpoint.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -4,8 +4,6 @@
 #include <boost/fiber/fiber.hpp>
 #include <utility>
 
-#include "base/event_log.h"
-#include "base/events.h"
 #include "base/id.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
@@ -71,6 +69,7 @@
       arrived_at_(deps.clock.Now()),
       config_(deps.registry.config()),
       profile_(deps.protocol.ReadRequest(request)),
+      log_(deps.log, deps.clock, profile_.attempt_id, arrived_at_),
       fingerprints_(FingerprintsOf(request, profile_)) {}
 
 ForwardedRequest::~ForwardedRequest() {
@@ -206,12 +205,9 @@
     }
   }
   deps_.demand.EndWait(service_, profile_.model, wait_deadline);
-  waited_ms_ +=
-      std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - started_at)
-          .count();
+  waited_ += deps_.clock.Now() - started_at;
   if (IsClientGone()) {
-    deps_.log.Record(events::kForwardClientGone,
-                     {{"request", profile_.attempt_id}, {"age_ms", AgeMs()}});
+    log_.ClientGone("");
     responder_.Abort();
     return std::nullopt;
   }
@@ -269,10 +265,7 @@
     return NextStep::kRetry;
   }
   ++sends_;
-  deps_.log.Record(events::kForwardSent, {{"request", profile_.attempt_id},
-                                          {"endpoint", target.id},
-                                          {"send", sends_},
-                                          {"age_ms", AgeMs()}});
+  log_.Sent(target.id, sends_);
   sent_at_ = deps_.clock.Now();
   progress_at_ = sent_at_;
   const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt_id,
@@ -387,10 +380,9 @@
     EndpointAttempt& attempt,
     const EndpointTarget& target) {
   while (true) {
-    const bool awaits_first_event = first_event_ms_ < 0;
     const auto n = attempt.Read(
         event_assembler_.input(),
-        awaits_first_event ? ResponseDeadline(target) : EventDeadline(target));
+        first_event_age_ ? EventDeadline(target) : ResponseDeadline(target));
     if (!n && ShouldKeepWaiting(target, n.assume_error())) {
       progress_at_ = deps_.clock.Now();
       continue;
@@ -434,8 +426,8 @@
                                                     attempt.headers()))) {
     return false;
   }
-  if (first_event_ms_ < 0) {
-    first_event_ms_ = AgeMs();
+  if (!first_event_age_) {
+    first_event_age_ = log_.Age();
   }
   forwarded_events_ = true;
   return static_cast<bool>(responder_.Write(events));
@@ -468,12 +460,7 @@
     const EndpointAttempt& attempt,
     const EndpointTarget& target) {
   history_.last_verdict = Verdict::kNotRun;
-  deps_.log.Record(events::kForwardAttemptFailed,
-                   {{"request", profile_.attempt_id},
-                    {"endpoint", target.id},
-                    {"status", attempt.status()},
-                    {"verdict", VerdictName(Verdict::kNotRun)},
-                    {"age_ms", AgeMs()}});
+  log_.NotRun(target.id, attempt.status());
   if (attempt.traits().wrong_endpoint) {
     deps_.view.OnModelNotLoaded(target.id, profile_.model);
   }
@@ -486,20 +473,11 @@
     const AttemptError& error) {
   const auto now = deps_.clock.Now();
   if (error.failure == AttemptFailure::kAborted || IsClientGone()) {
-    deps_.log.Record(events::kForwardClientGone,
-                     {{"request", profile_.attempt_id},
-                      {"endpoint", target.id},
-                      {"age_ms", AgeMs()}});
+    log_.ClientGone(target.id);
     responder_.Abort();
     return NextStep::kDone;
   }
-  deps_.log.Record(events::kForwardAttemptFailed,
-                   {{"request", profile_.attempt_id},
-                    {"endpoint", target.id},
-                    {"failure", AttemptFailureName(error.failure)},
-                    {"verdict", VerdictName(error.verdict)},
-                    {"age_ms", AgeMs()},
-                    {"detail", error.detail}});
+  log_.AttemptFailed(target.id, error);
   const bool already_counted = history_.last_verdict == Verdict::kRan;
   history_.last_verdict = error.verdict;
   if (error.verdict != Verdict::kNotRun && !already_counted) {
@@ -533,11 +511,7 @@
     return Abandon(/*timed_out=*/false);
   }
   if (forwarded_events_) {
-    deps_.log.Record(events::kForwardResumed,
-                     {{"request", profile_.attempt_id},
-                      {"left", target.id},
-                      {"after", event_assembler_.last_event_id()},
-                      {"age_ms", AgeMs()}});
+    log_.Resumed(target.id, event_assembler_.last_event_id());
   }
   history_.last_verdict = Verdict::kNotRun;
   return NextStep::kRetry;
@@ -598,41 +572,26 @@
   if (status != kUnavailable) {
     retry_after = milliseconds(0);
   }
-  deps_.log.Record(
-      events::kForwardRefused,
-      {{"request", profile_.attempt_id},
-       {"status", status},
-       {"reason", reason},
-       {"route", route_ == nullptr ? "" : route_->name},
-       {"service", service_},
-       {"model", profile_.model.ToString()},
-       {"config", config_ == nullptr ? 0 : config_->config.version},
-       {"runs", history_.runs},
-       {"sends", sends_},
-       {"waited_ms", waited_ms_},
-       {"age_ms", AgeMs()}});
+  log_.Refused(status, reason, Progress());
   (void)responder_.Send(
       deps_.protocol.MakeOwnResponse(status, profile_, retry_after));
 }
 
 void ForwardedRequest::Finish(int status, std::string_view outcome) {
-  deps_.log.Record(events::kForwardFinished,
-                   {{"request", profile_.attempt_id},
-                    {"status", status},
-                    {"outcome", outcome},
-                    {"route", route_->name},
-                    {"model", profile_.model.ToString()},
-                    {"sends", sends_},
-                    {"runs", history_.runs},
-                    {"waited_ms", waited_ms_},
-                    {"first_event_ms", first_event_ms_},
-                    {"age_ms", AgeMs()}});
-}
-
-std::int64_t ForwardedRequest::AgeMs() const {
-  return std::chrono::duration_cast<milliseconds>(deps_.clock.Now() -
-                                                  arrived_at_)
-      .count();
+  log_.Finished(status, outcome, Progress());
+}
+
+RequestProgress ForwardedRequest::Progress() const {
+  RequestProgress out;
+  out.route = route_ == nullptr ? "" : route_->name;
+  out.service = service_;
+  out.model = profile_.model.ToString();
+  out.config_version = config_ == nullptr ? 0 : config_->config.version;
+  out.sends = sends_;
+  out.runs = history_.runs;
+  out.waited = waited_;
+  out.first_event_age = first_event_age_.value_or(Duration(-1));
+  return out;
 }
 
 }  // namespace tanagerloom
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "forwarding/endpoint_chooser.h"
 #include "forwarding/event_assembler.h"
 #include "forwarding/forwarding_dependencies.h"
+#include "forwarding/request_log.h"
 #include "forwarding/retry_policy.h"
 #include "http/http_message.h"
 #include "runtime/clock.h"
@@ -119,7 +120,7 @@
   void Finish(int status, std::string_view outcome);
   /// Returns whether the client has disconnected.
   bool IsClientGone();
-  std::int64_t AgeMs() const;
+  RequestProgress Progress() const;
 
   const ForwardingDependencies& deps_;
   SharedRetryBudgets& budgets_;
@@ -132,6 +133,7 @@
   const Route* route_ = nullptr;
   std::string service_;
   RequestProfile profile_;
+  RequestLog log_;
   RequestFingerprints fingerprints_;
   TimePoint deadline_{};
   std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
@@ -151,9 +153,9 @@
   /// Whether the endpoint of the attempt in flight has still to read the
   /// prompt.
   bool prompt_pending_ = false;
-  std::int64_t waited_ms_ = 0;  ///< Total time spent waiting for endpoints.
-  /// Age of the request when its first event was forwarded; -1 before.
-  std::int64_t first_event_ms_ = -1;
+  Duration waited_{};  ///< Total time spent waiting for endpoints.
+  /// Age of the request when its first event was forwarded.
+  std::optional<Duration> first_event_age_;
 };
 
 }  // namespace tanagerloom
