fleet: a pause outlasts the entry of its endpoint

Cause: pauses of endpoints that are not listed were forgotten at each change of the list.

Change: a pause is forgotten when it ends.

--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -234,7 +234,9 @@
   };
   std::erase_if(notices_, unknown);
   std::erase_if(health_, unknown);
-  std::erase_if(pauses_, unknown);
+  // An entry may lapse and come back within a pause.
+  std::erase_if(pauses_,
+                [&](const auto& it) { return it.second.until <= now; });
   std::erase_if(not_loaded_until_,
                 [&](const auto& it) { return it.second <= now; });
   std::erase_if(peer_use_, [&](const auto& it) {
--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -154,6 +154,20 @@
   EXPECT_GT(RequestsAtA(40), 0U);
 }
 
+// Guards against requests within a pause after the endpoint's entry lapsed and
+// came back.
+TEST_F(EndpointStatementsTest, PauseOutlastsTheEntryInTheList) {
+  RefuseAtA("5");
+  SendUntilAIsReached();
+  site.store.Erase("servers", "i-a");
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-a") == nullptr; }));
+  site.a.Register();
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-a") != nullptr; }));
+  EXPECT_EQ(RequestsAtA(20), 0U);
+}
+
 // Guards against a request that waits in vain, and against a retry within the
 // pause, if the only endpoint wants a pause longer than the request has.
 TEST_F(EndpointStatementsTest, RequestIsRefusedAtOnceIfAllPausesAreTooLong) {
--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -40,6 +40,7 @@
     1, 4,  // SIGTERM during startup ended a node without its grace time.
     9,     // A later order was treated as done when an earlier one was.
     14,    // The same fault as 9.
+    243,   // A pause was forgotten when the entry of its endpoint lapsed.
 };
 constexpr std::uint64_t kDefaultSeconds = 15;
 constexpr int kNodes = 4;
