--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -26,7 +26,7 @@
 #include "testing/harness/wait.h"
 #include "testing/support/standin.h"
 #include "tests/support/soak_calls.h"
-#include "tests/support/statement_checks.h"
+#include "tests/support/soak_endpoint.h"
 
 namespace tanagerloom::testing_support {
 namespace {
@@ -37,10 +37,10 @@
 // Seeds of the CI run: one that never failed, and those that found the named
 // faults.
 constexpr std::uint64_t kSeeds[] = {
-    1, 4,  // SIGTERM during startup ended a node without its grace time.
-    9,     // A later order was treated as done when an earlier one was.
-    14,    // The same fault as 9.
-    243,   // A pause was forgotten when the entry of its endpoint lapsed.
+    1,   4,  // SIGTERM during startup ended a node without its grace time.
+    9,       // A later order was treated as done when an earlier one was.
+    14,      // The same fault as 9.
+    243,     // A pause was forgotten when the entry of its endpoint lapsed.
 };
 constexpr std::uint64_t kDefaultSeconds = 15;
 constexpr int kNodes = 4;
@@ -98,15 +98,6 @@
                {"models", models}}}}}}};
 }
 
-// A temporary fault of an endpoint.
-enum class EndpointFault {
-  kNone,
-  kLosesAnswers,
-  kFails,
-  kSlow,
-  kTruncatesStream
-};
-
 std::vector<std::uint64_t> Seeds() {
   const auto seed = FromEnvironment("TANAGERLOOM_SEED", 0);
   return seed != 0 ? std::vector{seed}
@@ -132,7 +123,7 @@
     for (const auto& it : nodes_) {
       ASSERT_TRUE(WaitUntil([&] { return it->IsReady(); }));
     }
-    start_ms_ = NowMs();
+    observations_.start_ms = NowMs();
   }
 
   void TearDown() override {
@@ -157,28 +148,18 @@
 
   void AddEndpoint(int i) {
     const bool engine = i < kEngines;
-    auto* it = new EndpointStandin(store_, "i-" + std::to_string(i),
-                                   engine ? "pool" : "desk");
-    endpoint_links_.push_back(AddLink(it->address().port));
-    it->advertised_port = PortOf(*endpoint_links_.back());
+    auto* it =
+        new SoakEndpoint(store_, "i-" + std::to_string(i),
+                         engine ? "pool" : "desk", engine, observations_);
+    it->link = AddLink(it->standin.address().port);
+    it->standin.advertised_port = PortOf(*it->link);
     for (int m = 0; engine && m < kModels; ++m) {
       if (m % kEngines == i || m % 2 == i) {
-        it->on_disk.insert("m" + std::to_string(m));
+        it->standin.on_disk.insert("m" + std::to_string(m));
       }
     }
-    endpoint_faults_.push_back(EndpointFault::kNone);
-    const auto n = static_cast<std::size_t>(i);
-    it->serve = [this, n](const HttpRequest& request,
-                          HttpResponder& responder) {
-      Serve(n, request, responder);
-    };
-    it->refuse = [this, n](const HttpRequest& request,
-                           HttpResponder& responder) {
-      return RefuseWithPause(n, request, responder);
-    };
-    statements_by_endpoint_.emplace_back();
     endpoints_.push_back(it);
-    it->Register();
+    it->standin.Register();
   }
 
   // Puts a proxy between each node and its peers by replacing the peer port in
@@ -208,96 +189,15 @@
 
   // ---- Endpoints
 
-  SoakEndpoint InstanceOf(std::size_t n) const {
-    return {endpoints_[n]->id(), endpoints_[n]->started_ms()};
-  }
-
-  // Refuses a request while endpoint `n` asks for pauses.
-  bool RefuseWithPause(std::size_t n,
-                       const HttpRequest& request,
-                       HttpResponder& responder) {
-    const std::string attempt(request.headers.Find("Attempt-Id").value_or(""));
-    const auto now = NowMs() - start_ms_;
-    statement_checks_.OnArrival(InstanceOf(n), attempt, now);
-    const auto pause_ms = statements_by_endpoint_[n].pause_ms;
-    if (pause_ms == 0) {
-      return false;
-    }
-    statement_checks_.OnPause(InstanceOf(n), attempt, now, pause_ms);
-    (void)responder.Send(
-        {503,
-         {{"Not-Executed", "1"},
-          {"Retry-After",
-           std::to_string(static_cast<double>(pause_ms) / 1000)}},
-         ""});
-    return true;
-  }
-
-  // Headers of an answer of endpoint `n`, with what it says of itself.
-  HttpHeaders AnswerHeaders(std::size_t n, const HttpRequest& request) {
-    auto headers = EndpointStandin::SealedHeaders(request);
-    if (statements_by_endpoint_[n].leaving) {
-      headers.Add("Server-Leaving", "1");
-      statement_checks_.OnLeaving(
-          InstanceOf(n),
-          std::string(request.headers.Find("Attempt-Id").value_or("")));
-    }
-    return headers;
-  }
-
-  void Serve(std::size_t n,
-             const HttpRequest& request,
-             HttpResponder& responder) {
-    const std::string attempt(request.headers.Find("Attempt-Id").value_or(""));
-    if (!sent_attempts_.contains(attempt) ||
-        request.body != "body of " + attempt) {
-      violations_ += "a request that no client sent: " + attempt + "\n";
-    }
-    const auto fault = endpoint_faults_[n];
-    SleepMs(fault == EndpointFault::kSlow ? 700 : 15);
-    if (fault == EndpointFault::kLosesAnswers) {
-      responder.Abort();
-    } else if (fault == EndpointFault::kFails) {
-      (void)responder.Send({500, AnswerHeaders(n, request), "failed"});
-    } else if (n < kEngines) {
-      WriteStream(request, responder, attempt, AnswerHeaders(n, request),
-                  fault == EndpointFault::kTruncatesStream);
-    } else {
-      (void)responder.Send(
-          {200, AnswerHeaders(n, request), "answer to " + attempt});
-    }
-  }
-
-  static void WriteStream(const HttpRequest& request,
-                          HttpResponder& responder,
-                          const std::string& attempt,
-                          const HttpHeaders& headers,
-                          bool truncate) {
-    const std::string last(request.headers.Find("Last-Event-Id").value_or("0"));
-    if (!responder.StartStream(200, headers)) {
-      return;
-    }
-    for (int i = std::stoi(last) + 1; i <= kSoakEvents; ++i) {
-      if (truncate && i == kSoakEvents) {
-        responder.Abort();
-        return;
-      }
-      if (!responder.Write(SoakEvent(attempt, i))) {
-        return;
-      }
-      SleepMs(20);
-    }
-    (void)responder.Finish();
-  }
-
   // Records a violation whenever an engine has more models loaded than fit in
   // its memory.
   void WatchMemory() {
     while (!finished_) {
       for (const auto* it : endpoints_) {
-        if (it->loaded.size() > kModelsInMemory) {
-          violations_ +=
-              it->id() + " has more models loaded than its memory fits\n";
+        if (it->standin.loaded.size() > kModelsInMemory) {
+          observations_.violations +=
+              it->standin.id() +
+              " has more models loaded than its memory fits\n";
         }
       }
       SleepMs(5);
@@ -332,18 +232,18 @@
     if (IsStream(kind)) {
       request.headers.Set("Model", "m" + std::to_string(RandomInt(kModels)));
     }
-    sent_attempts_.insert(call.attempt);
-    call.sent_ms = NowMs() - start_ms_;
-    statement_checks_.OnSent(call.attempt, call.node, call.sent_ms);
+    observations_.sent_attempts.insert(call.attempt);
+    call.sent_ms = NowMs() - observations_.start_ms;
+    observations_.statements.OnSent(call.attempt, call.node, call.sent_ms);
     constexpr auto kClientTimeout = milliseconds(3000);
     const auto answer = client_.Call(
         node.front(), request,
         {.deadline = clock_.Now() + milliseconds(time_ms) + kClientTimeout});
-    call.ended_ms = NowMs() - start_ms_;
+    call.ended_ms = NowMs() - observations_.start_ms;
     if (answer) {
       call.status = answer.assume_value().status;
       call.body = answer.assume_value().body;
-      statement_checks_.OnAnswered(call.attempt, call.ended_ms);
+      observations_.statements.OnAnswered(call.attempt, call.ended_ms);
     }
     calls_.calls.push_back(call);
     return call.status;
@@ -359,11 +259,11 @@
   // ---- Faults
 
   void LogFault(const std::string& text) {
-    std::cout << (NowMs() - start_ms_) << " ms: " << text << "\n";
+    std::cout << (NowMs() - observations_.start_ms) << " ms: " << text << "\n";
   }
 
   void RecordFault(const std::string& node, std::int64_t from_ms) {
-    calls_.faults.push_back({node, from_ms, NowMs() - start_ms_});
+    calls_.faults.push_back({node, from_ms, NowMs() - observations_.start_ms});
   }
 
   // Sends a sequence of signals to one node, and starts the node again if the
@@ -374,7 +274,7 @@
       return;
     }
     EXPECT_TRUE(node.process().IsRunning()) << node.id() << " ended by itself";
-    const auto from = NowMs() - start_ms_;
+    const auto from = NowMs() - observations_.start_ms;
     const std::vector<std::vector<int>> signal_sequences = {
         {SIGKILL},          {SIGSTOP, SIGCONT}, {SIGTERM},
         {SIGHUP, SIGTERM},  {SIGTERM, SIGTERM}, {SIGSTOP, SIGTERM, SIGCONT},
@@ -405,13 +305,14 @@
     if (!graceful) {
       RecordFault(node.id(), from);
     }
-    statement_checks_.OnNodeFault(node.id(), from, NowMs() - start_ms_);
+    observations_.statements.OnNodeFault(node.id(), from,
+                                         NowMs() - observations_.start_ms);
     signalled_nodes_.erase(node.id());
   }
 
   void BreakLink(double ms) {
     const auto n = static_cast<std::size_t>(RandomInt(kNodes));
-    const auto from = NowMs() - start_ms_;
+    const auto from = NowMs() - observations_.start_ms;
     const int choice = RandomInt(3);
     std::shared_ptr<Link> link;
     std::string name = nodes_[n]->id();
@@ -426,8 +327,8 @@
     } else {
       const auto e = static_cast<std::size_t>(
           RandomInt(static_cast<int>(endpoints_.size())));
-      link = endpoint_links_[e];
-      name = endpoints_[e]->id();
+      link = endpoints_[e]->link;
+      name = endpoints_[e]->standin.id();
     }
     // Delays stay below the time that the order lease leaves for an order.
     const nlohmann::json faults[] = {
@@ -457,7 +358,7 @@
   }
 
   void InjectStoreFault(double ms) {
-    const auto from = NowMs() - start_ms_;
+    const auto from = NowMs() - observations_.start_ms;
     const int choice = RandomInt(4);
     LogFault("store fault " + std::to_string(choice));
     if (choice == 3) {
@@ -482,7 +383,7 @@
   void InjectEndpointFault(double ms) {
     const auto n = static_cast<std::size_t>(
         RandomInt(static_cast<int>(endpoints_.size())));
-    auto& endpoint = *endpoints_[n];
+    auto& endpoint = endpoints_[n]->standin;
     const int choice = RandomInt(6);
     LogFault(endpoint.id() + " endpoint fault " + std::to_string(choice));
     if (choice == 4) {  // Its store entry expires and is written again.
@@ -501,9 +402,9 @@
     const EndpointFault kinds[] = {EndpointFault::kLosesAnswers,
                                    EndpointFault::kFails, EndpointFault::kSlow,
                                    EndpointFault::kTruncatesStream};
-    endpoint_faults_[n] = kinds[choice];
+    endpoints_[n]->fault = kinds[choice];
     SleepMs(ms);
-    endpoint_faults_[n] = EndpointFault::kNone;
+    endpoints_[n]->fault = EndpointFault::kNone;
   }
 
   // Lets endpoints say in their answers that they leave, or ask for pauses, one
@@ -514,19 +415,20 @@
     const auto draw = [&](int below) {
       return std::uniform_int_distribution<int>(0, below - 1)(random);
     };
-    while (NowMs() < start_ms_ + for_ms) {
+    while (NowMs() < observations_.start_ms + for_ms) {
       const auto n =
           static_cast<std::size_t>(draw(static_cast<int>(endpoints_.size())));
-      auto& statements = statements_by_endpoint_[n];
+      auto& endpoint = *endpoints_[n];
       const bool leaves = draw(2) == 0;
-      LogFault(endpoints_[n]->id() + (leaves ? " leaves" : " wants pauses"));
-      statements.leaving = leaves;
-      statements.pause_ms = leaves ? 0 : 300 + draw(2000);
+      LogFault(endpoint.standin.id() + (leaves ? " leaves" : " wants pauses"));
+      endpoint.leaving = leaves;
+      endpoint.pause_ms = leaves ? 0 : 300 + draw(2000);
       SleepMs(leaves ? 2500 + draw(2000) : 500 + draw(1500));
       if (leaves) {
-        endpoints_[n]->Restart();
+        endpoint.standin.Restart();
       }
-      statements = {};
+      endpoint.leaving = false;
+      endpoint.pause_ms = 0;
       SleepMs(draw(1500));
     }
   }
@@ -551,7 +453,7 @@
                                  &FleetSoakTest::InjectEndpointFault,
                                  &FleetSoakTest::ChangeConfig};
     std::vector<boost::fibers::fiber> faults;
-    while (NowMs() < start_ms_ + for_ms) {
+    while (NowMs() < observations_.start_ms + for_ms) {
       const auto fault = kFaults[RandomInt(10)];
       const double ms = 200 + RandomInt(3000);
       faults.emplace_back([this, fault, ms] { (this->*fault)(ms); });
@@ -583,18 +485,19 @@
   // Expects that orders of two lease holders reach an engine at least the
   // handover gap apart, and with rising fencing tokens.
   void CheckOrders() {
-    for (const auto* engine : endpoints_) {
+    for (const auto* endpoint : endpoints_) {
+      const auto& engine = endpoint->standin;
       const ReceivedOrder* last = nullptr;
-      for (const auto& it : engine->orders()) {
+      for (const auto& it : engine.orders()) {
         if (IsExcused(it)) {
           continue;
         }
         if (last != nullptr && last->holder != it.holder) {
-          EXPECT_GT(it.fence, last->fence) << engine->id();
+          EXPECT_GT(it.fence, last->fence) << engine.id();
           EXPECT_GE(it.received_at - last->received_at, kNodeHandoverGap)
-              << engine->id();
+              << engine.id();
         } else if (last != nullptr) {
-          EXPECT_GE(it.fence, last->fence) << engine->id();
+          EXPECT_GE(it.fence, last->fence) << engine.id();
         }
         last = &it;
       }
@@ -616,30 +519,18 @@
   std::mt19937_64 random_{seed_};
   TestFolder folder_;
   StoreStandin& store_ = *new StoreStandin();
+  SoakObservations& observations_ = *new SoakObservations();
   std::uint64_t link_count_ = 0;
   int config_version_ = 1;
-  std::vector<EndpointStandin*> endpoints_;
-  std::vector<EndpointFault> endpoint_faults_;
-  std::vector<std::shared_ptr<Link>> endpoint_links_;
+  std::vector<SoakEndpoint*> endpoints_;
   std::vector<std::shared_ptr<Link>> store_links_;
   std::map<std::string, std::shared_ptr<Link>> peer_links_;
   boost::fibers::fiber redirection_fiber_;
   std::vector<std::unique_ptr<NodeProcess>> nodes_;
   SteadyClock clock_;
   HttpClient client_{Runtime::Get().io()};
-  std::int64_t start_ms_ = 0;
   int request_count_ = 0;
-  std::set<std::string> sent_attempts_;
-  // What an endpoint says of itself at present.
-  struct Statements {
-    bool leaving = false;
-    std::int64_t pause_ms = 0;
-  };
-
   SoakCalls calls_;
-  std::vector<Statements> statements_by_endpoint_;
-  StatementChecks statement_checks_;
-  std::string violations_;
   std::set<std::string>
       signalled_nodes_;  ///< Nodes whose signal sequence is running.
   /// Nodes, or all nodes for an empty name, and when they resumed, in ms.
@@ -671,21 +562,21 @@
   finished_ = true;
   memory.join();
   for (const auto* endpoint : endpoints_) {
-    for (const auto& it : endpoint->runs()) {
+    for (const auto& it : endpoint->standin.runs()) {
       ++calls_.runs[it];
     }
   }
   CheckOrders();
-  EXPECT_EQ(violations_, "");
+  EXPECT_EQ(observations_.violations, "");
   EXPECT_EQ(calls_.Violations(), "");
-  EXPECT_EQ(statement_checks_.Violations(), "");
+  EXPECT_EQ(observations_.statements.Violations(), "");
   int served = 0;
   for (const auto& it : calls_.calls) {
     served += it.status == 200 ? 1 : 0;
   }
   std::cout << calls_.calls.size() << " requests, " << served << " served, "
-            << statement_checks_.pauses() << " pauses, "
-            << statement_checks_.leaving_answers()
+            << observations_.statements.pauses() << " pauses, "
+            << observations_.statements.leaving_answers()
             << " answers of leaving endpoints\n";
   EXPECT_GT(served, 0);
 }
--- a/tests/support/statement_checks.h
+++ b/tests/support/statement_checks.h
@@ -16,11 +16,11 @@
 namespace tanagerloom::testing_support {
 
 /// One start of an endpoint.
-struct SoakEndpoint {
+struct EndpointStart {
   std::string id;
   std::uint64_t started_ms = 0;
 
-  auto operator<=>(const SoakEndpoint&) const = default;
+  auto operator<=>(const EndpointStart&) const = default;
 };
 
 /// Records what endpoints said to nodes and which requests reached them later.
@@ -35,7 +35,7 @@
   }
 
   /// A request reaches an endpoint, which runs or refuses it.
-  void OnArrival(const SoakEndpoint& endpoint,
+  void OnArrival(const EndpointStart& endpoint,
                  const std::string& attempt,
                  std::int64_t at_ms) {
     const auto it = sent_.find(attempt);
@@ -46,7 +46,7 @@
   }
 
   /// An endpoint refuses a request and asks for a pause.
-  void OnPause(const SoakEndpoint& endpoint,
+  void OnPause(const EndpointStart& endpoint,
                const std::string& attempt,
                std::int64_t at_ms,
                std::int64_t pause_ms) {
@@ -54,7 +54,7 @@
   }
 
   /// An endpoint says in its answer to a request that it leaves.
-  void OnLeaving(const SoakEndpoint& endpoint, const std::string& attempt) {
+  void OnLeaving(const EndpointStart& endpoint, const std::string& attempt) {
     leaving_answers_[attempt] = endpoint;
   }
 
@@ -118,13 +118,13 @@
     std::int64_t sent_ms = 0;
   };
   struct Arrival {
-    SoakEndpoint endpoint;
+    EndpointStart endpoint;
     std::string node;
     std::int64_t sent_ms = 0;
     std::int64_t at_ms = 0;
   };
   struct Statement {
-    SoakEndpoint endpoint;
+    EndpointStart endpoint;
     std::string node;
     std::int64_t from_ms = 0;
     std::int64_t until_ms = 0;  ///< Of a pause.
@@ -152,7 +152,7 @@
   }
 
   std::map<std::string, Sent> sent_;
-  std::map<std::string, SoakEndpoint> leaving_answers_;
+  std::map<std::string, EndpointStart> leaving_answers_;
   std::vector<Arrival> arrivals_;
   std::vector<Statement> pauses_;
   std::vector<Statement> leaving_;
