--- a/tests/support/raw_endpoint.h
+++ b/tests/support/raw_endpoint.h
@@ -27,6 +27,8 @@
   const char* name;
   std::string head;
   std::string repeat;
+  /// If set, stands for `head`, and may change between requests.
+  const std::string* changing_head = nullptr;
 };
 
 /// A server that gives each request the same bytes. It must live until the
@@ -66,7 +68,10 @@
     });
     if (!read.ec) {
       ++requests_;
-      std::string next = WithAttemptId(answer_.head, input);
+      std::string next = WithAttemptId(answer_.changing_head == nullptr
+                                           ? answer_.head
+                                           : *answer_.changing_head,
+                                       input);
       while (true) {
         const auto written = AwaitIo([&](auto done) {
           boost::asio::async_write(socket, boost::asio::buffer(next), done);
