fleet: a full table of crash counts costs no search for each proof

Found in a review: once 4,096 fingerprints are known, each proof of a new one searched the whole table twice. On a large fleet with many shared parts of prompts that would take a noticeable part of a small VM's processor.

Change: proofs, which may be dropped, are not recorded while the table is full, and expired entries are looked for at most once a second; crash counts still replace the entry that expires first.

--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -6,6 +6,13 @@
 
 namespace tanagerloom {
 
+namespace {
+
+// Interval at which a full table is searched for expired entries.
+constexpr std::chrono::seconds kPruneInterval{1};
+
+}  // namespace
+
 double CrashSuspects::ProofWeight(const Entry& entry, TimePoint now) {
   const std::chrono::duration<double> age = now - entry.proven_at;
   const std::chrono::duration<double> half_life = kProofHalfLife;
@@ -21,23 +28,35 @@
   return left > 0 ? static_cast<std::uint32_t>(left) : 0;
 }
 
-CrashSuspects::Entry& CrashSuspects::EntryOf(std::uint64_t fingerprint,
-                                             TimePoint now) {
-  if (entries_.size() >= kMaxFingerprints && !entries_.contains(fingerprint)) {
-    std::erase_if(entries_,
-                  [&](const auto& it) { return it.second.expires_at <= now; });
+CrashSuspects::Entry* CrashSuspects::FindOrAdd(std::uint64_t fingerprint,
+                                               TimePoint now) {
+  const auto it = entries_.find(fingerprint);
+  if (it != entries_.end()) {
+    return &it->second;
   }
-  if (entries_.size() >= kMaxFingerprints && !entries_.contains(fingerprint)) {
-    entries_.erase(std::ranges::min_element(
-        entries_, {}, [](const auto& it) { return it.second.expires_at; }));
+  if (entries_.size() >= kMaxFingerprints && now >= next_prune_at_) {
+    next_prune_at_ = now + kPruneInterval;
+    std::erase_if(entries_, [&](const auto& entry) {
+      return entry.second.expires_at <= now;
+    });
   }
+  return entries_.size() < kMaxFingerprints ? &entries_[fingerprint] : nullptr;
+}
+
+CrashSuspects::Entry& CrashSuspects::MakeRoomFor(std::uint64_t fingerprint,
+                                                 TimePoint now) {
+  if (auto* entry = FindOrAdd(fingerprint, now)) {
+    return *entry;
+  }
+  entries_.erase(std::ranges::min_element(
+      entries_, {}, [](const auto& it) { return it.second.expires_at; }));
   return entries_[fingerprint];
 }
 
 std::uint32_t CrashSuspects::OnCrash(std::uint64_t fingerprint,
                                      TimePoint now,
                                      Duration min_interval) {
-  auto& entry = EntryOf(fingerprint, now);
+  auto& entry = MakeRoomFor(fingerprint, now);
   if (entry.expires_at <= now) {
     entry.crashes = 0;
   }
@@ -52,14 +71,17 @@
 }
 
 bool CrashSuspects::OnProof(std::uint64_t fingerprint, TimePoint now) {
-  auto& entry = EntryOf(fingerprint, now);
-  entry.proofs = ProofWeight(entry, now) + 1;
-  entry.proven_at = now;
-  entry.crashes = 0;
+  auto* entry = FindOrAdd(fingerprint, now);
+  if (entry == nullptr) {
+    return false;
+  }
+  entry->proofs = ProofWeight(*entry, now) + 1;
+  entry->proven_at = now;
+  entry->crashes = 0;
   // The weight of one proof is gone after some half-lives.
   constexpr int kProofRetention = 6;
-  entry.expires_at = now + kProofRetention * kProofHalfLife;
-  return std::exchange(entry.announced, false);
+  entry->expires_at = now + kProofRetention * kProofHalfLife;
+  return std::exchange(entry->announced, false);
 }
 
 void CrashSuspects::OnNotice(std::uint64_t fingerprint,
@@ -74,7 +96,7 @@
     }
     return;
   }
-  auto& entry = EntryOf(fingerprint, now);
+  auto& entry = MakeRoomFor(fingerprint, now);
   if (entry.proofs > 0 && now - entry.proven_at < kProofValidity) {
     return;
   }
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -48,7 +48,8 @@
                         Duration min_interval = Duration(0));
 
   /// A request with the fingerprint ran without a crash. Returns whether this
-  /// reset a count that was announced before.
+  /// reset a count that was announced before. Without room for the fingerprint,
+  /// the proof is dropped.
   bool OnProof(std::uint64_t fingerprint, TimePoint now);
 
   /// Merges the count of another node, which is valid for `valid`; the higher
@@ -80,10 +81,14 @@
   /// Returns the crashes that recent proofs do not outweigh.
   static std::uint32_t EffectiveCrashes(const Entry& entry, TimePoint now);
   static double ProofWeight(const Entry& entry, TimePoint now);
-  /// Returns the entry of a fingerprint after making room for it.
-  Entry& EntryOf(std::uint64_t fingerprint, TimePoint now);
+  /// Returns the entry of a fingerprint. Adds it if there is room for it.
+  Entry* FindOrAdd(std::uint64_t fingerprint, TimePoint now);
+  /// As FindOrAdd, but removes another entry if there is no room.
+  Entry& MakeRoomFor(std::uint64_t fingerprint, TimePoint now);
 
   std::map<std::uint64_t, Entry> entries_;
+  /// When expired entries are removed next, if there is no room.
+  TimePoint next_prune_at_{};
 };
 
 }  // namespace tanagerloom
