--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -69,6 +69,27 @@
   EXPECT_EQ(RequestsAtA(20), 0U);
 }
 
+// Guards against a request that is written to an endpoint which said that it
+// leaves after it was chosen, while the connection was opened.
+TEST_F(EndpointStatementsTest, EndpointThatLeavesBeforeTheWriteGetsNoRequest) {
+  std::string chosen;
+  boost::fibers::fiber watcher([&] {
+    while (chosen.empty()) {
+      const auto use = site.view.LocalUse();
+      if (!use.endpoints.empty()) {
+        chosen = use.endpoints.front();
+        const auto* record = site.view.directory().Find(chosen);
+        EXPECT_TRUE(site.view.OnLeaving(chosen, record->boot));
+      }
+      boost::this_fiber::yield();
+    }
+  });
+  EXPECT_EQ(site.Send(site.Request("/book/x")).assume_value().status, 200);
+  watcher.join();
+  EXPECT_EQ((chosen == "i-a" ? site.a : site.b).requests().size(), 0U);
+  EXPECT_EQ(site.Runs(), 1U);
+}
+
 // Guards against an endpoint that is used again because its entry lapsed and
 // came back.
 TEST_F(EndpointStatementsTest, LeavingOutlastsTheEntryInTheList) {
@@ -124,13 +145,18 @@
     }
     (void)responder.Finish();
   };
-  site.b.serve = [](const HttpRequest& request, HttpResponder& responder) {
+  // Its streams run on too, so that its load would favour endpoint a.
+  site.b.serve = [&](const HttpRequest& request, HttpResponder& responder) {
     (void)responder.StartStream(200, EndpointStandin::SealedHeaders(request));
     (void)responder.Write(EndpointStandin::StreamEvent(1));
+    while (!finish) {
+      boost::this_fiber::sleep_for(milliseconds(10));
+    }
     (void)responder.Finish();
   };
+  constexpr int kRequests = 10;
   int ended = 0;
-  for (int i = 0; i < 30; ++i) {
+  for (int i = 0; i < kRequests; ++i) {
     boost::fibers::fiber([&] {
       const auto answer = site.Send(site.Request("/stream-once/x"));
       ended += answer && answer.assume_value().status == 200 ? 1 : 0;
@@ -139,7 +165,7 @@
   }
   EXPECT_EQ(site.a.runs().size(), 1U);
   finish = true;  // The stream that runs ends in peace.
-  EXPECT_TRUE(WaitUntil([&] { return ended == 30; }));
+  EXPECT_TRUE(WaitUntil([&] { return ended == kRequests; }));
 }
 
 // Guards against requests to an endpoint within the pause that it asked for,
