--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -35,7 +35,21 @@
     };
   }
 
-  void RemoveB() { site.store.Erase("servers", "i-b"); }
+  // Lets the entry of endpoint a lapse and come back.
+  void LapseAndReturn() {
+    site.store.Erase("servers", "i-a");
+    ASSERT_TRUE(WaitUntil(
+        [&] { return site.view.directory().Find("i-a") == nullptr; }));
+    site.a.Register();
+    ASSERT_TRUE(WaitUntil(
+        [&] { return site.view.directory().Find("i-a") != nullptr; }));
+  }
+
+  void RemoveB() {
+    site.store.Erase("servers", "i-b");
+    ASSERT_TRUE(
+        WaitUntil([&] { return site.view.directory().records().size() == 1; }));
+  }
 
   // Sends requests until endpoint a got one.
   void SendUntilAIsReached() {
@@ -95,12 +109,7 @@
 TEST_F(EndpointStatementsTest, LeavingOutlastsTheEntryInTheList) {
   AddToAnswersOfA("Server-Leaving", "1");
   SendUntilAIsReached();
-  site.store.Erase("servers", "i-a");
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().Find("i-a") == nullptr; }));
-  site.a.Register();
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().Find("i-a") != nullptr; }));
+  LapseAndReturn();
   EXPECT_EQ(RequestsAtA(20), 0U);
 }
 
@@ -124,8 +133,6 @@
 // Guards against statements that clients read as addressed to them.
 TEST_F(EndpointStatementsTest, StatementsAreNotForwardedToTheClient) {
   RemoveB();
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().records().size() == 1; }));
   AddToAnswersOfA("Server-Leaving", "1");
   const auto answer = site.Send(site.Request("/read/x"));
   EXPECT_EQ(answer.assume_value().status, 200);
@@ -185,12 +192,7 @@
 TEST_F(EndpointStatementsTest, PauseOutlastsTheEntryInTheList) {
   RefuseAtA("5");
   SendUntilAIsReached();
-  site.store.Erase("servers", "i-a");
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().Find("i-a") == nullptr; }));
-  site.a.Register();
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().Find("i-a") != nullptr; }));
+  LapseAndReturn();
   EXPECT_EQ(RequestsAtA(20), 0U);
 }
 
@@ -198,8 +200,6 @@
 // pause, if the only endpoint wants a pause longer than the request has.
 TEST_F(EndpointStatementsTest, RequestIsRefusedAtOnceIfAllPausesAreTooLong) {
   RemoveB();
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().records().size() == 1; }));
   RefuseAtA("30");
   (void)site.Send(site.Request("/read/x"));
   const auto sent_at = site.clock.Now();
@@ -221,8 +221,6 @@
 // Guards against refusing a request that can still be served after the pause.
 TEST_F(EndpointStatementsTest, RequestWaitsForTheEndOfAShortPause) {
   RemoveB();
-  ASSERT_TRUE(
-      WaitUntil([&] { return site.view.directory().records().size() == 1; }));
   int n = 0;
   site.a.serve = [&](const HttpRequest& request, HttpResponder& responder) {
     if (n++ == 0) {
