runtime: signals right after the start do not end a node

Cause, shown by starting the program and sending a signal: within the first 5 to 8 ms the default action ends the process, since the handlers were installed by fibers that run only when the start first waits.

Change: the handlers are installed before the calls return, and a node holds these signals back from its first line until then. The harness starts programs with the signals blocked, so that its own fork and exec have no such window. The new test starts a node ten times and signals it at once; the program of before never becomes ready. The soak prints the status and the end of the log.

--- a/apps/tanagerloomd/fleet_daemon.cc
+++ b/apps/tanagerloomd/fleet_daemon.cc
@@ -1,5 +1,6 @@
 #include "apps/tanagerloomd/fleet_daemon.h"
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -50,6 +51,17 @@
   return std::move(settings).assume_value();
 }
 
+// Holds back stop and reload signals until their handlers are installed. They
+// may be sent as soon as the process exists.
+void HoldSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int it : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&set, it);
+  }
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 // Reads the settings file again and applies it. If it is invalid, records this
 // and keeps the settings in force.
 void ReloadSettings(FleetNode& node, EventLog& log, const std::string& path) {
@@ -65,6 +77,7 @@
 }  // namespace
 
 void RunFleetDaemon(const std::string& settings_path, bool check_only) {
+  HoldSignals();
   const auto settings = ReadSettingsOrExit(settings_path, check_only);
   auto& runtime = Runtime::Get();
   EventLog log(settings.node_id, kMaxEventsInMemory, MakeLogger(/*json=*/true));
--- a/packages/runtime/runtime.cc
+++ b/packages/runtime/runtime.cc
@@ -18,6 +18,20 @@
 
 namespace tanagerloom {
 
+namespace {
+
+// Delivers signals that were held back since the start of the program.
+void Unblock(std::initializer_list<int> signals) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int it : signals) {
+    sigaddset(&set, it);
+  }
+  pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
+}
+
+}  // namespace
+
 Runtime& Runtime::Get() {
   static Runtime& runtime = []() -> Runtime& {
     auto* io = new boost::asio::io_context(1);
@@ -33,9 +47,15 @@
   return runtime;
 }
 
+// Both handlers are installed before the calls return, since the default action
+// of their signals would end the process.
+
 void Runtime::OnStopSignal(std::function<void(int count)> handler) {
-  boost::fibers::fiber([this, handler = std::move(handler)] {
+  boost::fibers::fiber(boost::fibers::launch::dispatch, [this,
+                                                         handler = std::move(
+                                                             handler)] {
     boost::asio::signal_set signals(io_, SIGTERM, SIGINT);
+    Unblock({SIGTERM, SIGINT});
     for (int count = 1;; ++count) {
       const auto result = AwaitIo([&](auto done) {
         signals.async_wait(
@@ -50,8 +70,11 @@
 }
 
 void Runtime::OnReloadSignal(std::function<void()> handler) {
-  boost::fibers::fiber([this, handler = std::move(handler)] {
+  boost::fibers::fiber(boost::fibers::launch::dispatch, [this,
+                                                         handler = std::move(
+                                                             handler)] {
     boost::asio::signal_set signals(io_, SIGHUP);
+    Unblock({SIGHUP});
     while (true) {
       const auto result = AwaitIo([&](auto done) {
         signals.async_wait(
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -88,10 +88,20 @@
                  std::string log_path)
     : log_path_(std::move(log_path)) {
   const pid_t parent = getpid();
+  // The program inherits the mask and unblocks the signals that it handles. So
+  // a signal that is sent right after the start does not end it before that.
+  sigset_t held;
+  sigset_t previous;
+  sigemptyset(&held);
+  for (const int it : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&held, it);
+  }
+  sigprocmask(SIG_BLOCK, &held, &previous);
   pid_ = fork();
   if (pid_ == 0) {
     RunChild(arguments, log_path_, parent);
   }
+  sigprocmask(SIG_SETMASK, &previous, nullptr);
 }
 
 Process::~Process() {
--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -63,6 +63,12 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+// Returns the end of a log, for a message.
+std::string LastBytes(const std::string& log) {
+  constexpr std::size_t kMaxBytes = 2000;
+  return log.substr(log.size() - std::min(log.size(), kMaxBytes));
+}
+
 nlohmann::json ConfigJson(int version) {
   auto models = nlohmann::json::array();
   for (int i = 0; i < kModels; ++i) {
@@ -297,7 +303,9 @@
       const auto code = node.process().WaitForExit(kNodeGrace + seconds(1));
       EXPECT_TRUE(code) << node.id() << " still runs after its grace time";
       EXPECT_TRUE(!graceful || code == 0)
-          << node.id() << " exited with an error";
+          << node.id() << " exited with status " << code.value_or(-1)
+          << "; the end of its log:\n"
+          << LastBytes(node.process().Output());
       SleepMs(RandomInt(500));
       node.Start();
       EXPECT_TRUE(WaitUntil([&] { return node.process().IsRunning(); }));
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -54,6 +54,9 @@
                {"models", models}}}}}}};
 }
 
+// Time within which a node that was started is ready.
+constexpr auto kStartTimeout = std::chrono::seconds(10);
+
 class FleetTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -212,6 +215,22 @@
 }
 
 // Guards against a node that exits on SIGHUP, or that applies a settings file
+// Guards against a node that a signal ends because it arrives before the node
+// handles signals.
+TEST_F(FleetTest, SignalsRightAfterTheStartDoNotEndANode) {
+  auto& node = *nodes[0];
+  node.process().Kill();
+  for (int i = 0; i < 10; ++i) {
+    node.Start();
+    node.process().Signal(SIGHUP);
+    ASSERT_TRUE(WaitUntil([&] { return node.IsReady(); }, kStartTimeout));
+    node.process().Kill();
+  }
+  node.Start();
+  node.process().Signal(SIGTERM);
+  EXPECT_EQ(node.process().WaitForExit(testing_support::kNodeGrace), 0);
+}
+
 // that it cannot parse.
 TEST_F(FleetTest, ReloadsSettings) {
   nodes[0]->process().Signal(SIGHUP);
