--- a/packages/registry/collection_follower.cc
+++ b/packages/registry/collection_follower.cc
@@ -49,14 +49,15 @@
 }
 
 void CollectionFollower::ReadAll() {
-  const auto called_at = clock_.Now();
   const auto list = collections_.ReadAll(collection_, Freshness::kCurrent);
   if (stopping_) {
     return;
   }
   if (!list) {
     OnFailure(list.assume_error());
-    AwaitRetry(called_at);
+    // A list that takes long is not read again at once: that would use the link
+    // on which it is slow.
+    clock_.SleepFor(timing_.retry_interval);
     return;
   }
   OnSuccess();
--- a/tests/error/platform_store_test.cc
+++ b/tests/error/platform_store_test.cc
@@ -13,6 +13,7 @@
 #include "runtime/steady_clock.h"
 #include "testing/fleet_standin/store_standin.h"
 #include "testing/harness/wait.h"
+#include "tests/support/fault_relay.h"
 
 namespace tanagerloom {
 namespace {
@@ -65,6 +66,22 @@
   EXPECT_TRUE(standin.Spec("k", "b").is_null());
 }
 
+// Guards against a list that is never read because each try ends before a slow
+// link has delivered it.
+TEST_F(PlatformStore, ListIsReadOverASlowLink) {
+  standin.Set("k", "a", {{"x", 1}});
+  auto& relay = *new FaultRelay(standin.address().port);
+  platform::StoreClient client(http, clock, {"127.0.0.1", relay.port()});
+  ASSERT_TRUE(client.ReadAll("k", Freshness::kCurrent));
+  relay.SetPaused(true);
+  boost::fibers::fiber resume([&] {
+    boost::this_fiber::sleep_for(milliseconds(1200));
+    relay.SetPaused(false);
+  });
+  EXPECT_TRUE(client.ReadAll("k", Freshness::kCurrent));
+  resume.join();
+}
+
 // Guards against items that are missing because a list has several pages.
 TEST_F(PlatformStore, ListIsReadAcrossPages) {
   standin.page_size = 3;
