Review, cases 1 and 3: simpler stand-ins, streams that begin one after the other

Cause: the engine stand-in had adapters that no case uses, and the streams of case 1 were in step, so that chunks were hit in some runs only.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,8 @@
 STREAMS = 60           # At the node that freezes.
 PIECES = 40
 PAUSE_S = 0.1          # Between two pieces; the route's gapTargetMs is 400.
-FREEZE_AT_S = 1.5
+BETWEEN_STARTS_S = 0.015
+FREEZE_AT_S = 1.0      # After the last start.
 FREEZE_S = 2.5
 # Clients leave after the longest of 2 s, 4 times goalMs and 8 times gapTargetMs.
 CLIENT_GAP_S = 3.2
@@ -30,8 +31,9 @@
 class Stream:
     """One client's stream: the ids of its pieces, and how it ended."""
 
-    def __init__(self, attempt: str):
-        self.attempt = attempt
+    def __init__(self, number: int):
+        self.number = number
+        self.attempt = f"s-{number}"
         self.text = b""
         self.end = "no answer"
 
@@ -52,7 +54,8 @@
         reader, writer = await asyncio.open_connection(*node.front)
         headers = fleet.request_headers(
             self.attempt, 17000,
-            **{"Model": MODEL, "Token-Count": "600,200", "Prompt-Prefix": f"{hash(self.attempt) & 0xffffffff:08x}:600"})
+            **{"Model": MODEL, "Token-Count": "600,200",
+               "Prompt-Prefix": f"{self.number:08x}:600"})
         lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
         try:
             writer.write(f"POST /lohu930/2f HTTP/1.1\r\n{lines}Content-Length: 0\r\n\r\n".encode())
@@ -88,7 +91,7 @@
         await it.start()
     await store.set("config", "main", config())
     nodes = [fleet.Node(folder, f"front-chaguanas-{n}", "127.0.0.1", store) for n in range(3)]
-    streams = [Stream(f"s-{number}") for number in range(STREAMS)]
+    streams = [Stream(number) for number in range(STREAMS)]
     beats = [asyncio.create_task(it.beat()) for it in engines]
     try:
         for it in nodes:
@@ -96,7 +99,10 @@
         for it in nodes:
             await it.await_ready()
         await asyncio.sleep(2)
-        work = [asyncio.create_task(it.run(nodes[0])) for it in streams]
+        work = []
+        for it in streams:
+            work.append(asyncio.create_task(it.run(nodes[0])))
+            await asyncio.sleep(BETWEEN_STARTS_S)
         await asyncio.sleep(FREEZE_AT_S)
         if trouble:
             record.write(f"{nodes[0].name} freezes")
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -207,7 +207,9 @@
         kind = path[0]
         objects = self.objects.setdefault(kind, {})
         if request.method == "GET" and len(path) == 1:
-            return await self._watch(kind, query) if "watch" in query else (200, self._list(kind, query))
+            if "watch" in query:
+                return await self._watch(kind, query)
+            return 200, self._list(kind, query)
         body = json.loads(request.body) if request.body else {}
         name = path[1] if len(path) > 1 else body["metadata"]["name"]
         known = objects.get(name)
@@ -326,52 +328,32 @@
 
 
 class Engine(Server):
-    """A model server: takes orders, loads and unloads models and adapters.
+    """A model server: takes orders to load and unload models, and serves streams."""
 
-    Models have room; an order for more adapters than `adapter_slots` is kept in
-    `overloads`, and the server crashes, as the pages say.
-    """
-
-    ADAPTER_LOAD_S = 0.007
     PIECES = 14
 
     def __init__(self, store: Store, record: Record, name: str, service: str, models: list[str],
-                 on_disk: list[str], load_s: float = 0.5, adapter_slots: int = 8,
-                 pause_s: float = 0.03, framed: bool = True):
+                 on_disk: list[str], load_s: float = 0.5, pause_s: float = 0.03,
+                 framed: bool = True):
         super().__init__(store, record, name, service, slots=64)
-        self.models: dict[str, set[str]] = {it: set() for it in models}
-        self.on_disk, self.load_s, self.adapter_slots = list(on_disk), load_s, adapter_slots
+        self.models, self.on_disk, self.load_s = list(models), list(on_disk), load_s
         self.pause_s, self.framed = pause_s, framed
         self.accepted, self.busy = 0, False
-        self.pending: set[tuple[str, str]] = set()    # Adapters that are being loaded.
-        self.unloading: set[tuple[str, str]] = set()  # Those that wait for their runs.
-        self.in_use: dict[tuple[str, str], int] = {}
-        self.channels: set[asyncio.StreamWriter] = set()
         # Of each order: its time, the sender's IP address, holder, fence and status.
         self.orders: list[tuple[float, str, str, int, int]] = []
-        self.overloads: list[str] = []
-        self.crashed = False
 
     def entry(self) -> dict:
         return {**super().entry(), "stage": "both", "models": self.models_json(),
                 "available": {"inMemory": [], "onDisk": self.on_disk}}
 
     def models_json(self) -> list[dict]:
-        return [{"name": name, "version": 1, "adapters": sorted(adapters)}
-                for name, adapters in sorted(self.models.items())]
-
-    def adapters(self) -> list[str]:
-        return [f"{model}/{it}" for model, names in self.models.items() for it in names]
+        return [{"name": it, "version": 1, "adapters": []} for it in sorted(self.models)]
 
     async def answer_own_call(self, request: Message, writer) -> bool:
-        if self.crashed:
-            writer.transport.abort()
-            return True
         if request.target == "/tanagerloom/report":
             out = {"stage": "both", "models": self.models_json(), "busy": self.busy,
-                   "seq": self.accepted, "queued": 0, "active": len(self.channels),
-                   "kvUsed": 0, "kvTotal": 232000, "handles": 0, "born": self.born,
-                   "pending": [f"{model}/{adapter}@1" for model, adapter in self.pending]}
+                   "seq": self.accepted, "queued": 0, "active": 0, "kvUsed": 0,
+                   "kvTotal": 232000, "handles": 0, "born": self.born}
             writer.write(encode_response(200, {"Content-Type": "application/json"},
                                          json.dumps(out).encode()))
             return True
@@ -380,110 +362,42 @@
             sender = writer.get_extra_info("peername")[0]
             status = self.take_order(order)
             self.orders.append((now(), sender, order["holder"], order["fence"], status))
-            target = order["model"] + ("/" + order["adapter"] if "adapter" in order else "")
             self.record.write(f"order to {self.name} from {sender} holder {order['holder']} "
                               f"fence {order['fence']} expect {order.get('expect')} "
-                              f"{order['operation']} {target} -> {status}")
-            if self.crashed:
-                writer.transport.abort()
-            else:
-                writer.write(encode_response(status, {}, b""))
+                              f"{order['operation']} {order['model']} -> {status}")
+            writer.write(encode_response(status, {}, b""))
             return True
-        model, _, adapter = (request.header("Model") or "").partition("/")
-        if model not in self.models or adapter and adapter not in self.models[model]:
+        if request.header("Model") not in self.models:
             writer.write(encode_response(421, {"Instance-Id": self.name}, b""))
             return True
-        if (model, adapter) in self.unloading:
-            writer.write(encode_response(503, {"Not-Executed": "1"}, b""))
-            return True
         return False
 
     def take_order(self, order: dict) -> int:
-        if order.get("expect", self.accepted) != self.accepted:
+        if self.busy or order.get("expect", self.accepted) != self.accepted:
             return 409
-        if self.busy:
-            return 409
-        if "adapter" in order:
-            return self.take_adapter_order(order["operation"], order["model"], order["adapter"])
         self.accepted += 1
         self.busy = True
         asyncio.get_running_loop().create_task(self.carry_out(order))
         return 202
 
-    def take_adapter_order(self, operation: str, model: str, adapter: str) -> int:
-        target = (model, adapter)
-        if model not in self.models:
-            return 409
-        if operation == "unload":
-            self.accepted += 1
-            if self.in_use.get(target, 0) == 0:
-                self.models[model].discard(adapter)
-                return 200
-            # It waits for its runs and is under way until then.
-            self.unloading.add(target)
-            self.busy = True
-            return 202
-        if adapter in self.models[model] or target in self.pending:
-            return 200
-        self.accepted += 1
-        held = len(self.adapters()) + len(self.pending)
-        if held >= self.adapter_slots:
-            text = (f"{self.name} has {held} adapters ({', '.join(sorted(self.adapters()))}) "
-                    f"in {self.adapter_slots} places and is ordered to load {model}/{adapter}; "
-                    f"still in use: {sorted(it[1] for it in self.unloading)}")
-            self.overloads.append(text)
-            self.record.write(text)
-            self.crash()
-            return 202
-        self.pending.add(target)
-        asyncio.get_running_loop().create_task(self.load_adapter(model, adapter))
-        return 202
-
-    async def load_adapter(self, model: str, adapter: str) -> None:
-        await asyncio.sleep(self.ADAPTER_LOAD_S)
-        self.pending.discard((model, adapter))
-        if model in self.models:
-            self.models[model].add(adapter)
-
-    def crash(self) -> None:
-        self.crashed = True
-        self.record.write(f"{self.name} crashes; it was running {len(self.channels)} requests")
-        for it in self.channels:
-            it.transport.abort()
-
     async def carry_out(self, order: dict) -> None:
         load = order["operation"] == "load"
         await asyncio.sleep(self.load_s if load else 0.05)
         self.busy = False
         if load:
-            self.models[order["model"]] = set()
+            self.models.append(order["model"])
             self.on_disk = sorted({*self.on_disk, order["model"]})
         else:
-            del self.models[order["model"]]
+            self.models.remove(order["model"])
         await self.register()
 
     async def beat(self) -> None:
         """Checks in at the usual interval."""
-        while not self.crashed:
+        while True:
             await asyncio.sleep(1.2)
             await self.register()
 
     async def handle(self, request: Message, writer) -> None:
-        model, _, adapter = (request.header("Model") or "").partition("/")
-        target = (model, adapter)
-        self.in_use[target] = self.in_use.get(target, 0) + 1
-        self.channels.add(writer)
-        try:
-            await self.stream(request, writer)
-        finally:
-            self.channels.discard(writer)
-            self.in_use[target] -= 1
-            if self.in_use[target] == 0 and target in self.unloading:
-                self.unloading.discard(target)
-                self.busy = False
-                self.models.get(model, set()).discard(adapter)
-
-    async def stream(self, request: Message, writer) -> None:
         # An answer without a length ends with its channel.
         framing = "Transfer-Encoding: chunked\r\n" if self.framed else "Connection: close\r\n"
         head = [f"{key}: {value}" for key, value in self.sealed(request).items()]
@@ -619,8 +533,8 @@
             "maxAttempts": attempts, **more}
 
 
-def model(name: str, weights_mb: float = 65500.0, adapters: int = 37) -> dict:
-    return {"name": name, "weightsMb": weights_mb, "loadS": 6.0, "adapters": adapters,
+def model(name: str) -> dict:
+    return {"name": name, "weightsMb": 65500.0, "loadS": 6.0, "adapters": 0,
             "adapterMb": 40.0, "warmS": 0.38, "diskS": 1.0}
 
 
@@ -675,5 +589,3 @@
     print("the rule held" if held else "the rule was broken")
     sys.exit(0 if held else 1)
 
-
-__all__ = [name for name in dir() if not name.startswith("_")]
