--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -268,6 +268,7 @@
         self.seq = 0
         self.state = "ready"
         self.address = ""
+        self.arrivals: list[Message] = []  # Clients' requests, also those that wait.
         self.runs: list[Message] = []
         self.running = asyncio.Semaphore(slots)
 
@@ -311,6 +312,7 @@
         if request.header("Attempt-Id") is None:
             writer.write(encode_response(400, {"Not-Executed": "1"}, b""))
             return
+        self.arrivals.append(request)
         async with self.running:
             self.runs.append(request)
             self.record.write(f"run {self.name} {request.header('Attempt-Id')} "
