http: what was read is kept when its timeout has passed as well

Cause: IoWatchdog::End said that its timer had expired, and HttpConnection then reported a timeout in place of the result of a read that had completed and taken bytes. A silent stream that cannot be resumed is read on, after the gap. The same replaced the head of a response that had arrived, a request that had been written, and a chunk that a client had taken, and it could lose a timeout if an operation of several reads began the next one just then.

Ruled out: a resumption after the wrong event (the fault needs one connection and no second endpoint), and joining of chunks (whole chunks lack nothing).

Change: a timeout counts only if it has cancelled the operation, and cancels again until the operation ends. Input that had arrived by the deadline, and no more, is read after it. The server uses the same watchdog for requests, the idle time of a connection and all writes.

Test: error.suspended_reader, which blocks the thread of the runtime while a server or client on another thread goes on. Before: three of four bodies lack a part, the first late response is dropped (the program ends there) and the write fails.

--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -3,6 +3,7 @@
 // Boost 1.74's Asio uses std::exchange without including its header.
 #include <utility>
 // Keep this after <utility>.
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -46,16 +47,63 @@
   explicit Impl(asio::io_context& io)
       : stream(io), watchdog(io, stream.socket()) {}
 
+  /// Returns whether a read with this deadline may be started. After the
+  /// deadline it may take only the input that has already arrived.
+  bool MayRead(TimePoint deadline);
+  /// Runs a read that `start` starts, and again if input arrived although it
+  /// was cancelled. Fails with beast::error::timeout at the deadline.
+  template <typename Start>
+  boost::system::error_code Read(TimePoint deadline, Start start);
+  /// Counts bytes that were read after the deadline.
+  void CountLateBytes(std::size_t n);
   /// Parses the buffered input without reading from the socket. Appends the
   /// body bytes to `out` and returns their number.
   std::size_t ParseBuffered(std::string& out);
 
   beast::tcp_stream stream;
   IoWatchdog watchdog;
+  /// Number of bytes that may still be read although the deadline has passed;
+  /// unset before the deadline.
+  std::optional<std::size_t> late_bytes;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
 };
 
+bool HttpConnection::Impl::MayRead(TimePoint deadline) {
+  if (std::chrono::steady_clock::now() < deadline) {
+    late_bytes.reset();
+    return true;
+  }
+  if (!late_bytes) {
+    boost::system::error_code ec;
+    // One more, for a read that finds the end of the input.
+    late_bytes = buffer.size() + stream.socket().available(ec) + 1;
+  }
+  return *late_bytes > 0;
+}
+
+void HttpConnection::Impl::CountLateBytes(std::size_t n) {
+  if (late_bytes) {
+    *late_bytes -= std::min(*late_bytes, n);
+  }
+}
+
+template <typename Start>
+boost::system::error_code HttpConnection::Impl::Read(TimePoint deadline,
+                                                     Start start) {
+  boost::system::error_code ec;
+  do {
+    watchdog.Begin(deadline);
+    const auto result = AwaitIo(start);
+    CountLateBytes(result.bytes_transferred);
+    if (!watchdog.End(result.ec)) {
+      return result.ec;
+    }
+    // The timer may have been handled before input that arrived earlier.
+  } while (stream.socket().available(ec) > 0);
+  return beast::error::timeout;
+}
+
 // One read often returns several chunks. They are returned together because the
 // caller would need one write for each otherwise. The next read reports a parse
 // error again.
@@ -69,6 +117,7 @@
     boost::system::error_code ec;
     const auto used = parser->put(buffer.data(), ec);
     buffer.consume(used);
+    CountLateBytes(used);
     const std::size_t n = sizeof(chunk) - parser->get().body().size;
     out.append(chunk, n);
     total += n;
@@ -137,9 +186,17 @@
                    "the request may no longer be sent to", address_,
                    Verdict::kNotRun);
   }
-  impl_->stream.expires_at(options.deadline);
-  const auto result = AwaitIo(
-      [&](auto done) { bhttp::async_write(impl_->stream, message, done); });
+  // A failed write leaves an unfinished exchange.
+  impl_->parser.reset();
+  impl_->late_bytes.reset();
+  impl_->stream.expires_never();
+  impl_->watchdog.Begin(options.deadline);
+  auto result = AwaitIo([&](auto done) {
+    bhttp::async_write(impl_->stream.socket(), message, done);
+  });
+  if (impl_->watchdog.End(result.ec)) {
+    result.ec = beast::error::timeout;
+  }
   if (result.ec) {
     return Failure(result.ec, "cannot send the request to", address_,
                    result.bytes_transferred == 0 ? Verdict::kNotRun
@@ -154,18 +211,12 @@
 }
 
 HttpResult<void> HttpConnection::ReadHead(TimePoint deadline) {
-  impl_->stream.expires_never();
-  impl_->watchdog.Begin(deadline);
-  auto result = AwaitIo([&](auto done) {
+  const auto ec = impl_->Read(deadline, [&](auto done) {
     bhttp::async_read_header(impl_->stream.socket(), impl_->buffer,
                              *impl_->parser, done);
   });
-  if (impl_->watchdog.End()) {
-    result.ec = beast::error::timeout;
-  }
-  if (result.ec) {
-    return Failure(result.ec, "no response from", address_,
-                   Verdict::kMayHaveRun);
+  if (ec) {
+    return Failure(ec, "no response from", address_, Verdict::kMayHaveRun);
   }
   const auto& head = impl_->parser->get();
   status_ = static_cast<int>(head.result_int());
@@ -184,22 +235,19 @@
   auto& parser = *impl_->parser;
   impl_->stream.expires_never();
   while (!parser.is_done()) {
+    if (!impl_->MayRead(deadline)) {
+      return Failure(beast::error::timeout,
+                     "the deadline passed within the response of", address_,
+                     Verdict::kMayHaveRun);
+    }
     parser.get().body().data = chunk;
     parser.get().body().size = sizeof(chunk);
-    impl_->watchdog.Begin(deadline);
-    auto result = AwaitIo([&](auto done) {
+    const auto ec = impl_->Read(deadline, [&](auto done) {
       bhttp::async_read_some(impl_->stream.socket(), impl_->buffer, parser,
                              done);
     });
-    if (impl_->watchdog.End()) {
-      result.ec = beast::error::timeout;
-    }
-    if (result.ec == bhttp::error::need_buffer) {
-      result.ec = {};
-    }
-    if (result.ec) {
-      return Failure(result.ec, "response cut from", address_,
-                     Verdict::kMayHaveRun);
+    if (ec && ec != bhttp::error::need_buffer) {
+      return Failure(ec, "response cut from", address_, Verdict::kMayHaveRun);
     }
     const std::size_t n = sizeof(chunk) - parser.get().body().size;
     if (n > 0) {
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -4,7 +4,6 @@
 #include <utility>
 // Keep this after <utility>.
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -54,51 +53,16 @@
   std::function<void()> handler;
 };
 
-// Cancels a read that exceeds its timeout. The stream's own timeout would close
-// the connection before an error response could be sent.
-class ReadTimer {
- public:
-  ReadTimer(asio::io_context& io, beast::tcp_stream& stream, Duration timeout)
-      : state_(std::make_shared<State>(io)) {
-    state_->timer.expires_after(timeout);
-    state_->timer.async_wait(
-        [state = state_, &stream](boost::system::error_code ec) {
-          if (state->active && !ec) {
-            state->expired = true;
-            stream.cancel();
-          }
-        });
-  }
-  ~ReadTimer() {
-    state_->active = false;
-    state_->timer.cancel();
-  }
-  ReadTimer(const ReadTimer&) = delete;
-  ReadTimer& operator=(const ReadTimer&) = delete;
-
-  bool expired() const { return state_->expired; }
-
- private:
-  // Shared with the pending wait, which may outlive the ReadTimer.
-  struct State {
-    explicit State(asio::io_context& io) : timer(io) {}
-    asio::steady_timer timer;
-    bool active = true;
-    bool expired = false;
-  };
-  std::shared_ptr<State> state_;
-};
-
 // Answers one request on its connection and watches for a close by the client
 // meanwhile.
 class ConnectionResponder final : public HttpResponder {
  public:
-  ConnectionResponder(asio::io_context& io,
-                      beast::tcp_stream& stream,
+  ConnectionResponder(beast::tcp_stream& stream,
+                      IoWatchdog& watchdog,
                       const HttpServerLimits& limits,
                       bool keep_alive)
       : stream_(stream),
-        watchdog_(io, stream.socket()),
+        watchdog_(watchdog),
         limits_(limits),
         keep_alive_(keep_alive),
         watch_(std::make_shared<DisconnectWatch>()) {
@@ -119,10 +83,9 @@
     FillHead(message, response.headers);
     message.body() = std::move(response.body);
     message.prepare_payload();
-    stream_.expires_after(limits_.write_timeout);
-    const auto result =
-        AwaitIo([&](auto done) { bhttp::async_write(stream_, message, done); });
-    return HandleWriteResult(result.ec, /*ends_response=*/true);
+    return AwaitWrite(
+        [&](auto done) { bhttp::async_write(stream_.socket(), message, done); },
+        /*ends_response=*/true);
   }
 
   Result<void> StartStream(int status, HttpHeaders headers) override {
@@ -132,37 +95,33 @@
     FillHead(message, headers);
     message.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
-    stream_.expires_after(limits_.write_timeout);
-    const auto result = AwaitIo([&](auto done) {
-      bhttp::async_write_header(stream_, serializer, done);
-    });
-    return HandleWriteResult(result.ec, /*ends_response=*/false);
+    return AwaitWrite(
+        [&](auto done) {
+          bhttp::async_write_header(stream_.socket(), serializer, done);
+        },
+        /*ends_response=*/false);
   }
 
   Result<void> Write(std::string_view chunk) override {
     if (chunk.empty()) {
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
-
-    watchdog_.Begin(std::chrono::steady_clock::now() + limits_.write_timeout);
-    auto result = AwaitIo([&](auto done) {
-      asio::async_write(
-          stream_.socket(),
-          bhttp::make_chunk(asio::buffer(chunk.data(), chunk.size())), done);
-    });
-    if (watchdog_.End()) {
-      result.ec = beast::error::timeout;
-      stream_.close();
-    }
-    return HandleWriteResult(result.ec, /*ends_response=*/false);
+    return AwaitWrite(
+        [&](auto done) {
+          asio::async_write(
+              stream_.socket(),
+              bhttp::make_chunk(asio::buffer(chunk.data(), chunk.size())),
+              done);
+        },
+        /*ends_response=*/false);
   }
 
   Result<void> Finish() override {
-    stream_.expires_after(limits_.write_timeout);
-    const auto result = AwaitIo([&](auto done) {
-      asio::async_write(stream_, bhttp::make_chunk_last(), done);
-    });
-    return HandleWriteResult(result.ec, /*ends_response=*/true);
+    return AwaitWrite(
+        [&](auto done) {
+          asio::async_write(stream_.socket(), bhttp::make_chunk_last(), done);
+        },
+        /*ends_response=*/true);
   }
 
   void Abort() override {
@@ -194,8 +153,16 @@
     message.keep_alive(keep_alive_);
   }
 
-  Result<void> HandleWriteResult(boost::system::error_code ec,
-                                 bool ends_response) {
+  // Runs a write that `start` starts. Closes the connection if the client does
+  // not take the data in time.
+  template <typename Start>
+  Result<void> AwaitWrite(Start start, bool ends_response) {
+    watchdog_.Begin(std::chrono::steady_clock::now() + limits_.write_timeout);
+    auto ec = AwaitIo(start).ec;
+    if (watchdog_.End(ec)) {
+      ec = beast::error::timeout;
+      stream_.close();
+    }
     if (ec) {
       keep_alive_ = false;
       return MakeError(ErrorKind::kUnavailable,
@@ -209,6 +176,11 @@
     stream_.socket().async_wait(
         asio::socket_base::wait_read,
         [this, watch = watch_](boost::system::error_code ec) {
+          if (watch->active && ec == asio::error::operation_aborted) {
+            // The timeout of a write that had just completed cancelled it.
+            WatchForClose();
+            return;
+          }
           if (!watch->active || ec) {
             return;
           }
@@ -231,7 +203,7 @@
   }
 
   beast::tcp_stream& stream_;
-  IoWatchdog watchdog_;
+  IoWatchdog& watchdog_;
   const HttpServerLimits& limits_;
   bool keep_alive_;
   bool started_ = false;
@@ -282,7 +254,15 @@
 
   void AcceptLoop();
   void Serve(asio::ip::tcp::socket socket);
-  bool ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+  /// Waits for the first byte of a request. Returns false if the connection
+  /// ends or none arrives in time.
+  bool AwaitRequest(beast::tcp_stream& stream,
+                    IoWatchdog& watchdog,
+                    beast::flat_buffer& buffer);
+  /// Serves one request. Returns whether the connection may be used again.
+  bool ServeOne(beast::tcp_stream& stream,
+                IoWatchdog& watchdog,
+                beast::flat_buffer& buffer);
   void RefuseMalformed(beast::tcp_stream& stream, boost::system::error_code ec);
 };
 
@@ -318,49 +298,61 @@
   // complete.
   beast::flat_buffer buffer(
       2UL * std::max(limits.max_header_bytes, kMinUnparsedBytes));
+  IoWatchdog watchdog(io, stream.socket());
   connections.insert(&stream);
-  while (!stopping && ServeOne(stream, buffer)) {
+  while (!stopping && ServeOne(stream, watchdog, buffer)) {
   }
   connections.erase(&stream);
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
 }
 
+bool HttpServer::State::AwaitRequest(beast::tcp_stream& stream,
+                                     IoWatchdog& watchdog,
+                                     beast::flat_buffer& buffer) {
+  auto& socket = stream.socket();
+  idle.insert(&stream);
+  IoResult read;
+  boost::system::error_code ec;
+  do {
+    watchdog.Begin(std::chrono::steady_clock::now() + limits.idle_timeout);
+    read = AwaitIo(
+        [&](auto done) { socket.async_read_some(buffer.prepare(1), done); });
+    // The timer may have been handled before input that arrived earlier.
+  } while (watchdog.End(read.ec) && socket.available(ec) > 0);
+  idle.erase(&stream);
+  buffer.commit(read.bytes_transferred);
+  return !read.ec;
+}
+
 bool HttpServer::State::ServeOne(beast::tcp_stream& stream,
+                                 IoWatchdog& watchdog,
                                  beast::flat_buffer& buffer) {
+  if (buffer.size() == 0 && !AwaitRequest(stream, watchdog, buffer)) {
+    return false;
+  }
   bhttp::request_parser<bhttp::string_body> parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
-  if (buffer.size() == 0) {
-    stream.expires_after(limits.idle_timeout);
-    idle.insert(&stream);
-    const auto ready = AwaitIo(
-        [&](auto done) { stream.async_read_some(buffer.prepare(1), done); });
-    idle.erase(&stream);
-    if (ready.ec) {
-      return false;
-    }
-    buffer.commit(ready.bytes_transferred);
+  watchdog.Begin(std::chrono::steady_clock::now() + limits.read_timeout);
+  auto ec = AwaitIo([&](auto done) {
+              bhttp::async_read(stream.socket(), buffer, parser, done);
+            }).ec;
+  if (watchdog.End(ec)) {
+    ec = beast::error::timeout;
   }
-  stream.expires_never();
-  const ReadTimer timer(io, stream, limits.read_timeout);
-  const auto result = AwaitIo(
-      [&](auto done) { bhttp::async_read(stream, buffer, parser, done); });
-  if (result.ec) {
-    RefuseMalformed(stream,
-                    timer.expired() ? beast::error::timeout : result.ec);
+  if (ec) {
+    RefuseMalformed(stream, ec);
     return false;
   }
   const auto message = parser.release();
   HttpRequest request = ToRequest(message);
-  boost::system::error_code ec;
   request.client_ip = stream.socket().remote_endpoint(ec).address().to_string();
   ++requests;
   bool reuse = false;
   {
     const bool keep_alive =
         message.keep_alive() && !stopping && !announce_close;
-    ConnectionResponder responder(io, stream, limits, keep_alive);
-    stream.expires_never();
+    ConnectionResponder responder(stream, watchdog, limits, keep_alive);
     handler(request, responder);
     reuse = responder.finished() && keep_alive;
   }
--- a/packages/http/io_watchdog.h
+++ b/packages/http/io_watchdog.h
@@ -4,9 +4,11 @@
 #ifndef HTTP_IO_WATCHDOG_H_
 #define HTTP_IO_WATCHDOG_H_
 
+#include <chrono>
 #include <memory>
 #include <utility>
 // Keep this after <utility>.
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +19,10 @@
 
 /// Cancels the operations of a socket that are pending at their deadline. The
 /// socket must outlive the watchdog.
+///
+/// An operation can complete at its deadline, above all when the process was
+/// suspended: its result then counts, since input that it has taken from the
+/// socket would be lost otherwise.
 class IoWatchdog {
  public:
   IoWatchdog(boost::asio::io_context& io, boost::asio::ip::tcp::socket& socket)
@@ -33,15 +39,15 @@
     state_->expired = false;
     state_->deadline = deadline;
     if (!state_->armed || deadline < state_->timer.expiry()) {
-      Arm(state_);
+      Arm(state_, deadline);
     }
   }
 
-  /// Ends the watch after the operation has completed. Returns whether it was
-  /// cancelled because its deadline had passed.
-  bool End() {
+  /// Ends the watch after the operation has completed with `ec`. Returns
+  /// whether it was cancelled because its deadline had passed.
+  bool End(const boost::system::error_code& ec) {
     state_->deadline = TimePoint::max();
-    return state_->expired;
+    return state_->expired && ec == boost::asio::error::operation_aborted;
   }
 
  private:
@@ -57,9 +63,14 @@
     bool expired = false;
   };
 
-  static void Arm(const std::shared_ptr<State>& state) {
+  // Interval at which an operation is cancelled until it has completed: one
+  // that consists of several reads or writes may start the next of them after a
+  // cancellation.
+  static constexpr std::chrono::milliseconds kCancelInterval{5};
+
+  static void Arm(const std::shared_ptr<State>& state, TimePoint time) {
     state->armed = true;
-    state->timer.expires_at(state->deadline);
+    state->timer.expires_at(time);
     state->timer.async_wait([state](boost::system::error_code ec) {
       // A cancelled wait was replaced by one with an earlier deadline.
       if (ec || state->socket == nullptr) {
@@ -69,13 +80,15 @@
       if (state->deadline == TimePoint::max()) {
         return;
       }
-      if (std::chrono::steady_clock::now() < state->deadline) {
-        Arm(state);
+      const auto now = std::chrono::steady_clock::now();
+      if (now < state->deadline) {
+        Arm(state, state->deadline);
         return;
       }
       state->expired = true;
       boost::system::error_code ignored;
       state->socket->cancel(ignored);
+      Arm(state, now + kCancelInterval);
     });
   }
 
