http: refuse a message whose transfer coding does not tell its end

Cause: Beast's parser looks only for `chunked` as the last coding. With any other value it finds no body, and what follows is read as the next request of the connection. Ruled out: a body that is parsed and then lost in forwarding; the hidden request had its own answer from the node, so the node parsed it.

Change: all values of the header are decoded by ReadTransferCoding, and only `chunked` alone frames a body. Requests whose end is unknown, and any coding under HTTP/1.0, get 400, codings inside chunks 501; the connection is closed and what follows is discarded. Responses with such a coding, which reached callers with their chunk sizes or compressed, now fail like broken ones, from endpoints as from engines, services and the object store. Frames of peers have their own length.

--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "http/io_watchdog.h"
+#include "http/transfer_coding.h"
 #include "runtime/await.h"
 
 namespace tanagerloom {
@@ -226,6 +227,12 @@
         std::string_view(it.name_string().data(), it.name_string().size()),
         std::string_view(it.value().data(), it.value().size()));
   }
+  const auto coding = ReadTransferCoding(headers_.FindAll("Transfer-Encoding"));
+  if (coding != TransferCoding::kNone && coding != TransferCoding::kChunked) {
+    // The parser would return a body with its coding as if it had none.
+    return Failure(bhttp::error::bad_transfer_encoding, "no response from",
+                   address_, Verdict::kMayHaveRun);
+  }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/packages/http/http_message.cc
+++ b/packages/http/http_message.cc
@@ -33,6 +33,17 @@
   return std::nullopt;
 }
 
+std::vector<std::string_view> HttpHeaders::FindAll(
+    std::string_view name) const {
+  std::vector<std::string_view> out;
+  for (const auto& it : fields_) {
+    if (EqualIgnoringCase(it.name, name)) {
+      out.push_back(it.value);
+    }
+  }
+  return out;
+}
+
 void HttpHeaders::Set(std::string_view name, std::string_view value) {
   std::erase_if(fields_, [&](const HttpHeader& it) {
     return EqualIgnoringCase(it.name, name);
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -25,6 +25,9 @@
   /// The first value of `name`, if present.
   std::optional<std::string_view> Find(std::string_view name) const;
 
+  /// All values of `name`, in their order.
+  std::vector<std::string_view> FindAll(std::string_view name) const;
+
   /// Replaces every value of `name`.
   void Set(std::string_view name, std::string_view value);
 
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -15,6 +15,7 @@
 
 #include "http/http_responder.h"
 #include "http/io_watchdog.h"
+#include "http/transfer_coding.h"
 #include "runtime/await.h"
 
 namespace tanagerloom {
@@ -44,6 +45,60 @@
   return request;
 }
 
+/// Why a request cannot be read, and the status that says so.
+struct MalformedRequest {
+  bhttp::status status = bhttp::status::bad_request;
+  std::string message;
+};
+
+// Returns whether a read failed because the connection was closed.
+bool IsEndOfConnection(boost::system::error_code ec) {
+  return ec == bhttp::error::end_of_stream || ec == asio::error::eof ||
+         ec == asio::error::connection_reset ||
+         ec == asio::error::operation_aborted;
+}
+
+// Returns the problem of a request whose read failed with `ec`.
+MalformedRequest ProblemOf(boost::system::error_code ec,
+                           const HttpServerLimits& limits) {
+  if (ec == bhttp::error::body_limit) {
+    return {bhttp::status::payload_too_large,
+            "the body is larger than " + std::to_string(limits.max_body_bytes) +
+                " bytes"};
+  }
+  if (ec == bhttp::error::header_limit) {
+    return {bhttp::status::request_header_fields_too_large,
+            "the header is larger than " +
+                std::to_string(limits.max_header_bytes) + " bytes"};
+  }
+  if (ec == beast::error::timeout) {
+    return {bhttp::status::request_timeout,
+            "the request did not arrive in time"};
+  }
+  return {bhttp::status::bad_request,
+          "the request is malformed: " + ec.message()};
+}
+
+// Returns the problem of a request whose body has an unknown end or a coding
+// that is not supported. The parser takes such a body for the next request, or
+// passes it on as it is.
+std::optional<MalformedRequest> FramingProblemOf(unsigned version,
+                                                 const HttpRequest& request) {
+  constexpr unsigned kHttp11 = 11;
+  const auto coding =
+      ReadTransferCoding(request.headers.FindAll("Transfer-Encoding"));
+  if (coding == TransferCoding::kNone ||
+      (coding == TransferCoding::kChunked && version >= kHttp11)) {
+    return std::nullopt;
+  }
+  if (coding == TransferCoding::kUnsupported && version >= kHttp11) {
+    return MalformedRequest{bhttp::status::not_implemented,
+                            "the transfer coding is not supported"};
+  }
+  return MalformedRequest{bhttp::status::bad_request,
+                          "the end of the body is unknown"};
+}
+
 // State of the watch for a client that closes its connection while its request
 // is handled. It is shared with the pending wait, which may outlive the
 // responder.
@@ -263,7 +318,9 @@
   bool ServeOne(beast::tcp_stream& stream,
                 IoWatchdog& watchdog,
                 beast::flat_buffer& buffer);
-  void RefuseMalformed(beast::tcp_stream& stream, boost::system::error_code ec);
+  /// Refuses a request that cannot be read, and reads what follows without
+  /// taking it for another one. The connection can't be used again.
+  void Refuse(beast::tcp_stream& stream, const MalformedRequest& problem);
 };
 
 void HttpServer::State::AcceptLoop() {
@@ -340,12 +397,19 @@
   if (watchdog.End(ec)) {
     ec = beast::error::timeout;
   }
+  if (IsEndOfConnection(ec)) {
+    return false;
+  }
   if (ec) {
-    RefuseMalformed(stream, ec);
+    Refuse(stream, ProblemOf(ec, limits));
     return false;
   }
   const auto message = parser.release();
   HttpRequest request = ToRequest(message);
+  if (const auto problem = FramingProblemOf(message.version(), request)) {
+    Refuse(stream, *problem);
+    return false;
+  }
   request.client_ip = stream.socket().remote_endpoint(ec).address().to_string();
   ++requests;
   bool reuse = false;
@@ -360,34 +424,15 @@
   return reuse;
 }
 
-void HttpServer::State::RefuseMalformed(beast::tcp_stream& stream,
-                                        boost::system::error_code ec) {
-  int status = 400;
-  std::string what = "the request is malformed: " + ec.message();
-  if (ec == bhttp::error::end_of_stream || ec == asio::error::eof ||
-      ec == asio::error::connection_reset ||
-      ec == asio::error::operation_aborted) {
-    return;
-  }
-  if (ec == bhttp::error::body_limit) {
-    status = 413;
-    what = "the body is larger than " + std::to_string(limits.max_body_bytes) +
-           " bytes";
-  } else if (ec == bhttp::error::header_limit) {
-    status = 431;
-    what = "the header is larger than " +
-           std::to_string(limits.max_header_bytes) + " bytes";
-  } else if (ec == beast::error::timeout) {
-    status = 408;
-    what = "the request did not arrive in time";
-  }
+void HttpServer::State::Refuse(beast::tcp_stream& stream,
+                               const MalformedRequest& problem) {
   bhttp::response<bhttp::string_body> message;
-  message.result(static_cast<unsigned>(status));
+  message.result(problem.status);
   message.version(11);
   message.set(bhttp::field::content_type, "application/json");
   message.keep_alive(false);
   message.body() = R"({"error":{"code":"malformed_request","message":")" +
-                   what + R"(","verdict":"not_run"}})";
+                   problem.message + R"(","verdict":"not_run"}})";
   message.prepare_payload();
   stream.expires_after(limits.write_timeout);
   AwaitIo([&](auto done) { bhttp::async_write(stream, message, done); });
