http: bodies that one client reads share a limited amount of memory

Report of other operators: a server sent bytes without end, the machine that had called it ran out of memory, and its other clients lost their requests.

Cause: a body is limited to 16 MB, but not the sum of them. Ruled out: heads and bytes that are no answer, which end at the limit of the parser's buffer. Frames of peers are refused by their length (by reading).

Change: HttpClient counts the allocated memory of all bodies that are being read against a budget; a response beyond it fails and its connection is closed. Store and engines have a client, and a budget, each.

Test: error.endless_call, bound half of the memory of the smallest VM, as in error.endless_answer.

--- a/apps/tanagerloomd/fleet_daemon.cc
+++ b/apps/tanagerloomd/fleet_daemon.cc
@@ -27,6 +27,8 @@
 // Events kept in memory. It is low because memory is scarce on these VMs, and
 // the log has all events.
 constexpr std::size_t kMaxEventsInMemory = 100;
+// Fraction of the VM's memory for the responses that one HTTP client reads.
+constexpr std::uint64_t kClientMemoryDivisor = 8;
 
 Result<FleetSettings> ReadSettings(const std::string& path) {
   std::ifstream file(path);
@@ -83,9 +85,12 @@
   EventLog log(settings.node_id, kMaxEventsInMemory, MakeLogger(/*json=*/true));
   SetInvariantLog(&log);
   SteadyClock clock;
-  HttpClient client(runtime.io());
-  platform::StoreClient store(client, clock, settings.store);
-  platform::EngineClient engines(client, clock);
+  // Separate, so that faulty engines leave the store its memory.
+  const auto buffer_bytes = settings.memory_bytes / kClientMemoryDivisor;
+  HttpClient store_client(runtime.io(), buffer_bytes);
+  HttpClient engine_client(runtime.io(), buffer_bytes);
+  platform::StoreClient store(store_client, clock, settings.store);
+  platform::EngineClient engines(engine_client, clock);
   const platform::HeaderProtocol protocol;
   FleetNode node(
       settings,
--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -8,7 +8,7 @@
 
 #include "base/address.h"
 #include "base/verdict.h"
-#include "forwarding/buffer_budget.h"
+#include "http/buffer_budget.h"
 #include "forwarding/request_protocol.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
--- a/packages/forwarding/buffer_budget.h
+++ b/packages/http/buffer_budget.h
@@ -1,7 +1,7 @@
 // Defines BufferBudget and BufferShare, which limit the memory that all
 // requests of a process together use for responses that are not yet forwarded.
-#ifndef FORWARDING_BUFFER_BUDGET_H_
-#define FORWARDING_BUFFER_BUDGET_H_
+#ifndef HTTP_BUFFER_BUDGET_H_
+#define HTTP_BUFFER_BUDGET_H_
 
 #include <cstddef>
 
@@ -14,19 +14,22 @@
  public:
   /// One response may use this fraction of the budget, so that several endless
   /// ones leave room for all others.
-  static constexpr std::size_t kMaxShareDivisor = 8;
+  static constexpr std::size_t kDefaultShareDivisor = 8;
 
-  explicit BufferBudget(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+  explicit BufferBudget(std::size_t max_bytes,
+                        std::size_t share_divisor = kDefaultShareDivisor)
+      : max_bytes_(max_bytes), max_share_bytes_(max_bytes / share_divisor) {}
 
   std::size_t used_bytes() const { return used_bytes_; }
   std::size_t max_bytes() const { return max_bytes_; }
   /// Largest share of one response.
-  std::size_t max_share_bytes() const { return max_bytes_ / kMaxShareDivisor; }
+  std::size_t max_share_bytes() const { return max_share_bytes_; }
 
  private:
   friend class BufferShare;
 
   std::size_t max_bytes_;
+  std::size_t max_share_bytes_;
   std::size_t used_bytes_ = 0;
 };
 
@@ -58,4 +61,4 @@
 
 }  // namespace tanagerloom
 
-#endif  // FORWARDING_BUFFER_BUDGET_H_
+#endif  // HTTP_BUFFER_BUDGET_H_
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -1,6 +1,8 @@
 #include "http/http_client.h"
 
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "http/http_connection.h"
 
@@ -9,18 +11,33 @@
 namespace {
 
 constexpr std::size_t kMaxIdleConnectionsPerAddress = 64;
+// One body may use half of the memory: a client has few large responses.
+constexpr std::size_t kMaxShareDivisor = 2;
 
 }  // namespace
 
-HttpClient::HttpClient(boost::asio::io_context& io)
-    : io_(io), idle_(std::make_shared<IdleConnections>()) {}
+struct HttpClient::State {
+  explicit State(std::size_t buffer_bytes)
+      : buffers(buffer_bytes, kMaxShareDivisor) {}
+
+  std::map<Address, std::vector<std::unique_ptr<HttpConnection>>> idle;
+  BufferBudget buffers;
+};
+
+HttpClient::HttpClient(boost::asio::io_context& io, std::size_t buffer_bytes)
+    : io_(io), state_(std::make_shared<State>(buffer_bytes)) {}
 
 HttpClient::~HttpClient() = default;
 
+std::size_t HttpClient::buffered_bytes() const {
+  return state_->buffers.used_bytes();
+}
+
 std::unique_ptr<HttpConnection> HttpClient::TakeIdleConnection(
     const Address& address) {
-  const auto it = idle_->find(address);
-  while (it != idle_->end() && !it->second.empty()) {
+  auto& idle = state_->idle;
+  const auto it = idle.find(address);
+  while (it != idle.end() && !it->second.empty()) {
     auto connection = std::move(it->second.back());
     it->second.pop_back();
     if (connection->IsUsable()) {
@@ -41,7 +58,7 @@
     BOOST_OUTCOME_TRYV(connection->Connect(options.deadline));
   }
   BOOST_OUTCOME_TRYV(connection->Send(request, options));
-  return std::make_unique<HttpExchange>(std::move(connection), idle_);
+  return std::make_unique<HttpExchange>(std::move(connection), state_);
 }
 
 HttpResult<HttpResponse> HttpClient::Call(const Address& address,
@@ -64,15 +81,16 @@
 }
 
 HttpExchange::HttpExchange(std::unique_ptr<HttpConnection> connection,
-                           std::weak_ptr<HttpClient::IdleConnections> idle)
-    : connection_(std::move(connection)), idle_(std::move(idle)) {}
+                           std::shared_ptr<HttpClient::State> client)
+    : connection_(std::move(connection)),
+      client_(std::move(client)),
+      share_(client_->buffers) {}
 
 HttpExchange::~HttpExchange() {
-  const auto idle = idle_.lock();
-  if (idle == nullptr || !connection_->IsReusable()) {
+  if (!connection_->IsReusable()) {
     return;
   }
-  auto& pool = (*idle)[connection_->address()];
+  auto& pool = client_->idle[connection_->address()];
   if (pool.size() < kMaxIdleConnectionsPerAddress) {
     pool.push_back(std::move(connection_));
   }
@@ -88,7 +106,17 @@
 
 HttpResult<std::size_t> HttpExchange::ReadSome(std::string& out,
                                                TimePoint deadline) {
-  return connection_->ReadSome(out, deadline);
+  BOOST_OUTCOME_TRY(n, connection_->ReadSome(out, deadline));
+  if (!share_.Resize(out.capacity())) {
+    connection_->Close();
+    return HttpFailure{
+        MakeError(ErrorKind::kUnknown, "response unfinished after " +
+                                           std::to_string(out.size()) +
+                                           " buffered bytes, from " +
+                                           connection_->address().ToString()),
+        Verdict::kMayHaveRun};
+  }
+  return n;
 }
 
 bool HttpExchange::complete() const {
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -5,14 +5,13 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "base/address.h"
 #include "base/error.h"
 #include "base/verdict.h"
+#include "http/buffer_budget.h"
 #include "http/http_message.h"
 #include "runtime/clock.h"
 
@@ -51,10 +50,15 @@
   std::function<bool()> may_send = {};
 };
 
-/// HTTP client that keeps a pool of idle connections for each address.
+/// HTTP client that keeps a pool of idle connections for each address. All
+/// bodies that are being read share a limited amount of memory; a response that
+/// would exceed it fails.
 class HttpClient {
  public:
-  explicit HttpClient(boost::asio::io_context& io);
+  static constexpr std::size_t kDefaultBufferBytes = 64UL * 1024 * 1024;
+
+  explicit HttpClient(boost::asio::io_context& io,
+                      std::size_t buffer_bytes = kDefaultBufferBytes);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -75,24 +79,28 @@
   /// without sending a request.
   bool CanConnect(const Address& address, TimePoint deadline);
 
+  /// Memory of the bodies that are being read.
+  std::size_t buffered_bytes() const;
+
  private:
   friend class HttpExchange;
-  using IdleConnections =
-      std::map<Address, std::vector<std::unique_ptr<HttpConnection>>>;
+
+  /// Shared with the exchanges, which may outlive the client.
+  struct State;
 
   /// Removes an idle connection that is still usable from the pool; null if
   /// there is none.
   std::unique_ptr<HttpConnection> TakeIdleConnection(const Address& address);
 
   boost::asio::io_context& io_;
-  std::shared_ptr<IdleConnections> idle_;
+  std::shared_ptr<State> state_;
 };
 
 /// A response whose body is being read.
 class HttpExchange {
  public:
   HttpExchange(std::unique_ptr<HttpConnection> connection,
-               std::weak_ptr<HttpClient::IdleConnections> idle);
+               std::shared_ptr<HttpClient::State> client);
   /// Returns the connection to the pool if the response is complete, and closes
   /// it otherwise.
   ~HttpExchange();
@@ -103,7 +111,8 @@
   const HttpHeaders& headers() const;
 
   /// Appends the next bytes of the body to `out` and returns their number,
-  /// which is 0 at the end of the response. A truncated response is an error.
+  /// which is 0 at the end of the response. A truncated response is an error,
+  /// and so is one for which `out` would use more memory than it may.
   HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
 
   /// Whether the whole response has been read.
@@ -114,7 +123,8 @@
 
  private:
   std::unique_ptr<HttpConnection> connection_;
-  std::weak_ptr<HttpClient::IdleConnections> idle_;
+  std::shared_ptr<HttpClient::State> client_;
+  BufferShare share_;  ///< Of the buffer that the body is read into.
 };
 
 }  // namespace tanagerloom
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -10,7 +10,7 @@
 #include "control/metrics.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
-#include "forwarding/buffer_budget.h"
+#include "http/buffer_budget.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/request_forwarder.h"
--- a/tests/error/endless_answer_test.cc
+++ b/tests/error/endless_answer_test.cc
@@ -3,13 +3,11 @@
 // that keeps such a request beyond its time, or that fails other requests.
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
 #include <boost/fiber/fiber.hpp>
-#include <fstream>
 
 #include "tests/support/forwarding_site.h"
 #include "tests/support/raw_endpoint.h"
+#include "tests/support/resident_memory.h"
 
 namespace tanagerloom {
 namespace {
@@ -18,15 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Memory of this process, in bytes.
-std::size_t ResidentBytes() {
-  std::ifstream statm("/proc/self/statm");
-  std::size_t total = 0;
-  std::size_t resident = 0;
-  statm >> total >> resident;
-  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 const std::string kBlock(4000, 'a');
 const std::string kSealed =
     "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: seal\r\n";
