tests: answers that are cut after any number of their bytes

Report of other operators: a server that closed within the head of its answer was forwarded as a 200 with an empty or short body.

--- a/tests/support/raw_endpoint.h
+++ b/tests/support/raw_endpoint.h
@@ -29,6 +29,8 @@
   std::string repeat;
   /// If set, stands for `head`, and may change between requests.
   const std::string* changing_head = nullptr;
+  /// Whether the connection is reset after `head`, instead of closed.
+  bool reset = false;
 };
 
 /// A server that gives each request the same bytes. It must live until the
@@ -83,7 +85,12 @@
       }
     }
     boost::system::error_code ec;
-    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    if (answer_.reset) {
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+      socket.close(ec);
+    } else {
+      socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    }
     --open_connections_;
   }
 
