node: requests of a planned stop get an answer until the end of the grace

Report of other operators: in a planned stop requests that came late in the grace were passed on and then cut with no answer.

Cause: nothing answered what was in flight when the process ended; requests were passed on however little time was left; and whether a connection stays open was decided when its request arrived, not when its answer was written.

Change: requests in flight at the end of the grace get 504, or 503 if they were sent nowhere; streams are broken off. Responses announce the close by the state at their head.

--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -8,8 +8,8 @@
 
 #include "base/address.h"
 #include "base/verdict.h"
-#include "http/buffer_budget.h"
 #include "forwarding/request_protocol.h"
+#include "http/buffer_budget.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
 #include "runtime/clock.h"
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include "fleet/fleet_view.h"
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/request_times.h"
+#include "forwarding/service_times.h"
 #include "http/http_responder.h"
 #include "registry/fleet_registry.h"
 
@@ -59,10 +60,12 @@
 
 ForwardedRequest::ForwardedRequest(const ForwardingDependencies& deps,
                                    SharedRetryBudgets& budgets,
+                                   ServiceTimes& service_times,
                                    const HttpRequest& request,
                                    HttpResponder& responder)
     : deps_(deps),
       budgets_(budgets),
+      service_times_(service_times),
       request_(request),
       responder_(responder),
       client_(std::make_shared<ClientState>()),
@@ -85,7 +88,7 @@
   WatchClient();
   deps_.demand.OnArrival(service_, profile_.model);
   budgets_[service_].OnRequest(arrived_at_);
-  while (true) {
+  while (!RejectBeforeStop()) {
     const auto target = AwaitEndpoint();
     if (!target || RejectQuarantined() ||
         RunAttempt(*target) == NextStep::kDone) {
@@ -146,6 +149,27 @@
   return true;
 }
 
+bool ForwardedRequest::RejectBeforeStop() {
+  if (!ended_ && !CannotFinishBeforeStop(service_times_.Expected(route_->name),
+                                         deps_.clock.Now(), deps_.stop_at())) {
+    return false;
+  }
+  if (history_.runs == 0) {
+    Refuse(kUnavailable, "node_stops", kRetryAfterBusy);
+  } else {
+    Abandon(/*timed_out=*/false);
+  }
+  return true;
+}
+
+void ForwardedRequest::End() {
+  ended_ = true;
+  if (client_->attempt != nullptr) {
+    client_->attempt->Abort();
+  }
+  deps_.view.changed().Signal();
+}
+
 void ForwardedRequest::WatchClient() {
   responder_.OnClientGone([client = client_, &view = deps_.view] {
     client->gone = true;
@@ -192,7 +216,7 @@
   auto& changed = deps_.view.changed();
   deps_.demand.BeginWait(service_, profile_.model, wait_deadline);
   while (!target && !IsClientGone() && deps_.clock.Now() < wait_deadline &&
-         deps_.clock.Now() < deps_.stop_waiting_at() &&
+         deps_.clock.Now() < LatestStartBeforeStop(deps_.stop_at()) &&
          !deps_.crashes.IsQuarantined(fingerprints_)) {
     const auto seen = changed.count();
     target = chooser_->Choose();
@@ -351,6 +375,7 @@
   auto& health = deps_.view.Health(target.id);
   if (response.status < kFirstServerError) {
     health.OnSuccess(deps_.clock.Now());
+    service_times_.Observe(route_->name, deps_.clock.Now() - sent_at_);
   } else {
     health.OnFailure(deps_.clock.Now());
     fallback_response_ = response;
@@ -450,6 +475,7 @@
   (void)responder_.Finish();
   deps_.crashes.OnCompleted(fingerprints_);
   deps_.view.Health(target.id).OnSuccess(deps_.clock.Now());
+  service_times_.Observe(route_->name, deps_.clock.Now() - sent_at_);
   Finish(attempt.status(), "streamed");
   return NextStep::kDone;
 }
@@ -472,7 +498,8 @@
     const EndpointTarget& target,
     const AttemptError& error) {
   const auto now = deps_.clock.Now();
-  if (error.failure == AttemptFailure::kAborted || IsClientGone()) {
+  const bool aborted = error.failure == AttemptFailure::kAborted && !ended_;
+  if (aborted || IsClientGone()) {
     log_.ClientGone(target.id);
     responder_.Abort();
     return NextStep::kDone;
@@ -483,6 +510,9 @@
   if (error.verdict != Verdict::kNotRun && !already_counted) {
     ++history_.runs;
   }
+  if (ended_) {
+    return Abandon(/*timed_out=*/true);
+  }
   auto& health = deps_.view.Health(target.id);
   if (error.failure == AttemptFailure::kUnreachable) {
     health.OnUnreachable(now);
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -22,6 +22,7 @@
 namespace tanagerloom {
 
 struct ConfigInForce;
+class ServiceTimes;
 class HttpResponder;
 
 /// Routes a request, waits for an endpoint that can run it, sends it there and
@@ -30,6 +31,7 @@
  public:
   ForwardedRequest(const ForwardingDependencies& deps,
                    SharedRetryBudgets& budgets,
+                   ServiceTimes& service_times,
                    const HttpRequest& request,
                    HttpResponder& responder);
   ~ForwardedRequest();
@@ -40,6 +42,10 @@
   /// aborted, when this returns.
   void Run();
 
+  /// Ends the request early because the node stops. Run then answers and
+  /// returns; call it from another fiber.
+  void End();
+
  private:
   /// What to do after an attempt.
   enum class NextStep { kDone, kRetry };
@@ -60,6 +66,9 @@
   /// Ends the request and returns true if it is quarantined. Checked before
   /// each attempt, since the last crash may come while the request waits.
   bool RejectQuarantined();
+  /// Ends the request and returns true if the node stops before an endpoint is
+  /// expected to answer it.
+  bool RejectBeforeStop();
   /// Aborts the attempt in flight when the client disconnects.
   void WatchClient();
 
@@ -124,6 +133,7 @@
 
   const ForwardingDependencies& deps_;
   SharedRetryBudgets& budgets_;
+  ServiceTimes& service_times_;
   const HttpRequest& request_;
   HttpResponder& responder_;
   const std::shared_ptr<ClientState> client_;
@@ -138,6 +148,7 @@
   TimePoint deadline_{};
   std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
 
+  bool ended_ = false;  ///< The node stops.
   RequestHistory history_;
   std::uint32_t sends_ = 0;  ///< Number of times the request was sent.
   EventAssembler event_assembler_;
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -44,8 +44,8 @@
   RetryLimits retry_limits;
   /// Number of live nodes, including this one.
   std::function<std::size_t()> live_nodes;
-  /// Returns the time from which no request may wait because the node stops.
-  std::function<TimePoint()> stop_waiting_at;
+  /// Returns the time at which requests in flight end because the node stops.
+  std::function<TimePoint()> stop_at;
   /// Memory for responses of endpoints.
   BufferBudget& buffers;
 };
--- a/packages/forwarding/request_forwarder.cc
+++ b/packages/forwarding/request_forwarder.cc
@@ -6,9 +6,17 @@
 
 void RequestForwarder::Handle(const HttpRequest& request,
                               HttpResponder& responder) {
-  ++requests_in_flight_;
-  ForwardedRequest(deps_, budgets_, request, responder).Run();
-  --requests_in_flight_;
+  ForwardedRequest forwarded(deps_, budgets_, service_times_, request,
+                             responder);
+  requests_.insert(&forwarded);
+  forwarded.Run();
+  requests_.erase(&forwarded);
+}
+
+void RequestForwarder::EndRequests() {
+  for (auto* it : requests_) {
+    it->End();
+  }
 }
 
 }  // namespace tanagerloom
--- a/packages/forwarding/request_forwarder.h
+++ b/packages/forwarding/request_forwarder.h
@@ -4,12 +4,15 @@
 #define FORWARDING_REQUEST_FORWARDER_H_
 
 #include <cstddef>
+#include <set>
 
 #include "forwarding/forwarding_dependencies.h"
+#include "forwarding/service_times.h"
 
 namespace tanagerloom {
 
 struct HttpRequest;
+class ForwardedRequest;
 class HttpResponder;
 
 /// Handles client requests; each has its response when its call returns.
@@ -21,13 +24,18 @@
   /// Handles one request; call it on the request's fiber.
   void Handle(const HttpRequest& request, HttpResponder& responder);
 
+  /// Ends all requests in flight because the node stops: those that have no
+  /// response yet get one, streams are broken off.
+  void EndRequests();
+
   /// Number of requests that have no complete response yet.
-  std::size_t requests_in_flight() const { return requests_in_flight_; }
+  std::size_t requests_in_flight() const { return requests_.size(); }
 
  private:
   ForwardingDependencies deps_;
   SharedRetryBudgets budgets_;
-  std::size_t requests_in_flight_ = 0;
+  ServiceTimes service_times_;
+  std::set<ForwardedRequest*> requests_;  ///< In flight.
 };
 
 }  // namespace tanagerloom
--- a/packages/forwarding/request_times.h
+++ b/packages/forwarding/request_times.h
@@ -21,6 +21,25 @@
 /// its time is reserved for running it.
 TimePoint LatestStart(TimePoint arrival, TimePoint deadline);
 
+/// Min time between the sending of a request that has waited and the end of a
+/// shutdown. It would be cut off if it were sent later.
+constexpr std::chrono::milliseconds kMinServiceTime{2000};
+
+/// Returns the time until which a request may wait for an endpoint if the node
+/// ends its requests in flight at `stop_at`.
+constexpr TimePoint LatestStartBeforeStop(TimePoint stop_at) {
+  return stop_at - kMinServiceTime;
+}
+
+/// Returns whether the node stops before an endpoint is expected to answer a
+/// request that is sent now. Such a request is refused, so that its client can
+/// send it to another node.
+constexpr bool CannotFinishBeforeStop(Duration expected_time,
+                                      TimePoint now,
+                                      TimePoint stop_at) {
+  return expected_time > stop_at - now;
+}
+
 /// Returns whether an endpoint that has still to read `prompt_tokens` of other
 /// requests, at `tokens_per_ms`, would answer a new one only after most of its
 /// time. Sending it there would only lengthen the endpoint's queue.
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -115,10 +115,12 @@
   ConnectionResponder(beast::tcp_stream& stream,
                       IoWatchdog& watchdog,
                       const HttpServerLimits& limits,
+                      const bool& announce_close,
                       bool keep_alive)
       : stream_(stream),
         watchdog_(watchdog),
         limits_(limits),
+        announce_close_(announce_close),
         keep_alive_(keep_alive),
         watch_(std::make_shared<DisconnectWatch>()) {
     WatchForClose();
@@ -196,7 +198,8 @@
     watch_->handler = std::move(handler);
   }
 
-  bool finished() const { return finished_; }
+  /// Returns whether the response is complete and has left the connection open.
+  bool may_reuse() const { return finished_ && keep_alive_; }
 
  private:
   template <typename Message>
@@ -205,6 +208,8 @@
     for (const auto& it : headers.fields()) {
       message.insert(it.name, it.value);
     }
+    // A stop may have begun since the request arrived.
+    keep_alive_ = keep_alive_ && !announce_close_;
     message.keep_alive(keep_alive_);
   }
 
@@ -260,6 +265,7 @@
   beast::tcp_stream& stream_;
   IoWatchdog& watchdog_;
   const HttpServerLimits& limits_;
+  const bool& announce_close_;  ///< Changes while the request is handled.
   bool keep_alive_;
   bool started_ = false;
   bool finished_ = false;
@@ -301,6 +307,7 @@
   Handler handler;
   asio::ip::tcp::acceptor acceptor;
   bool stopping = false;
+  bool closed = false;  ///< The handler can't be called any more.
   /// Whether responses announce that their connection closes.
   bool announce_close = false;
   std::size_t requests = 0;
@@ -357,7 +364,9 @@
       2UL * std::max(limits.max_header_bytes, kMinUnparsedBytes));
   IoWatchdog watchdog(io, stream.socket());
   connections.insert(&stream);
-  while (!stopping && ServeOne(stream, watchdog, buffer)) {
+  // A client that has been told nothing may send another request at the moment
+  // at which the server stops; it gets a response, which announces the close.
+  while (!closed && ServeOne(stream, watchdog, buffer)) {
   }
   connections.erase(&stream);
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
@@ -404,6 +413,9 @@
     Refuse(stream, ProblemOf(ec, limits));
     return false;
   }
+  if (closed) {
+    return false;
+  }
   const auto message = parser.release();
   HttpRequest request = ToRequest(message);
   if (const auto problem = FramingProblemOf(message.version(), request)) {
@@ -414,11 +426,10 @@
   ++requests;
   bool reuse = false;
   {
-    const bool keep_alive =
-        message.keep_alive() && !stopping && !announce_close;
-    ConnectionResponder responder(stream, watchdog, limits, keep_alive);
+    ConnectionResponder responder(stream, watchdog, limits, announce_close,
+                                  message.keep_alive());
     handler(request, responder);
-    reuse = responder.finished() && keep_alive;
+    reuse = responder.may_reuse();
   }
   --requests;
   return reuse;
@@ -445,6 +456,7 @@
     : state_(std::make_shared<State>(io, limits, std::move(handler))) {}
 
 HttpServer::~HttpServer() {
+  state_->closed = true;
   StopAccepting();
 }
 
@@ -480,6 +492,7 @@
 
 void HttpServer::StopAccepting() {
   state_->stopping = true;
+  state_->announce_close = true;
   boost::system::error_code ec;
   state_->acceptor.close(ec);
   for (auto* it : state_->idle) {
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -10,10 +10,10 @@
 #include "control/metrics.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
-#include "http/buffer_budget.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/request_forwarder.h"
+#include "http/buffer_budget.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
 #include "membership/peer_counters.h"
@@ -59,10 +59,8 @@
 constexpr milliseconds kNotReadyPeriod{2300};
 // Min time between the end of a shutdown and the kill of the process.
 constexpr milliseconds kShutdownMargin{400};
-// Min time between the sending of a request to an endpoint and the end of a
-// shutdown. A request sent later would be broken off; it is refused instead,
-// and its client retries at another node.
-constexpr milliseconds kMinServiceTime{2000};
+// Time in which the responses that end requests in flight are written.
+constexpr milliseconds kFinalResponseTime{200};
 constexpr milliseconds kShutdownPollInterval{20};
 // Min read timeout of a request with its body, since a client may be slow to
 // send a long body. The header has a limit of its own.
@@ -143,7 +141,7 @@
                    crashes, statements, clock, log,
                    settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
-                   [this] { return stop_waiting_at; }, buffers}),
+                   [this] { return stop_at; }, buffers}),
         client_server(
             Runtime::Get().io(),
             HttpServerLimits{},
@@ -170,6 +168,8 @@
   bool IsReady() const;
   void AnswerReadiness(HttpResponder& responder);
   void AnswerControl(const HttpRequest& request, HttpResponder& responder);
+  /// Waits until no request is in flight, but not longer than `deadline`.
+  void AwaitRequestsUntil(TimePoint deadline);
   void Shutdown();
 
   FleetSettings settings;
@@ -193,8 +193,8 @@
   EventMetrics event_metrics{metrics};
   bool reported_ready = false;  ///< Last answer to a readiness check.
   bool stopping = false;
-  /// Time from which no request may wait because the node stops.
-  TimePoint stop_waiting_at = TimePoint::max();
+  /// Time at which requests in flight end because the node stops.
+  TimePoint stop_at = TimePoint::max();
   bool stopped = false;
   EventFlag stop_changed;
 };
@@ -338,23 +338,27 @@
 
 // ---- shutdown
 
+void FleetNode::Parts::AwaitRequestsUntil(TimePoint deadline) {
+  while (client_server.requests_in_flight() > 0 && clock.Now() < deadline) {
+    clock.SleepFor(kShutdownPollInterval);
+  }
+}
+
 void FleetNode::Parts::Shutdown() {
-  const auto started_at = clock.Now();
-  const auto shutdown_deadline =
-      started_at + settings.bounds.shutdown_grace - kShutdownMargin;
-  stop_waiting_at = shutdown_deadline - kMinServiceTime;
+  stop_at = clock.Now() + settings.bounds.shutdown_grace - kShutdownMargin;
   client_server.AnnounceClose();
   peers.AnnounceLeaving();
   lease.Stop();
   orders.Stop();
   clock.SleepFor(kNotReadyPeriod);
   client_server.StopAccepting();
-  while (client_server.requests_in_flight() > 0 &&
-         clock.Now() < shutdown_deadline) {
-    clock.SleepFor(kShutdownPollInterval);
-  }
+  AwaitRequestsUntil(stop_at);
+  const auto unfinished = client_server.requests_in_flight();
+  forwarder.EndRequests();
+  AwaitRequestsUntil(stop_at + kFinalResponseTime);
   log.Record(events::kNodeStopped,
-             {{"requests", client_server.requests_in_flight()}});
+             {{"ended", unfinished},
+              {"requests", client_server.requests_in_flight()}});
   registry.Stop();
   nodes.Stop();
   stopped = true;
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -5,6 +5,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include "forwarding/request_times.h"
 #include "http/http_connection.h"
 #include "tests/support/forwarding_site.h"
 
@@ -314,10 +315,63 @@
 TEST_F(Forwarding, WaitingRequestIsRefusedBeforeTheNodeStops) {
   auto request = site.Request("/stream-once/x");
   request.headers.Set("Model", "m");
-  site.stop_waiting_at = site.clock.Now() + milliseconds(200);
+  const auto stop_waiting_at = site.clock.Now() + milliseconds(200);
+  site.stop_at = stop_waiting_at + kMinServiceTime;
   const auto answer = site.Send(request);
   EXPECT_EQ(answer.assume_value().status, 503);
-  EXPECT_LT(site.clock.Now() - site.stop_waiting_at, milliseconds(300));
+  EXPECT_LT(site.clock.Now() - stop_waiting_at, milliseconds(300));
+}
+
+// Guards against a request that is sent although its node stops before such
+// requests are answered.
+TEST_F(Forwarding, RequestThatCannotFinishBeforeTheNodeStopsIsRefused) {
+  constexpr milliseconds kWorkTime{200};
+  site.SetServe([&](const HttpRequest& request, HttpResponder& responder) {
+    boost::this_fiber::sleep_for(kWorkTime);
+    (void)responder.Send(
+        {200, EndpointStandin::SealedHeaders(request), "done"});
+  });
+  EXPECT_EQ(site.Send(site.Request("/book/x")).assume_value().status, 200);
+  site.stop_at = site.clock.Now() + kWorkTime / 2;
+  const auto refused = site.Send(site.Request("/book/x"));
+  EXPECT_EQ(refused.assume_value().status, 503);
+  EXPECT_TRUE(refused.assume_value().headers.Find("Retry-After"));
+  EXPECT_EQ(site.Runs(), 1U);
+  site.stop_at = site.clock.Now() + seconds(10);
+  EXPECT_EQ(site.Send(site.Request("/book/x")).assume_value().status, 200);
+}
+
+// Guards against a request in flight that is cut when its node stops, and
+// against an answer that wrongly promises that it did not run.
+TEST_F(Forwarding, RequestsInFlightAreAnsweredWhenTheNodeStops) {
+  constexpr milliseconds kWorkTime{1500};
+  site.SetServe([&](const HttpRequest& request, HttpResponder& responder) {
+    if (request.target.starts_with("/stream")) {
+      (void)responder.StartStream(200, EndpointStandin::SealedHeaders(request));
+      (void)responder.Write(EndpointStandin::StreamEvent(1));
+    }
+    boost::this_fiber::sleep_for(kWorkTime);
+    responder.Abort();
+  });
+  int booking = 0;
+  bool stream_complete = true;
+  boost::fibers::fiber book([&] {
+    booking = site.Send(site.Request("/book/x")).assume_value().status;
+  });
+  boost::fibers::fiber stream([&] {
+    stream_complete = site.Send(site.Request("/stream-on/x")).has_value();
+  });
+  ASSERT_TRUE(WaitUntil([&] { return site.Runs() == 2; }));
+  const auto start = site.clock.Now();
+  site.stop_at = start;
+  site.forwarder.EndRequests();
+  book.join();
+  stream.join();
+  EXPECT_LT(site.clock.Now() - start, kWorkTime);
+  EXPECT_EQ(booking, 504);
+  EXPECT_FALSE(stream_complete);
+  EXPECT_EQ(site.Runs(), 2U);
+  EXPECT_EQ(site.Send(site.Request("/read/x")).assume_value().status, 503);
 }
 
 // Guards against sending requests to an endpoint that is draining or no longer
--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -85,7 +85,7 @@
         forwarder({Runtime::Get().io(), registry, view, demand, protocol,
                    crashes, statements, clock, log, retry_limits,
                    [] { return std::size_t{1}; },
-                   [this] { return stop_waiting_at; }, buffers}),
+                   [this] { return stop_at; }, buffers}),
         server(Runtime::Get().io(),
                HttpServerLimits{},
                [this](const HttpRequest& request, HttpResponder& responder) {
@@ -147,7 +147,7 @@
   CrashGuard crashes{peers, clock, log};
   EndpointStatements statements{view, peers, clock, log};
   FleetRegistry registry;
-  TimePoint stop_waiting_at = TimePoint::max();
+  TimePoint stop_at = TimePoint::max();
   RequestForwarder forwarder;
   HttpServer server;
   Address address;
