--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -10,10 +10,10 @@
 #include "base/event_log.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
-#include "http/buffer_budget.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/request_forwarder.h"
+#include "http/buffer_budget.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/entry_decoder.h"
@@ -84,8 +84,8 @@
               std::chrono::milliseconds(50)}}),
         forwarder({Runtime::Get().io(), registry, view, demand, protocol,
                    crashes, statements, clock, log, retry_limits,
-                   [] { return std::size_t{1}; },
-                   [this] { return stop_at; }, buffers}),
+                   [] { return std::size_t{1}; }, [this] { return stop_at; },
+                   buffers}),
         server(Runtime::Get().io(),
                HttpServerLimits{},
                [this](const HttpRequest& request, HttpResponder& responder) {
