--- a/tests/correctness/http_test.cc
+++ b/tests/correctness/http_test.cc
@@ -107,5 +107,24 @@
   }
 }
 
+// Guards against a request that gets no answer because its server stopped while
+// the response before, whose head promised an open connection, was sent.
+TEST_F(HttpTest, RequestAfterAStreamThatOutlastedAStopIsAnswered) {
+  const auto address = Serve([&](const HttpRequest&, HttpResponder& responder) {
+    (void)responder.StartStream(200, {});
+    server_->StopAccepting();
+    (void)responder.Write("served");
+    (void)responder.Finish();
+  });
+  for (const bool closes : {false, true}) {
+    const auto response =
+        client_.Call(address, {"GET", "/", {}, ""}, Options());
+    ASSERT_TRUE(response) << response.assume_error().error.message;
+    EXPECT_EQ(response.assume_value().body, "served");
+    EXPECT_EQ(response.assume_value().headers.Find("Connection") == "close",
+              closes);
+  }
+}
+
 }  // namespace
 }  // namespace tanagerloom
