--- a/testing/harness/node_process.cc
+++ b/testing/harness/node_process.cc
@@ -36,7 +36,8 @@
 
 NodeProcess::NodeProcess(const std::string& folder,
                          const std::string& id,
-                         Address store)
+                         Address store,
+                         int retry_slack)
     : id_(id),
       front_{kLoopback, FreePort()},
       ready_{kLoopback, FreePort()},
@@ -51,6 +52,7 @@
       {"platform", {{"address", store.ToString()}}},
       {"bounds",
        {{"graceS", kNodeGrace.count()},
+        {"retrySlack", retry_slack},
         {"leaseMs", kNodeHandoverGap.count()}}}};
   std::ofstream(path_) << settings.dump();
   Start();
--- a/testing/harness/node_process.h
+++ b/testing/harness/node_process.h
@@ -35,8 +35,13 @@
 /// A node process with its settings file and its ports.
 class NodeProcess {
  public:
-  /// Writes the settings into `folder` and starts the node.
-  NodeProcess(const std::string& folder, const std::string& id, Address store);
+  /// Writes the settings into `folder` and starts the node. `retry_slack` is
+  /// the number of retries that the fleet may send beside those in proportion
+  /// to its requests.
+  NodeProcess(const std::string& folder,
+              const std::string& id,
+              Address store,
+              int retry_slack = 50);
   ~NodeProcess();
 
   /// Starts the node, also after its process has ended. A running process is
--- a/tests/support/fault_relay.h
+++ b/tests/support/fault_relay.h
@@ -11,7 +11,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <chrono>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "runtime/await.h"
@@ -45,6 +47,9 @@
   /// whose process was paused.
   void SetPaused(bool paused) { paused_ = paused; }
 
+  /// Delivers each block of data in two parts, this long apart.
+  void SetSplitDelay(std::chrono::milliseconds delay) { split_delay_ = delay; }
+
   /// Closes all connections. While set, closes each new one as well.
   void SetDisconnected(bool disconnected) {
     disconnected_ = disconnected;
@@ -119,11 +124,7 @@
         if (connection->silent[direction]) {
           continue;
         }
-        const auto written = AwaitIo([&](auto done) {
-          boost::asio::async_write(
-              to, boost::asio::buffer(buf, read.bytes_transferred), done);
-        });
-        if (written.ec) {
+        if (!Deliver({buf, read.bytes_transferred}, to)) {
           connection->Close();
           return;
         }
@@ -131,10 +132,31 @@
     }).detach();
   }
 
+  // Writes a block of data; returns false if the receiver has closed.
+  bool Deliver(std::string_view block, Socket& to) const {
+    const auto write = [&to](std::string_view data) {
+      const auto written = AwaitIo([&](auto done) {
+        boost::asio::async_write(
+            to, boost::asio::buffer(data.data(), data.size()), done);
+      });
+      return !written.ec;
+    };
+    if (split_delay_.count() == 0 || block.size() < 2) {
+      return write(block);
+    }
+    const auto half = block.size() / 2;
+    if (!write(block.substr(0, half))) {
+      return false;
+    }
+    boost::this_fiber::sleep_for(split_delay_);
+    return write(block.substr(half));
+  }
+
   std::uint16_t target_port_;
   std::uint16_t port_ = 0;
   bool disconnected_ = false;
   bool paused_ = false;
+  std::chrono::milliseconds split_delay_{0};
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
