--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -26,7 +26,8 @@
   HttpResult<void> Send(const HttpRequest& request,
                         const HttpCallOptions& options);
   /// Appends the next bytes of the body to `out` and returns their number,
-  /// which is 0 at the end of the response. After a timeout it may be called
+  /// which is 0 at the end of the response. Input that had arrived by the
+  /// deadline is returned also after it. After a timeout it may be called
   /// again.
   HttpResult<std::size_t> ReadSome(std::string& out, TimePoint deadline);
 
