--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -91,6 +91,10 @@
                                                  "request_crashed_endpoint"};
 inline constexpr EventId kRequestQuarantined{412, Severity::kWarning,
                                              "request_quarantined"};
+inline constexpr EventId kCrashCountReset{413, Severity::kInfo,
+                                          "crash_count_reset"};
+inline constexpr EventId kCrashNotCounted{414, Severity::kInfo,
+                                          "crash_not_counted"};
 inline constexpr EventId kConfigurationInForce{500, Severity::kInfo,
                                                "configuration_in_force"};
 inline constexpr EventId kConfigurationApplied{501, Severity::kInfo,
--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -112,9 +112,13 @@
       std::max(entry.expires_at, now + std::min(valid, kRetention));
 }
 
-bool CrashSuspects::IsSuspected(std::uint64_t fingerprint) const {
+std::uint32_t CrashSuspects::CrashesOf(std::uint64_t fingerprint) const {
   const auto it = entries_.find(fingerprint);
-  return it != entries_.end() && it->second.crashes > 0;
+  return it == entries_.end() ? 0 : it->second.crashes;
+}
+
+bool CrashSuspects::IsSuspected(std::uint64_t fingerprint) const {
+  return CrashesOf(fingerprint) > 0;
 }
 
 bool CrashSuspects::IsQuarantined(std::uint64_t fingerprint,
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -59,6 +59,9 @@
                 Duration valid,
                 TimePoint now);
 
+  /// Returns the number of crashes counted since the last proof.
+  std::uint32_t CrashesOf(std::uint64_t fingerprint) const;
+
   /// Returns whether a crash was counted since the last proof.
   bool IsSuspected(std::uint64_t fingerprint) const;
 
--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -117,7 +117,18 @@
   }
 }
 
+void CrashGuard::RecordReset(std::uint64_t fingerprint,
+                             std::uint32_t crashes,
+                             std::string_view source) {
+  if (crashes > 0) {
+    log_.Record(events::kCrashCountReset, {{"fingerprint", fingerprint},
+                                           {"crashes", crashes},
+                                           {"source", source}});
+  }
+}
+
 void CrashGuard::Prove(std::uint64_t fingerprint) {
+  RecordReset(fingerprint, suspects_.CrashesOf(fingerprint), "run");
   if (suspects_.OnProof(fingerprint, clock_.Now())) {
     Announce({fingerprint, 0, CrashSuspects::kRetention});
   }
@@ -138,6 +149,10 @@
 }
 
 void CrashGuard::OnNotice(const CrashNotice& notice) {
+  if (notice.crashes == 0) {
+    RecordReset(notice.fingerprint, suspects_.CrashesOf(notice.fingerprint),
+                "peer");
+  }
   suspects_.OnNotice(notice.fingerprint, notice.crashes,
                      std::chrono::milliseconds(notice.valid_ms), clock_.Now());
 }
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -85,6 +85,11 @@
   std::uint32_t Count(std::uint64_t fingerprint, Duration min_interval);
   void Announce(const SuspectCount& count);
   void Prove(std::uint64_t fingerprint);
+  /// Records that the count of a fingerprint was reset from `crashes`, if there
+  /// was one.
+  void RecordReset(std::uint64_t fingerprint,
+                   std::uint32_t crashes,
+                   std::string_view source);
 
   PeerNetwork& peers_;
   Clock& clock_;
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -4,6 +4,8 @@
 #include <boost/fiber/fiber.hpp>
 #include <utility>
 
+#include "base/event_log.h"
+#include "base/events.h"
 #include "base/id.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
@@ -501,6 +503,12 @@
   const bool aborted = error.failure == AttemptFailure::kAborted && !ended_;
   if (aborted || IsClientGone()) {
     log_.ClientGone(target.id);
+    if (error.failure == AttemptFailure::kBroken) {
+      deps_.log.Record(events::kCrashNotCounted,
+                       {{"request", profile_.attempt_id},
+                        {"endpoint", target.id},
+                        {"reason", "client_gone"}});
+    }
     responder_.Abort();
     return NextStep::kDone;
   }
@@ -584,6 +592,11 @@
                             address);
     if (!attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
       deps.crashes.OnCrash(crash);
+    } else {
+      deps.log.Record(events::kCrashNotCounted,
+                      {{"request", crash.request},
+                       {"endpoint", crash.endpoint},
+                       {"reason", "endpoint_reachable"}});
     }
   };
   if (deps_.crashes.IsSuspected(fingerprints_)) {
