--- a/tests/correctness/crash_guard_test.cc
+++ b/tests/correctness/crash_guard_test.cc
@@ -10,31 +10,16 @@
 #include "base/event_log.h"
 #include "fleet/request_profile.h"
 #include "http/http_message.h"
-#include "tests/fakes/fake_peers.h"
 #include "tests/fakes/virtual_clock.h"
+#include "tests/support/crash_guard_node.h"
 
 namespace tanagerloom {
 namespace {
 
-// One node with its crash counts.
-struct Node {
-  Node(FakeCluster& cluster, Clock& clock, EventLog& log, std::string id)
-      : peers(cluster, std::move(id), "z"), guard(peers, clock, log) {
-    peers.OnMessage([this](const std::string&, const PeerMessage& message) {
-      if (const auto* it = std::get_if<CrashNotice>(&message)) {
-        guard.OnNotice(*it);
-      }
-    });
-  }
-
-  FakePeers peers;
-  CrashGuard guard;
-};
-
 class CrashGuardTest : public testing::Test {
  protected:
   // Counts as many crashes at `node` as are needed to refuse the request.
-  void Quarantine(Node& node) {
+  void Quarantine(CrashGuardNode& node) {
     for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
       node.guard.OnCrash({"id-1", "i-a", fingerprints, false});
     }
@@ -50,9 +35,9 @@
 // Guards against a node that sends a request on that the other nodes refuse,
 // because it started after the last crash.
 TEST_F(CrashGuardTest, NodeThatStartedLaterLearnsOfTheQuarantine) {
-  Node first(cluster, clock, log, "n-1");
+  CrashGuardNode first(cluster, clock, log, "n-1");
   Quarantine(first);
-  Node second(cluster, clock, log, "n-2");
+  CrashGuardNode second(cluster, clock, log, "n-2");
   EXPECT_FALSE(second.guard.IsQuarantined(fingerprints));
   first.guard.AnnounceQuarantined();
   EXPECT_TRUE(second.guard.IsQuarantined(fingerprints));
@@ -61,8 +46,8 @@
 // Guards against the same after a cut in which the notices of the crashes were
 // lost.
 TEST_F(CrashGuardTest, NodeThatWasCutOffLearnsOfTheQuarantine) {
-  Node first(cluster, clock, log, "n-1");
-  Node second(cluster, clock, log, "n-2");
+  CrashGuardNode first(cluster, clock, log, "n-1");
+  CrashGuardNode second(cluster, clock, log, "n-2");
   cluster.deliver = [](const std::string&, const std::string&) {
     return false;
   };
@@ -75,8 +60,8 @@
 // Guards against a quarantine that never ends because the nodes announce it to
 // each other again and again.
 TEST_F(CrashGuardTest, AnnouncementsDoNotProlongAQuarantine) {
-  Node first(cluster, clock, log, "n-1");
-  Node second(cluster, clock, log, "n-2");
+  CrashGuardNode first(cluster, clock, log, "n-1");
+  CrashGuardNode second(cluster, clock, log, "n-2");
   Quarantine(first);
   for (auto waited = Duration(0); waited < CrashSuspects::kRetention;
        waited += std::chrono::seconds(30)) {
@@ -91,8 +76,8 @@
 // Guards against a suspicion that stays at other nodes after the request has
 // run without a crash.
 TEST_F(CrashGuardTest, CompletedRequestIsNoLongerSuspectedAnywhere) {
-  Node first(cluster, clock, log, "n-1");
-  Node second(cluster, clock, log, "n-2");
+  CrashGuardNode first(cluster, clock, log, "n-1");
+  CrashGuardNode second(cluster, clock, log, "n-2");
   first.guard.OnCrash({"id-1", "i-a", fingerprints, false});
   EXPECT_TRUE(second.guard.IsSuspected(fingerprints));
   first.guard.OnCompleted(fingerprints);
@@ -128,8 +113,8 @@
   EngineCrashes(std::uint32_t seed, double deadly_share)
       : random_(seed), deadly_share_(deadly_share) {
     for (std::size_t i = 0; i < kNodes; ++i) {
-      nodes_.push_back(std::make_unique<Node>(cluster_, clock_, log_,
-                                              "n-" + std::to_string(i)));
+      nodes_.push_back(std::make_unique<CrashGuardNode>(
+          cluster_, clock_, log_, "n-" + std::to_string(i)));
     }
   }
 
@@ -211,7 +196,7 @@
   EventLog log_{"test", 1000, MakeNullLogger()};
   std::mt19937 random_;
   double deadly_share_;
-  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<CrashGuardNode>> nodes_;
   std::vector<Engine> engines_{kEngines};
   int crashes_ = 0;
 };
