forwarding: crashes that several nodes see at one moment add up

Cause: nodes exchanged counts, and the higher one won. Three nodes counted the three crashes of one moment as 1, 2 and 2, below the limit of three. Change: nodes exchange the crashes themselves, by the id of the run that ended and with their age, and each adds those that it does not know. So crashes of one moment, and those that were counted during a cut, add up; one that is announced again counts once. Requests and parts of prompts have a table each. In that of parts, which many requests share, crashes less than 100 ms apart still count once. Nodes of the version before send no ids; their counts are not added. The tests of CrashSuspects pass crashes instead of counts; what they check is the same, and one more bounds the crashes that are kept.

--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -24,7 +24,8 @@
   if (entry.expires_at <= now) {
     return 0;
   }
-  const double left = entry.crashes - std::floor(ProofWeight(entry, now));
+  const double left = static_cast<double>(entry.crashes.size()) -
+                      std::floor(ProofWeight(entry, now));
   return left > 0 ? static_cast<std::uint32_t>(left) : 0;
 }
 
@@ -53,18 +54,31 @@
   return entries_[fingerprint];
 }
 
+void CrashSuspects::AddCrash(Entry& entry, const SuspectCrash& crash) const {
+  const auto is_known = [&](const SuspectCrash& it) {
+    return it.id == crash.id;
+  };
+  if (std::ranges::any_of(entry.crashes, is_known)) {
+    return;
+  }
+  entry.expires_at = std::max(entry.expires_at, crash.at + kRetention);
+  const auto is_close = [&](const SuspectCrash& it) {
+    return std::chrono::abs(it.at - crash.at) < min_interval_;
+  };
+  if (entry.crashes.size() < kMaxCrashes &&
+      std::ranges::none_of(entry.crashes, is_close)) {
+    entry.crashes.push_back(crash);
+  }
+}
+
 std::uint32_t CrashSuspects::OnCrash(std::uint64_t fingerprint,
-                                     TimePoint now,
-                                     Duration min_interval) {
+                                     std::uint64_t crash_id,
+                                     TimePoint now) {
   auto& entry = MakeRoomFor(fingerprint, now);
   if (entry.expires_at <= now) {
-    entry.crashes = 0;
+    entry.crashes.clear();
   }
-  if (entry.crashes == 0 || now - entry.crashed_at >= min_interval) {
-    ++entry.crashes;
-    entry.crashed_at = now;
-  }
-  entry.expires_at = now + kRetention;
+  AddCrash(entry, {crash_id, now});
   const auto count = EffectiveCrashes(entry, now);
   entry.announced = entry.announced || count > 0;
   return count;
@@ -77,7 +91,7 @@
   }
   entry->proofs = ProofWeight(*entry, now) + 1;
   entry->proven_at = now;
-  entry->crashes = 0;
+  entry->crashes.clear();
   // The weight of one proof is gone after some half-lives.
   constexpr int kProofRetention = 6;
   entry->expires_at = now + kProofRetention * kProofHalfLife;
@@ -85,36 +99,34 @@
 }
 
 void CrashSuspects::OnNotice(std::uint64_t fingerprint,
-                             std::uint32_t crashes,
-                             Duration valid,
+                             std::span<const SuspectCrash> crashes,
                              TimePoint now) {
-  if (crashes == 0) {
-    const auto it = entries_.find(fingerprint);
-    if (it != entries_.end()) {
-      it->second.crashes = 0;
-      it->second.announced = false;
-    }
-    return;
-  }
   auto& entry = MakeRoomFor(fingerprint, now);
   if (entry.proofs > 0 && now - entry.proven_at < kProofValidity) {
     return;
   }
   if (entry.expires_at <= now) {
-    entry.crashes = 0;
+    entry.crashes.clear();
   }
-  if (crashes > entry.crashes) {
-    entry.crashes = crashes;
-    entry.crashed_at = now;
+  for (const auto& it : crashes) {
+    AddCrash(entry, it);
   }
   entry.announced = true;
-  entry.expires_at =
-      std::max(entry.expires_at, now + std::min(valid, kRetention));
+}
+
+void CrashSuspects::OnReset(std::uint64_t fingerprint) {
+  const auto it = entries_.find(fingerprint);
+  if (it != entries_.end()) {
+    it->second.crashes.clear();
+    it->second.announced = false;
+  }
 }
 
 std::uint32_t CrashSuspects::CrashesOf(std::uint64_t fingerprint) const {
   const auto it = entries_.find(fingerprint);
-  return it == entries_.end() ? 0 : it->second.crashes;
+  return it == entries_.end()
+             ? 0
+             : static_cast<std::uint32_t>(it->second.crashes.size());
 }
 
 bool CrashSuspects::IsSuspected(std::uint64_t fingerprint) const {
@@ -128,12 +140,24 @@
          EffectiveCrashes(it->second, now) >= kCrashLimit;
 }
 
-std::vector<SuspectCount> CrashSuspects::Quarantined(TimePoint now) const {
-  std::vector<SuspectCount> out;
+Suspect CrashSuspects::MakeSuspect(std::uint64_t fingerprint,
+                                   const Entry& entry,
+                                   TimePoint now) {
+  return {fingerprint, EffectiveCrashes(entry, now), entry.expires_at - now,
+          entry.crashes};
+}
+
+Suspect CrashSuspects::Find(std::uint64_t fingerprint, TimePoint now) const {
+  const auto it = entries_.find(fingerprint);
+  return it == entries_.end() ? Suspect{fingerprint, 0, Duration(0), {}}
+                              : MakeSuspect(fingerprint, it->second, now);
+}
+
+std::vector<Suspect> CrashSuspects::Quarantined(TimePoint now) const {
+  std::vector<Suspect> out;
   for (const auto& [fingerprint, entry] : entries_) {
-    const auto crashes = EffectiveCrashes(entry, now);
-    if (crashes >= kCrashLimit) {
-      out.push_back({fingerprint, crashes, entry.expires_at - now});
+    if (EffectiveCrashes(entry, now) >= kCrashLimit) {
+      out.push_back(MakeSuspect(fingerprint, entry, now));
     }
   }
   return out;
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -1,4 +1,4 @@
-// Defines CrashSuspects, which counts how many endpoint crashes followed the
+// Defines CrashSuspects, which counts the endpoint crashes that followed the
 // same kind of request, over all nodes. Requests that crash every endpoint they
 // reach are refused instead of taking down one endpoint after another.
 #ifndef FLEET_CRASH_SUSPECTS_H_
@@ -6,22 +6,31 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
 #include "runtime/clock.h"
 
 namespace tanagerloom {
 
-/// The crash count of one fingerprint.
-struct SuspectCount {
+/// A crash that followed a request. All nodes know it by the same id.
+struct SuspectCrash {
+  std::uint64_t id = 0;
+  TimePoint at{};
+};
+
+/// The crashes of one fingerprint since the last proof.
+struct Suspect {
   std::uint64_t fingerprint = 0;
-  std::uint32_t crashes = 0;
-  Duration valid{};  ///< Time until the count expires.
+  std::uint32_t count = 0;  ///< Crashes that recent proofs do not outweigh.
+  Duration valid{};         ///< Time until the crashes expire.
+  std::vector<SuspectCrash> crashes;
 };
 
-/// Crash counts by fingerprint: of a whole request, or of a part of it that
-/// other requests share. Nodes exchange the counts, so that a fingerprint which
-/// reaches kCrashLimit at one node is refused at every node.
+/// Crashes by fingerprint: of whole requests, or of parts of them that other
+/// requests share. Nodes exchange the crashes by id, so that those that several
+/// nodes see at one moment add up, and a crash that is announced again counts
+/// once. A fingerprint that reaches kCrashLimit is refused at every node.
 ///
 /// A run without a crash proves a fingerprint harmless: its count starts again
 /// at zero, and recent proofs are set against later crashes. So requests that
@@ -39,26 +48,32 @@
   static constexpr Duration kProofValidity = std::chrono::seconds(2);
   /// Maximum number of fingerprints kept, which bounds the memory used.
   static constexpr std::size_t kMaxFingerprints = 4096;
+  /// Maximum number of crashes kept for a fingerprint.
+  static constexpr std::size_t kMaxCrashes = 16;
+
+  /// Of crashes that are less than `min_interval` apart, one counts.
+  explicit CrashSuspects(Duration min_interval = Duration(0))
+      : min_interval_(min_interval) {}
 
-  /// Counts a crash that followed a request with the fingerprint, unless one
-  /// was counted within `min_interval`. Returns the count that the caller
-  /// announces to the other nodes; 0 if recent proofs outweigh it.
+  /// Counts a crash that followed a request with the fingerprint. Returns the
+  /// count; 0 if recent proofs outweigh it.
   std::uint32_t OnCrash(std::uint64_t fingerprint,
-                        TimePoint now,
-                        Duration min_interval = Duration(0));
+                        std::uint64_t crash_id,
+                        TimePoint now);
 
   /// A request with the fingerprint ran without a crash. Returns whether this
   /// reset a count that was announced before. Without room for the fingerprint,
   /// the proof is dropped.
   bool OnProof(std::uint64_t fingerprint, TimePoint now);
 
-  /// Merges the count of another node, which is valid for `valid`; the higher
-  /// count wins. 0 resets the count.
+  /// Adds the crashes that another node knows of.
   void OnNotice(std::uint64_t fingerprint,
-                std::uint32_t crashes,
-                Duration valid,
+                std::span<const SuspectCrash> crashes,
                 TimePoint now);
 
+  /// Resets the count after a proof at another node.
+  void OnReset(std::uint64_t fingerprint);
+
   /// Returns the number of crashes counted since the last proof.
   std::uint32_t CrashesOf(std::uint64_t fingerprint) const;
 
@@ -68,13 +83,15 @@
   /// Returns whether requests with the fingerprint must be refused.
   bool IsQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
-  /// Returns the counts of the fingerprints that must be refused.
-  std::vector<SuspectCount> Quarantined(TimePoint now) const;
+  /// Returns what is known of a fingerprint.
+  Suspect Find(std::uint64_t fingerprint, TimePoint now) const;
+
+  /// Returns the fingerprints that must be refused.
+  std::vector<Suspect> Quarantined(TimePoint now) const;
 
  private:
   struct Entry {
-    std::uint32_t crashes = 0;  ///< Since the last proof.
-    TimePoint crashed_at{};
+    std::vector<SuspectCrash> crashes;  ///< Since the last proof.
     double proofs = 0;  ///< Weight of the proofs at `proven_at`.
     TimePoint proven_at{};
     bool announced = false;  ///< Other nodes may know the count.
@@ -84,11 +101,17 @@
   /// Returns the crashes that recent proofs do not outweigh.
   static std::uint32_t EffectiveCrashes(const Entry& entry, TimePoint now);
   static double ProofWeight(const Entry& entry, TimePoint now);
+  static Suspect MakeSuspect(std::uint64_t fingerprint,
+                             const Entry& entry,
+                             TimePoint now);
+  /// Adds a crash that is not known yet.
+  void AddCrash(Entry& entry, const SuspectCrash& crash) const;
   /// Returns the entry of a fingerprint. Adds it if there is room for it.
   Entry* FindOrAdd(std::uint64_t fingerprint, TimePoint now);
   /// As FindOrAdd, but removes another entry if there is no room.
   Entry& MakeRoomFor(std::uint64_t fingerprint, TimePoint now);
 
+  Duration min_interval_;
   std::map<std::uint64_t, Entry> entries_;
   /// When expired entries are removed next, if there is no room.
   TimePoint next_prune_at_{};
--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -14,6 +14,9 @@
 
 namespace {
 
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
 // Max number of counts that are announced again at one time; the others follow
 // the next time.
 constexpr std::size_t kMaxAnnounced = 64;
@@ -21,7 +24,7 @@
 constexpr std::size_t kMaxPromptParts = 16;
 // Crashes closer together count once for a part that many requests share:
 // several endpoints can fail together for another reason.
-constexpr std::chrono::milliseconds kSameCrash{100};
+constexpr milliseconds kSameCrash{100};
 
 }  // namespace
 
@@ -44,57 +47,106 @@
   return out;
 }
 
+CrashGuard::CrashGuard(PeerNetwork& peers, Clock& clock, EventLog& log)
+    : peers_(peers), clock_(clock), log_(log), prompt_parts_(kSameCrash) {}
+
 bool CrashGuard::IsQuarantined(const RequestFingerprints& fingerprints) const {
   const auto now = clock_.Now();
-  return suspects_.IsQuarantined(fingerprints.request, now) ||
+  return requests_.IsQuarantined(fingerprints.request, now) ||
          std::ranges::any_of(fingerprints.prompt_parts, [&](const auto& it) {
-           return suspects_.IsQuarantined(it.value, now);
+           return prompt_parts_.IsQuarantined(it.value, now);
          });
 }
 
 bool CrashGuard::IsSuspected(const RequestFingerprints& fingerprints) const {
-  return suspects_.IsSuspected(fingerprints.request) ||
+  return requests_.IsSuspected(fingerprints.request) ||
          std::ranges::any_of(fingerprints.prompt_parts, [&](const auto& it) {
-           return suspects_.IsSuspected(it.value);
+           return prompt_parts_.IsSuspected(it.value);
          });
 }
 
-void CrashGuard::Announce(const SuspectCount& count) {
-  const auto valid =
-      std::chrono::duration_cast<std::chrono::milliseconds>(count.valid);
-  peers_.Broadcast(CrashNotice{count.fingerprint, count.crashes,
-                               static_cast<std::uint64_t>(valid.count())});
+// ---- exchange with the peers
+
+void CrashGuard::Announce(const CrashSuspects& table, const Suspect& suspect) {
+  const auto now = clock_.Now();
+  CrashNotice notice{suspect.fingerprint,
+                     suspect.count,
+                     static_cast<std::uint64_t>(
+                         duration_cast<milliseconds>(suspect.valid).count()),
+                     &table == &prompt_parts_,
+                     {}};
+  for (const auto& it : suspect.crashes) {
+    const auto age = duration_cast<milliseconds>(now - it.at);
+    notice.observed.push_back({it.id, static_cast<std::uint32_t>(age.count())});
+  }
+  peers_.Broadcast(notice);
 }
 
 void CrashGuard::AnnounceQuarantined() {
-  const auto counts = suspects_.Quarantined(clock_.Now());
-  for (std::size_t i = 0; i < std::min(counts.size(), kMaxAnnounced); ++i) {
-    Announce(counts[(next_announced_ + i) % counts.size()]);
+  const auto now = clock_.Now();
+  const auto requests = requests_.Quarantined(now);
+  const auto parts = prompt_parts_.Quarantined(now);
+  const auto n = requests.size() + parts.size();
+  for (std::size_t i = 0; i < std::min(n, kMaxAnnounced); ++i) {
+    const auto k = (next_announced_ + i) % n;
+    if (k < requests.size()) {
+      Announce(requests_, requests[k]);
+    } else {
+      Announce(prompt_parts_, parts[k - requests.size()]);
+    }
   }
   next_announced_ += kMaxAnnounced;
 }
 
+void CrashGuard::OnNotice(const CrashNotice& notice) {
+  auto& table = notice.prompt_part ? prompt_parts_ : requests_;
+  if (notice.crashes == 0) {
+    RecordReset(table, notice.fingerprint, "peer");
+    table.OnReset(notice.fingerprint);
+    return;
+  }
+  const auto now = clock_.Now();
+  std::vector<SuspectCrash> crashes;
+  for (const auto& it : notice.observed) {
+    crashes.push_back({it.id, now - milliseconds(it.age_ms)});
+  }
+  const bool refused = table.IsQuarantined(notice.fingerprint, now);
+  table.OnNotice(notice.fingerprint, crashes, now);
+  RecordQuarantine(table, notice.fingerprint, refused);
+}
+
 std::size_t CrashGuard::QuarantinedCount() const {
-  return suspects_.Quarantined(clock_.Now()).size();
+  const auto now = clock_.Now();
+  return requests_.Quarantined(now).size() +
+         prompt_parts_.Quarantined(now).size();
 }
 
-std::uint32_t CrashGuard::Count(std::uint64_t fingerprint,
-                                Duration min_interval) {
+// ---- crashes
+
+void CrashGuard::RecordQuarantine(const CrashSuspects& table,
+                                  std::uint64_t fingerprint,
+                                  bool refused) {
   const auto now = clock_.Now();
-  const bool refused = suspects_.IsQuarantined(fingerprint, now);
-  const auto crashes = suspects_.OnCrash(fingerprint, now, min_interval);
-  if (crashes > 0) {
-    Announce({fingerprint, crashes, CrashSuspects::kRetention});
+  if (refused || !table.IsQuarantined(fingerprint, now)) {
+    return;
   }
-  if (!refused && suspects_.IsQuarantined(fingerprint, now)) {
-    log_.Record(events::kRequestQuarantined,
-                {{"fingerprint", fingerprint},
-                 {"crashes", crashes},
-                 {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                            CrashSuspects::kRetention)
-                            .count()}});
+  const auto suspect = table.Find(fingerprint, now);
+  log_.Record(events::kRequestQuarantined,
+              {{"fingerprint", fingerprint},
+               {"crashes", suspect.count},
+               {"ms", duration_cast<milliseconds>(suspect.valid).count()}});
+}
+
+std::uint32_t CrashGuard::Count(CrashSuspects& table,
+                                std::uint64_t fingerprint) {
+  const auto now = clock_.Now();
+  const bool refused = table.IsQuarantined(fingerprint, now);
+  const auto count = table.OnCrash(fingerprint, RandomU64(), now);
+  if (count > 0) {
+    Announce(table, table.Find(fingerprint, now));
   }
-  return crashes;
+  RecordQuarantine(table, fingerprint, refused);
+  return count;
 }
 
 void CrashGuard::OnCrash(const EndpointCrash& crash) {
@@ -103,7 +155,7 @@
               {{"request", crash.request},
                {"endpoint", crash.endpoint},
                {"fingerprint", fingerprint},
-               {"crashes", Count(fingerprint, Duration(0))}});
+               {"crashes", Count(requests_, fingerprint)}});
   if (crash.answering) {
     return;
   }
@@ -113,13 +165,16 @@
                  {"endpoint", crash.endpoint},
                  {"prompt_part", it.part},
                  {"fingerprint", it.value},
-                 {"crashes", Count(it.value, kSameCrash)}});
+                 {"crashes", Count(prompt_parts_, it.value)}});
   }
 }
 
-void CrashGuard::RecordReset(std::uint64_t fingerprint,
-                             std::uint32_t crashes,
+// ---- runs without a crash
+
+void CrashGuard::RecordReset(const CrashSuspects& table,
+                             std::uint64_t fingerprint,
                              std::string_view source) {
+  const auto crashes = table.CrashesOf(fingerprint);
   if (crashes > 0) {
     log_.Record(events::kCrashCountReset, {{"fingerprint", fingerprint},
                                            {"crashes", crashes},
@@ -127,34 +182,21 @@
   }
 }
 
-void CrashGuard::Prove(std::uint64_t fingerprint) {
-  RecordReset(fingerprint, suspects_.CrashesOf(fingerprint), "run");
-  if (suspects_.OnProof(fingerprint, clock_.Now())) {
-    Announce({fingerprint, 0, CrashSuspects::kRetention});
+void CrashGuard::Prove(CrashSuspects& table, std::uint64_t fingerprint) {
+  RecordReset(table, fingerprint, "run");
+  if (table.OnProof(fingerprint, clock_.Now())) {
+    Announce(table, Suspect{fingerprint, 0, CrashSuspects::kRetention, {}});
   }
 }
 
 void CrashGuard::OnAnswering(const RequestFingerprints& fingerprints) {
   for (const auto& it : fingerprints.prompt_parts) {
-    Prove(it.value);
+    Prove(prompt_parts_, it.value);
   }
 }
 
 void CrashGuard::OnCompleted(const RequestFingerprints& fingerprints) {
-  // Most requests differ; a proof of one that never crashed an endpoint is of
-  // no use.
-  if (suspects_.IsSuspected(fingerprints.request)) {
-    Prove(fingerprints.request);
-  }
-}
-
-void CrashGuard::OnNotice(const CrashNotice& notice) {
-  if (notice.crashes == 0) {
-    RecordReset(notice.fingerprint, suspects_.CrashesOf(notice.fingerprint),
-                "peer");
-  }
-  suspects_.OnNotice(notice.fingerprint, notice.crashes,
-                     std::chrono::milliseconds(notice.valid_ms), clock_.Now());
+  Prove(requests_, fingerprints.request);
 }
 
 }  // namespace tanagerloom
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -46,12 +46,10 @@
   bool answering = false;
 };
 
-/// Counts crashes, announces the counts to the peers, and applies those of the
-/// peers.
+/// Counts crashes, announces them to the peers, and adds those of the peers.
 class CrashGuard {
  public:
-  CrashGuard(PeerNetwork& peers, Clock& clock, EventLog& log)
-      : peers_(peers), clock_(clock), log_(log) {}
+  CrashGuard(PeerNetwork& peers, Clock& clock, EventLog& log);
 
   /// Returns whether the request must be refused.
   bool IsQuarantined(const RequestFingerprints& fingerprints) const;
@@ -69,7 +67,7 @@
   /// The request ran to its end without crashing its endpoint.
   void OnCompleted(const RequestFingerprints& fingerprints);
 
-  /// Announces the counts of all requests that are refused. Call it from time
+  /// Announces the crashes of all requests that are refused. Call it from time
   /// to time: a peer that started later, or that a notice did not reach, would
   /// send such requests to endpoints until they have crashed as many again.
   void AnnounceQuarantined();
@@ -77,24 +75,30 @@
   /// Number of fingerprints that are refused.
   std::size_t QuarantinedCount() const;
 
-  /// Applies the count of a peer.
+  /// Adds the crashes that a peer knows of, or resets a count.
   void OnNotice(const CrashNotice& notice);
 
  private:
   /// Counts a crash for one fingerprint and returns the count.
-  std::uint32_t Count(std::uint64_t fingerprint, Duration min_interval);
-  void Announce(const SuspectCount& count);
-  void Prove(std::uint64_t fingerprint);
-  /// Records that the count of a fingerprint was reset from `crashes`, if there
-  /// was one.
-  void RecordReset(std::uint64_t fingerprint,
-                   std::uint32_t crashes,
+  std::uint32_t Count(CrashSuspects& table, std::uint64_t fingerprint);
+  /// Announces what this node knows of the crashes of a fingerprint.
+  void Announce(const CrashSuspects& table, const Suspect& suspect);
+  void Prove(CrashSuspects& table, std::uint64_t fingerprint);
+  /// Records that the count of a fingerprint was reset, if there was one.
+  void RecordReset(const CrashSuspects& table,
+                   std::uint64_t fingerprint,
                    std::string_view source);
+  /// Records that requests with the fingerprint are refused from now on, unless
+  /// they were `refused` before or are not now.
+  void RecordQuarantine(const CrashSuspects& table,
+                        std::uint64_t fingerprint,
+                        bool refused);
 
   PeerNetwork& peers_;
   Clock& clock_;
   EventLog& log_;
-  CrashSuspects suspects_;
+  CrashSuspects requests_;
+  CrashSuspects prompt_parts_;
   std::size_t next_announced_ = 0;  ///< Of the list of refused requests.
 };
 
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -162,9 +162,18 @@
             .Union()};
   }
   Encoded operator()(const CrashNotice& body) const {
+    std::vector<std::uint64_t> ids;
+    std::vector<std::uint32_t> ages_ms;
+    for (const auto& it : body.observed) {
+      ids.push_back(it.id);
+      ages_ms.push_back(it.age_ms);
+    }
+    const auto wire_ids = builder.CreateVector(ids);
+    const auto wire_ages = builder.CreateVector(ages_ms);
     return {wire::Body::CrashNotice,
             wire::CreateCrashNotice(builder, body.fingerprint, body.crashes,
-                                    body.valid_ms)
+                                    body.valid_ms, body.prompt_part, wire_ids,
+                                    wire_ages)
                 .Union()};
   }
   Encoded operator()(const OrderDone& body) const {
@@ -296,6 +305,28 @@
   return EnvelopeBody(PeerMessage(std::move(out)));
 }
 
+Result<EnvelopeBody> DecodeCrashNotice(const wire::CrashNotice& body) {
+  CrashNotice out{body.fingerprint(),
+                  body.crashes(),
+                  body.valid_ms(),
+                  body.prompt_part(),
+                  {}};
+  // Older nodes send no lists.
+  const auto n_ids = body.crash_ids() == nullptr ? 0 : body.crash_ids()->size();
+  const auto n_ages =
+      body.crash_ages_ms() == nullptr ? 0 : body.crash_ages_ms()->size();
+  if (n_ids != n_ages) {
+    return MakeError(ErrorKind::kInvalid,
+                     "crash notice with " + std::to_string(n_ids) +
+                         " ids and " + std::to_string(n_ages) + " ages");
+  }
+  for (flatbuffers::uoffset_t i = 0; i < n_ids; ++i) {
+    out.observed.push_back(
+        {body.crash_ids()->Get(i), body.crash_ages_ms()->Get(i)});
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
 Result<EnvelopeBody> DecodeBody(const wire::Envelope& envelope) {
   // The verifier accepts a union whose value is absent.
   if (envelope.body_type() != wire::Body::NONE && envelope.body() == nullptr) {
@@ -347,11 +378,8 @@
       return DecodeEndpointNotice(*envelope.body_as_EndpointNotice());
     case wire::Body::EndpointUse:
       return DecodeEndpointUse(*envelope.body_as_EndpointUse());
-    case wire::Body::CrashNotice: {
-      const auto& body = *envelope.body_as_CrashNotice();
-      return EnvelopeBody(PeerMessage(
-          CrashNotice{body.fingerprint(), body.crashes(), body.valid_ms()}));
-    }
+    case wire::Body::CrashNotice:
+      return DecodeCrashNotice(*envelope.body_as_CrashNotice());
     case wire::Body::Done: {
       const auto& body = *envelope.body_as_Done();
       return EnvelopeBody(
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -85,11 +85,24 @@
   std::vector<std::uint32_t> prompt_tokens;
 };
 
-/// The fingerprint of a request that crashed endpoints.
+/// A crash of an endpoint that ran a request.
+struct ObservedCrash {
+  std::uint64_t id = 0;  ///< Of the run that ended with the crash.
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const ObservedCrash&) const = default;
+};
+
+/// The fingerprint of a request, or of a part of its prompt, that crashed
+/// endpoints.
 struct CrashNotice {
   std::uint64_t fingerprint = 0;
   std::uint32_t crashes = 0;   ///< Number of crashes so far.
   std::uint64_t valid_ms = 0;  ///< For how long the notice is valid.
+  bool prompt_part = false;
+  /// The crashes that the sender knows of, its own and those of its peers.
+  /// Empty if it stores its counts.
+  std::vector<ObservedCrash> observed{};
 };
 
 /// The sender can no longer deliver an order: its sending has ended.
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -302,14 +302,23 @@
   EXPECT_TRUE(health.AllowsRequests(kStart + milliseconds(300)));
 }
 
+// Returns `n` crashes with ids of their own.
+std::vector<SuspectCrash> CrashesAt(TimePoint at, std::uint64_t n) {
+  std::vector<SuspectCrash> out;
+  for (std::uint64_t i = 0; i < n; ++i) {
+    out.push_back({1000 + i, at});
+  }
+  return out;
+}
+
 // Guards against a request that crashes one endpoint after another, and against
 // one that is quarantined because of a single crash.
 TEST(CrashSuspects, QuarantinesAfterTheCrashLimitOfAllNodes) {
   CrashSuspects suspects;
-  suspects.OnCrash(7, kStart);
-  suspects.OnNotice(7, 2, CrashSuspects::kRetention, kStart);
+  suspects.OnCrash(7, 1, kStart);
+  suspects.OnNotice(7, CrashesAt(kStart, 1), kStart);
   EXPECT_FALSE(suspects.IsQuarantined(7, kStart));
-  EXPECT_EQ(suspects.OnCrash(7, kStart), 3U);
+  EXPECT_EQ(suspects.OnCrash(7, 2, kStart), 3U);
   EXPECT_TRUE(suspects.IsQuarantined(7, kStart));
   EXPECT_FALSE(suspects.IsQuarantined(8, kStart));
   EXPECT_FALSE(
@@ -325,12 +334,12 @@
     EXPECT_FALSE(suspects.OnProof(7, now));
     now += milliseconds(100);
   }
-  for (int i = 0; i < 10; ++i) {
-    EXPECT_EQ(suspects.OnCrash(7, now), 0U);
+  for (std::uint64_t i = 0; i < 10; ++i) {
+    EXPECT_EQ(suspects.OnCrash(7, i, now), 0U);
   }
   EXPECT_FALSE(suspects.IsQuarantined(7, now));
   EXPECT_TRUE(suspects.IsQuarantined(7, now + std::chrono::minutes(1)));
-  suspects.OnNotice(7, 0, Duration(0), now);
+  suspects.OnReset(7);
   EXPECT_FALSE(suspects.IsQuarantined(7, now + std::chrono::minutes(1)));
 }
 
@@ -339,9 +348,9 @@
 TEST(CrashSuspects, ProofRulesOutCountsOfOtherNodes) {
   CrashSuspects suspects;
   suspects.OnProof(7, kStart);
-  suspects.OnNotice(7, 9, CrashSuspects::kRetention, kStart);
+  suspects.OnNotice(7, CrashesAt(kStart, 9), kStart);
   EXPECT_FALSE(suspects.IsSuspected(7));
-  suspects.OnNotice(8, 9, CrashSuspects::kRetention, kStart);
+  suspects.OnNotice(8, CrashesAt(kStart, 9), kStart);
   EXPECT_TRUE(suspects.IsQuarantined(8, kStart));
   EXPECT_TRUE(suspects.OnProof(8, kStart));
   EXPECT_FALSE(suspects.IsQuarantined(8, kStart));
@@ -349,18 +358,19 @@
 
 // Guards against counting endpoints that fail together for another reason.
 TEST(CrashSuspects, CrashesCloseTogetherCountOnce) {
-  CrashSuspects suspects;
-  for (int i = 0; i < 10; ++i) {
-    EXPECT_EQ(suspects.OnCrash(7, kStart + milliseconds(i), milliseconds(100)),
-              1U);
+  CrashSuspects suspects(milliseconds(100));
+  for (std::uint64_t i = 0; i < 10; ++i) {
+    EXPECT_EQ(suspects.OnCrash(7, i, kStart + milliseconds(i)), 1U);
   }
+  suspects.OnNotice(7, CrashesAt(kStart + milliseconds(50), 3), kStart);
+  EXPECT_EQ(suspects.CrashesOf(7), 1U);
 }
 
 // Guards against a table that grows without bound.
 TEST(CrashSuspects, KeepsCrashCountsRatherThanProofs) {
   CrashSuspects suspects;
   for (std::uint32_t i = 0; i < CrashSuspects::kCrashLimit; ++i) {
-    suspects.OnCrash(1, kStart);
+    suspects.OnCrash(1, i, kStart);
   }
   for (std::uint64_t i = 2; i < 2 * CrashSuspects::kMaxFingerprints; ++i) {
     suspects.OnProof(i, kStart);
@@ -368,6 +378,15 @@
   EXPECT_TRUE(suspects.IsQuarantined(1, kStart));
 }
 
+// Guards against an entry that grows with each crash of a request.
+TEST(CrashSuspects, KeepsALimitedNumberOfCrashes) {
+  CrashSuspects suspects;
+  suspects.OnNotice(7, CrashesAt(kStart, 10 * CrashSuspects::kMaxCrashes),
+                    kStart);
+  EXPECT_EQ(suspects.CrashesOf(7), CrashSuspects::kMaxCrashes);
+  EXPECT_TRUE(suspects.IsQuarantined(7, kStart));
+}
+
 // Guards against partial events: only complete ones are forwarded, wherever the
 // bytes are split, and the partial event of a truncated stream is discarded.
 TEST(EventAssembler, ForwardsOnlyCompleteEventsForEverySplit) {
--- a/tests/error/fuzz_test.cc
+++ b/tests/error/fuzz_test.cc
@@ -119,7 +119,7 @@
 
 TEST(Fuzz, MessagesOfPeersAreTakenWholeOrNotAtAll) {
   const std::vector<PeerMessage> messages = {
-      CrashNotice{7, 3, 1000},
+      CrashNotice{7, 3, 1000, true, {{1, 20}, {2, 5}}},
       EndpointNotice{"i-1", EndpointCondition::kLeaving, 1000, 5},
       EndpointUse{{"i-1", "i-2"}, {1, 2}, {3, 4}},
       LoadedModelsNotice{"i-1", 5, 2, 3, {{"m", {"a1"}}}},
--- a/tests/error/peer_refusal_test.cc
+++ b/tests/error/peer_refusal_test.cc
@@ -239,7 +239,7 @@
     case 5:
       return EndpointUse{{text, "b"}, {number, 2}, {3, 4}};
     case 6:
-      return CrashNotice{number, 2, 3};
+      return CrashNotice{number, 2, 3, true, {{number, 4}, {5, 6}}};
     default:
       return OrderDone{text, RandomText(), "order"};
   }
