--- /dev/null
+++ b/packages/forwarding/crash_watch.cc
@@ -0,0 +1,86 @@
+#include "forwarding/crash_watch.h"
+
+#include <boost/fiber/fiber.hpp>
+#include <chrono>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/events.h"
+#include "forwarding/endpoint_attempt.h"
+#include "forwarding/endpoint_chooser.h"
+#include "forwarding/forwarding_dependencies.h"
+
+namespace tanagerloom {
+
+namespace {
+
+// Timeout of the probe for a crash: a crashed endpoint refuses connections
+// within this time.
+constexpr std::chrono::milliseconds kCrashProbeTimeout{300};
+
+void RecordNotCounted(EventLog& log,
+                      const std::string& request,
+                      const std::string& endpoint,
+                      std::string_view reason) {
+  log.Record(
+      events::kCrashNotCounted,
+      {{"request", request}, {"endpoint", endpoint}, {"reason", reason}});
+}
+
+}  // namespace
+
+CrashWatch::CrashWatch(const ForwardingDependencies& deps,
+                       std::string request,
+                       RequestFingerprints fingerprints)
+    : deps_(deps),
+      request_(std::move(request)),
+      fingerprints_(std::move(fingerprints)) {}
+
+bool CrashWatch::IsQuarantined() const {
+  return deps_.crashes.IsQuarantined(fingerprints_);
+}
+
+void CrashWatch::BeginRun() {
+  answering_ = false;
+}
+
+void CrashWatch::OnEvent() {
+  if (!std::exchange(answering_, true)) {
+    deps_.crashes.OnAnswering(fingerprints_);
+  }
+}
+
+void CrashWatch::OnWholeResponse() {
+  deps_.crashes.OnAnswering(fingerprints_);
+  deps_.crashes.OnCompleted(fingerprints_);
+}
+
+void CrashWatch::OnStreamEnd() {
+  deps_.crashes.OnCompleted(fingerprints_);
+}
+
+void CrashWatch::OnBroken(const EndpointTarget& target) {
+  const auto probe =
+      [&deps = deps_, address = target.address,
+       crash = EndpointCrash{request_, target.id, fingerprints_, answering_}] {
+        EndpointAttempt attempt(deps.io, deps.protocol, deps.clock,
+                                deps.buffers, address);
+        if (attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
+          RecordNotCounted(deps.log, crash.request, crash.endpoint,
+                           "endpoint_reachable");
+        } else {
+          deps.crashes.OnCrash(crash);
+        }
+      };
+  if (deps_.crashes.IsSuspected(fingerprints_)) {
+    probe();
+  } else {
+    boost::fibers::fiber(probe).detach();
+  }
+}
+
+void CrashWatch::OnBrokenWithClientGone(const EndpointTarget& target) const {
+  RecordNotCounted(deps_.log, request_, target.id, "client_gone");
+}
+
+}  // namespace tanagerloom
--- /dev/null
+++ b/packages/forwarding/crash_watch.h
@@ -0,0 +1,54 @@
+// Defines CrashWatch, which reports to the crash counts how the runs of one
+// request end.
+#ifndef FORWARDING_CRASH_WATCH_H_
+#define FORWARDING_CRASH_WATCH_H_
+
+#include <string>
+
+#include "forwarding/crash_guard.h"
+
+namespace tanagerloom {
+
+struct EndpointTarget;
+struct ForwardingDependencies;
+
+/// The part of one request in the crash counts. A request has one run at a
+/// time.
+class CrashWatch {
+ public:
+  CrashWatch(const ForwardingDependencies& deps,
+             std::string request,
+             RequestFingerprints fingerprints);
+
+  /// Returns whether the request must be refused.
+  bool IsQuarantined() const;
+
+  void BeginRun();
+
+  /// An event of the run's response arrived.
+  void OnEvent();
+
+  /// The whole response of the run arrived.
+  void OnWholeResponse();
+
+  /// The stream of the run came to its end.
+  void OnStreamEnd();
+
+  /// The connection to the endpoint broke. Connects to it once more and counts
+  /// a crash if that fails. Waits for the outcome if the request is suspected
+  /// already, since it decides whether the request may be retried.
+  void OnBroken(const EndpointTarget& target);
+
+  /// The connection to the endpoint broke as the client left.
+  void OnBrokenWithClientGone(const EndpointTarget& target) const;
+
+ private:
+  const ForwardingDependencies& deps_;
+  const std::string request_;
+  const RequestFingerprints fingerprints_;
+  bool answering_ = false;  ///< Whether an event of the run has arrived.
+};
+
+}  // namespace tanagerloom
+
+#endif  // FORWARDING_CRASH_WATCH_H_
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -1,11 +1,8 @@
 #include "forwarding/forwarded_request.h"
 
 #include <algorithm>
-#include <boost/fiber/fiber.hpp>
 #include <utility>
 
-#include "base/event_log.h"
-#include "base/events.h"
 #include "base/id.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
@@ -35,9 +32,6 @@
 // after an attempt failed.
 constexpr milliseconds kExcludeNotRun{100};
 constexpr milliseconds kExcludeFailed{1500};
-// Timeout of the probe for a crash: a crashed endpoint refuses connections
-// within this time.
-constexpr milliseconds kCrashProbeTimeout{300};
 // The least urgent rank that endpoints accept.
 constexpr std::uint32_t kLeastUrgentRank = 9;
 
@@ -75,7 +69,9 @@
       config_(deps.registry.config()),
       profile_(deps.protocol.ReadRequest(request)),
       log_(deps.log, deps.clock, profile_.attempt_id, arrived_at_),
-      fingerprints_(FingerprintsOf(request, profile_)) {}
+      crash_watch_(deps,
+                   profile_.attempt_id,
+                   FingerprintsOf(request, profile_)) {}
 
 ForwardedRequest::~ForwardedRequest() {
   client_->attempt = nullptr;
@@ -140,7 +136,7 @@
 }
 
 bool ForwardedRequest::RejectQuarantined() {
-  if (!deps_.crashes.IsQuarantined(fingerprints_)) {
+  if (!crash_watch_.IsQuarantined()) {
     return false;
   }
   if (history_.runs == 0) {
@@ -219,7 +215,7 @@
   deps_.demand.BeginWait(service_, profile_.model, wait_deadline);
   while (!target && !IsClientGone() && deps_.clock.Now() < wait_deadline &&
          deps_.clock.Now() < LatestStartBeforeStop(deps_.stop_at()) &&
-         !deps_.crashes.IsQuarantined(fingerprints_)) {
+         !crash_watch_.IsQuarantined()) {
     const auto seen = changed.count();
     target = chooser_->Choose();
     if (!target && (IsLoadTooLate() || IsPauseTooLong())) {
@@ -265,7 +261,7 @@
   client_->attempt = &attempt;
   deps_.view.BeginUse(target.id, target.prompt_tokens);
   prompt_pending_ = true;
-  answering_ = false;
+  crash_watch_.BeginRun();
   deps_.demand.BeginRun(service_, profile_.model);
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, target);
@@ -372,8 +368,7 @@
       break;
     }
   }
-  deps_.crashes.OnAnswering(fingerprints_);
-  deps_.crashes.OnCompleted(fingerprints_);
+  crash_watch_.OnWholeResponse();
   auto& health = deps_.view.Health(target.id);
   if (response.status < kFirstServerError) {
     health.OnSuccess(deps_.clock.Now());
@@ -425,9 +420,7 @@
     if (events.empty()) {
       continue;
     }
-    if (!std::exchange(answering_, true)) {
-      deps_.crashes.OnAnswering(fingerprints_);
-    }
+    crash_watch_.OnEvent();
     if (!ForwardEvents(attempt, events)) {
       attempt.Abort();
       Finish(attempt.status(), "client_gone");
@@ -475,7 +468,7 @@
     return NextStep::kDone;
   }
   (void)responder_.Finish();
-  deps_.crashes.OnCompleted(fingerprints_);
+  crash_watch_.OnStreamEnd();
   deps_.view.Health(target.id).OnSuccess(deps_.clock.Now());
   service_times_.Observe(route_->name, deps_.clock.Now() - sent_at_);
   Finish(attempt.status(), "streamed");
@@ -504,10 +497,7 @@
   if (aborted || IsClientGone()) {
     log_.ClientGone(target.id);
     if (error.failure == AttemptFailure::kBroken) {
-      deps_.log.Record(events::kCrashNotCounted,
-                       {{"request", profile_.attempt_id},
-                        {"endpoint", target.id},
-                        {"reason", "client_gone"}});
+      crash_watch_.OnBrokenWithClientGone(target);
     }
     responder_.Abort();
     return NextStep::kDone;
@@ -528,7 +518,7 @@
     health.OnFailure(now);
   }
   if (error.failure == AttemptFailure::kBroken) {
-    CheckForCrash(target);
+    crash_watch_.OnBroken(target);
   }
   if (now >= deadline_) {
     return Abandon(/*timed_out=*/true);
@@ -584,29 +574,6 @@
   return profile_.model.model.empty() ? kRetryAfterBusy : kRetryAfterModel;
 }
 
-void ForwardedRequest::CheckForCrash(const EndpointTarget& target) {
-  const auto probe = [&deps = deps_, address = target.address,
-                      crash = EndpointCrash{profile_.attempt_id, target.id,
-                                            fingerprints_, answering_}] {
-    EndpointAttempt attempt(deps.io, deps.protocol, deps.clock, deps.buffers,
-                            address);
-    if (!attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
-      deps.crashes.OnCrash(crash);
-    } else {
-      deps.log.Record(events::kCrashNotCounted,
-                      {{"request", crash.request},
-                       {"endpoint", crash.endpoint},
-                       {"reason", "endpoint_reachable"}});
-    }
-  };
-  if (deps_.crashes.IsSuspected(fingerprints_)) {
-    // The outcome decides whether the request may be retried.
-    probe();
-  } else {
-    boost::fibers::fiber(probe).detach();
-  }
-}
-
 // ---- answers of this node
 
 void ForwardedRequest::Refuse(int status,
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "fleet/request_profile.h"
-#include "forwarding/crash_guard.h"
+#include "forwarding/crash_watch.h"
 #include "forwarding/endpoint_attempt.h"
 #include "forwarding/endpoint_chooser.h"
 #include "forwarding/event_assembler.h"
@@ -117,9 +117,6 @@
   bool MayStillRetry() const;
   /// Returns the delay after which the client may retry.
   std::chrono::milliseconds RetryAfter() const;
-  /// Connects to the endpoint once more and reports a crash if that fails.
-  /// Waits for the outcome if the request is suspected already.
-  void CheckForCrash(const EndpointTarget& target);
 
   /// Sends a response of this node's own.
   void Refuse(int status,
@@ -144,7 +141,7 @@
   std::string service_;
   RequestProfile profile_;
   RequestLog log_;
-  RequestFingerprints fingerprints_;
+  CrashWatch crash_watch_;
   TimePoint deadline_{};
   std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
 
@@ -159,8 +156,6 @@
   /// When the attempt in flight was sent, or its last whole event or part of a
   /// whole response arrived. Single bytes of an event are no progress.
   TimePoint progress_at_{};
-  /// Whether an event of the attempt in flight has arrived.
-  bool answering_ = false;
   /// Whether the endpoint of the attempt in flight has still to read the
   /// prompt.
   bool prompt_pending_ = false;
