forwarding: equal requests after which endpoints crashed run one at a time

Cause: nothing held back equal requests between the first crash and the limit of three. Change: while a crash is counted for a request, a node sends an equal one only when its run before has begun to answer or has ended, with the probe for a crash. The others wait as for an endpoint. A sound request resets the count with its first whole run, and the others go together. The limit holds for each node; the nodes do not agree on one run among them.

--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -133,11 +133,15 @@
   return CrashesOf(fingerprint) > 0;
 }
 
+std::uint32_t CrashSuspects::CountOf(std::uint64_t fingerprint,
+                                     TimePoint now) const {
+  const auto it = entries_.find(fingerprint);
+  return it == entries_.end() ? 0 : EffectiveCrashes(it->second, now);
+}
+
 bool CrashSuspects::IsQuarantined(std::uint64_t fingerprint,
                                   TimePoint now) const {
-  const auto it = entries_.find(fingerprint);
-  return it != entries_.end() &&
-         EffectiveCrashes(it->second, now) >= kCrashLimit;
+  return CountOf(fingerprint, now) >= kCrashLimit;
 }
 
 Suspect CrashSuspects::MakeSuspect(std::uint64_t fingerprint,
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -80,6 +80,9 @@
   /// Returns whether a crash was counted since the last proof.
   bool IsSuspected(std::uint64_t fingerprint) const;
 
+  /// Returns the number of crashes that recent proofs do not outweigh.
+  std::uint32_t CountOf(std::uint64_t fingerprint, TimePoint now) const;
+
   /// Returns whether requests with the fingerprint must be refused.
   bool IsQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -65,6 +65,22 @@
          });
 }
 
+bool CrashGuard::MustWait(std::uint64_t request) const {
+  return requests_.CountOf(request, clock_.Now()) > 0 &&
+         runs_.contains(request);
+}
+
+void CrashGuard::BeginRun(std::uint64_t request) {
+  ++runs_[request];
+}
+
+void CrashGuard::EndRun(std::uint64_t request) {
+  const auto it = runs_.find(request);
+  if (it != runs_.end() && --it->second == 0) {
+    runs_.erase(it);
+  }
+}
+
 // ---- exchange with the peers
 
 void CrashGuard::Announce(const CrashSuspects& table, const Suspect& suspect) {
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,16 @@
   /// Returns whether the request must be refused.
   bool IsQuarantined(const RequestFingerprints& fingerprints) const;
 
+  /// Returns whether the request must wait: crashes followed equal requests,
+  /// and one of them runs at this node without an outcome yet. So a request
+  /// that crashes endpoints reaches one of them at a time, also if many equal
+  /// ones waited for the same model.
+  bool MustWait(std::uint64_t request) const;
+
+  /// A run of the request begins, or it has an outcome.
+  void BeginRun(std::uint64_t request);
+  void EndRun(std::uint64_t request);
+
   /// Returns whether a crash was counted for the request.
   bool IsSuspected(const RequestFingerprints& fingerprints) const;
 
@@ -99,6 +110,8 @@
   EventLog& log_;
   CrashSuspects requests_;
   CrashSuspects prompt_parts_;
+  /// Numbers of runs at this node without an outcome, by request.
+  std::map<std::uint64_t, std::size_t> runs_;
   std::size_t next_announced_ = 0;  ///< Of the list of refused requests.
 };
 
--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -6,6 +6,7 @@
 
 #include "base/event_log.h"
 #include "base/events.h"
+#include "fleet/fleet_view.h"
 #include "forwarding/endpoint_attempt.h"
 #include "forwarding/endpoint_chooser.h"
 #include "forwarding/forwarding_dependencies.h"
@@ -36,17 +37,35 @@
       request_(std::move(request)),
       fingerprints_(std::move(fingerprints)) {}
 
+CrashWatch::~CrashWatch() {
+  EndRun();
+}
+
 bool CrashWatch::IsQuarantined() const {
   return deps_.crashes.IsQuarantined(fingerprints_);
 }
 
+bool CrashWatch::MustWait() const {
+  return deps_.crashes.MustWait(fingerprints_.request);
+}
+
 void CrashWatch::BeginRun() {
   answering_ = false;
+  has_outcome_ = false;
+  deps_.crashes.BeginRun(fingerprints_.request);
+}
+
+void CrashWatch::EndRun() {
+  if (!std::exchange(has_outcome_, true)) {
+    deps_.crashes.EndRun(fingerprints_.request);
+    deps_.view.changed().Signal();
+  }
 }
 
 void CrashWatch::OnEvent() {
   if (!std::exchange(answering_, true)) {
     deps_.crashes.OnAnswering(fingerprints_);
+    EndRun();
   }
 }
 
--- a/packages/forwarding/crash_watch.h
+++ b/packages/forwarding/crash_watch.h
@@ -19,11 +19,18 @@
   CrashWatch(const ForwardingDependencies& deps,
              std::string request,
              RequestFingerprints fingerprints);
+  ~CrashWatch();
+  CrashWatch(const CrashWatch&) = delete;
+  CrashWatch& operator=(const CrashWatch&) = delete;
 
   /// Returns whether the request must be refused.
   bool IsQuarantined() const;
 
+  /// Returns whether the request must wait for the outcome of an equal one.
+  bool MustWait() const;
+
   void BeginRun();
+  void EndRun();
 
   /// An event of the run's response arrived.
   void OnEvent();
@@ -46,7 +53,8 @@
   const ForwardingDependencies& deps_;
   const std::string request_;
   const RequestFingerprints fingerprints_;
-  bool answering_ = false;  ///< Whether an event of the run has arrived.
+  bool answering_ = false;   ///< Whether an event of the run has arrived.
+  bool has_outcome_ = true;  ///< Whether the run has answered or ended.
 };
 
 }  // namespace tanagerloom
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -204,8 +204,12 @@
   return until && *until > WaitDeadline();
 }
 
+std::optional<EndpointTarget> ForwardedRequest::ChooseEndpoint() const {
+  return crash_watch_.MustWait() ? std::nullopt : chooser_->Choose();
+}
+
 std::optional<EndpointTarget> ForwardedRequest::AwaitEndpoint() {
-  auto target = chooser_->Choose();
+  auto target = ChooseEndpoint();
   if (target) {
     return target;
   }
@@ -217,7 +221,7 @@
          deps_.clock.Now() < LatestStartBeforeStop(deps_.stop_at()) &&
          !crash_watch_.IsQuarantined()) {
     const auto seen = changed.count();
-    target = chooser_->Choose();
+    target = ChooseEndpoint();
     if (!target && (IsLoadTooLate() || IsPauseTooLong())) {
       break;
     }
@@ -265,6 +269,7 @@
   deps_.demand.BeginRun(service_, profile_.model);
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, target);
+  crash_watch_.EndRun();
   deps_.demand.EndRun(service_, profile_.model);
   if (std::exchange(prompt_pending_, false)) {
     deps_.view.EndPrompt(target.id, target.prompt_tokens);
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -72,6 +72,8 @@
   /// Aborts the attempt in flight when the client disconnects.
   void WatchClient();
 
+  /// Returns an endpoint that can take the request now.
+  std::optional<EndpointTarget> ChooseEndpoint() const;
   /// Waits for an endpoint. Returns nothing if the request was answered or
   /// aborted instead.
   std::optional<EndpointTarget> AwaitEndpoint();
