forwarding: a failure or an empty stream is no proof that a request is sound

What callers would have seen: a request that crashes endpoints is sent on because a failing endpoint answered it with 500 in between. Cause: any whole response reset the crash count, also an error, for which the endpoint need not have run the request; so did a stream without any event, which is what a crash looks like if the stream has no length. Change: only a response below 500, and a stream with an event, are proofs. Evidence: ErrorResponseDoesNotResetTheCrashCount failed before and passes.

--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -75,7 +75,10 @@
 }
 
 void CrashWatch::OnStreamEnd() {
-  deps_.crashes.OnCompleted(fingerprints_);
+  // A crash can look like the end of an empty stream.
+  if (answering_) {
+    deps_.crashes.OnCompleted(fingerprints_);
+  }
 }
 
 void CrashWatch::OnBroken(const EndpointTarget& target) {
--- a/packages/forwarding/crash_watch.h
+++ b/packages/forwarding/crash_watch.h
@@ -35,7 +35,8 @@
   /// An event of the run's response arrived.
   void OnEvent();
 
-  /// The whole response of the run arrived.
+  /// The whole response of the run arrived, and it states no failure. A failing
+  /// endpoint need not have run the request.
   void OnWholeResponse();
 
   /// The stream of the run came to its end.
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -373,9 +373,9 @@
       break;
     }
   }
-  crash_watch_.OnWholeResponse();
   auto& health = deps_.view.Health(target.id);
   if (response.status < kFirstServerError) {
+    crash_watch_.OnWholeResponse();
     health.OnSuccess(deps_.clock.Now());
     service_times_.Observe(route_->name, deps_.clock.Now() - sent_at_);
   } else {
--- a/tests/error/suspected_request_test.cc
+++ b/tests/error/suspected_request_test.cc
@@ -76,6 +76,37 @@
   EXPECT_LT(site.clock.Now() - sent_at, milliseconds(100 * kRequests));
 }
 
+// Guards against equal requests that crash a second endpoint because they are
+// retried before the crash of the first is counted.
+TEST_F(SuspectedRequest, RetryAwaitsTheCountOfTheCrash) {
+  constexpr std::size_t kEqual = CrashSuspects::kCrashLimit;
+  bool crash = false;
+  site.a.loaded = {"m"};
+  site.a.serve = [&](const HttpRequest&, HttpResponder& responder) {
+    (void)WaitUntil([&] { return crash; });
+    site.a.Crash();
+    responder.Abort();
+  };
+  site.a.Register();
+  auto request = site.Request("/read/x");
+  request.headers.Set("Model", "m");
+  std::vector<boost::fibers::fiber> clients;
+  for (std::size_t i = 0; i < kEqual; ++i) {
+    clients.emplace_back([&] { (void)site.Send(request); });
+  }
+  ASSERT_TRUE(WaitUntil([&] { return site.a.runs().size() == kEqual; }));
+  site.b.loaded = {"m"};
+  site.b.Register();
+  ASSERT_TRUE(WaitUntil([&] {
+    return site.view.Candidates("s", {"m", ""}, {}).size() == 2;
+  }));
+  crash = true;
+  for (auto& it : clients) {
+    it.join();
+  }
+  EXPECT_EQ(site.b.runs().size(), 0U);
+}
+
 // Guards against a crash count that a failing endpoint resets.
 TEST_F(SuspectedRequest, ErrorResponseDoesNotResetTheCrashCount) {
   site.SetServe([](const HttpRequest& it, HttpResponder& responder) {
