forwarding: a retry awaits the count of the crash before it

Cause: the probe that tells a crash from a broken connection ran beside the retry unless the request was suspected already, so that a retry was decided before its own crash was counted. Change: a broken connection is always probed before the request goes on.

--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -1,6 +1,5 @@
 #include "forwarding/crash_watch.h"
 
-#include <boost/fiber/fiber.hpp>
 #include <chrono>
 #include <utility>
 
@@ -82,22 +81,12 @@
 }
 
 void CrashWatch::OnBroken(const EndpointTarget& target) {
-  const auto probe =
-      [&deps = deps_, address = target.address,
-       crash = EndpointCrash{request_, target.id, fingerprints_, answering_}] {
-        EndpointAttempt attempt(deps.io, deps.protocol, deps.clock,
-                                deps.buffers, address);
-        if (attempt.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
-          RecordNotCounted(deps.log, crash.request, crash.endpoint,
-                           "endpoint_reachable");
-        } else {
-          deps.crashes.OnCrash(crash);
-        }
-      };
-  if (deps_.crashes.IsSuspected(fingerprints_)) {
-    probe();
+  EndpointAttempt probe(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
+                        target.address);
+  if (probe.Connect(deps_.clock.Now() + kCrashProbeTimeout)) {
+    RecordNotCounted(deps_.log, request_, target.id, "endpoint_reachable");
   } else {
-    boost::fibers::fiber(probe).detach();
+    deps_.crashes.OnCrash({request_, target.id, fingerprints_, answering_});
   }
 }
 
--- a/packages/forwarding/crash_watch.h
+++ b/packages/forwarding/crash_watch.h
@@ -42,9 +42,9 @@
   /// The stream of the run came to its end.
   void OnStreamEnd();
 
-  /// The connection to the endpoint broke. Connects to it once more and counts
-  /// a crash if that fails. Waits for the outcome if the request is suspected
-  /// already, since it decides whether the request may be retried.
+  /// The connection to the endpoint broke. Connects to it once more, counts a
+  /// crash if that fails, and returns then: whether the request, and equal ones
+  /// that broke with it, may be retried depends on the count.
   void OnBroken(const EndpointTarget& target);
 
   /// The connection to the endpoint broke as the client left.
