--- a/tests/correctness/simultaneous_crashes_test.cc
+++ b/tests/correctness/simultaneous_crashes_test.cc
@@ -2,7 +2,13 @@
 // each other's.
 #include <gtest/gtest.h>
 
+#include <rapidcheck.h>
+#include <algorithm>
+#include <array>
 #include <memory>
+#include <span>
+#include <string>
+#include <vector>
 
 #include "base/event_log.h"
 #include "fleet/request_profile.h"
@@ -15,7 +21,10 @@
 
 class SimultaneousCrashes : public testing::Test {
  protected:
-  SimultaneousCrashes() {
+  SimultaneousCrashes() { StartNodes(); }
+
+  void StartNodes() {
+    nodes.clear();
     for (int i = 0; i < 4; ++i) {
       nodes.push_back(std::make_unique<CrashGuardNode>(
           cluster, clock, log, "n-" + std::to_string(i)));
@@ -96,6 +105,45 @@
   EXPECT_EQ(Refusing(request), 0U);
 }
 
+// Guards against nodes that disagree because notices reach them late, more than
+// once or not at all while they are cut off.
+TEST_F(SimultaneousCrashes, NodesAgreeWhateverHappensToTheirNotices) {
+  EXPECT_TRUE(rc::check([this] {
+    StartNodes();
+    const auto n = *rc::gen::inRange<std::size_t>(0, 6);
+    bool any_lost = false;
+    for (std::size_t i = 0; i < n; ++i) {
+      const auto lost = *rc::gen::inRange<std::size_t>(0, 2 * nodes.size());
+      any_lost = any_lost || lost < nodes.size();
+      cluster.deliver = [&](const std::string&, const std::string& to) {
+        return lost >= nodes.size() || to != nodes[lost]->peers.node_id();
+      };
+      for (auto& it : nodes) {
+        it->delayed = *rc::gen::arbitrary<bool>();
+      }
+      const auto at = *rc::gen::inRange<std::size_t>(0, nodes.size());
+      nodes[at]->guard.OnCrash({"id", "i-a", request, false});
+    }
+    cluster.deliver = [](const std::string&, const std::string&) {
+      return true;
+    };
+    for (int round = 0; round < 2; ++round) {
+      for (auto& it : nodes) {
+        it->delayed = false;
+        it->Deliver();
+        it->guard.AnnounceQuarantined();
+      }
+    }
+    const auto refusing = Refusing(request);
+    RC_ASSERT(refusing == 0 || refusing == nodes.size());
+    if (n < CrashSuspects::kCrashLimit) {
+      RC_ASSERT(refusing == 0U);
+    } else {
+      RC_ASSERT(any_lost || refusing == nodes.size());
+    }
+  }));
+}
+
 // Guards against refusing a part of a prompt, which many requests share,
 // because all nodes see the one crash of an engine.
 TEST_F(SimultaneousCrashes, OneCrashSeenByAllNodesCountsOnceForAPart) {
