--- a/packages/placement/cell_controller.cc
+++ b/packages/placement/cell_controller.cc
@@ -54,8 +54,6 @@
 constexpr std::uint64_t kMaxLoadMs = 600000;
 // Time for which a replica that its engine lacks receives no requests.
 constexpr milliseconds kMissingReplicaTimeout{3000};
-// With 530 nodes, hashing all members for each message would cost too much.
-constexpr milliseconds kCoordinatorCacheTime{20};
 // Limit on the reads of placement records by all nodes together.
 constexpr int kMaxReadsPerSecond = 50;
 
@@ -81,7 +79,8 @@
       vm_index_(vm_index),
       on_change_(std::move(on_change)),
       view_(std::make_shared<StoredRecord>()),
-      history_store_(deps.store, deps.clock, cell_),
+      coordinator_(deps.peers, deps.clock, cell_),
+      histories_(deps.store, deps.clock, cell_),
       monitor_(deps.engine_control, deps.clock, tasks, [this] { Wake(); }),
       executor_(deps.engine_control,
                 deps.clock,
@@ -138,11 +137,9 @@
   UpdateVms();
   RecordUse();
   const auto now = deps_.clock.Now();
+  coordinator_.Update();
   if (!IsCoordinator()) {
-    coordinator_since_.reset();
-    histories_loaded_ = false;
-  } else if (!coordinator_since_) {
-    coordinator_since_ = now;
+    histories_.ReloadLater();
   }
   if (const auto wait = backoff_.TimeUntilAllowed(); wait > Duration::zero()) {
     return PollDuringOutage(wait);
@@ -178,8 +175,7 @@
          {"ms", std::chrono::duration_cast<milliseconds>(now - *last_pass_time_)
                     .count()}});
     has_view_ = false;
-    coordinator_since_.reset();
-    acting_until_.reset();
+    coordinator_.Reset();
     monitor_.Invalidate();
   }
   last_pass_time_ = now;
@@ -189,35 +185,16 @@
   const auto now_ms = MonotonicMs(deps_.clock);
   demand_table_.Expire(now_ms);
   for (const auto& key : demand_table_.TakeUsedKeys()) {
-    histories_changed_ = true;
-    histories_[key].RecordUse(now_ms);
-    if (!key.adapter.empty()) {
-      histories_[key.Base()].RecordUse(now_ms);
-    }
+    histories_.RecordUse(key, now_ms);
   }
 }
 
 bool CellController::SyncHistories() {
-  if (!histories_loaded_) {
-    const auto loaded = history_store_.Load(histories_);
-    // Histories that cannot be parsed (kInternal) are replaced by new ones.
-    histories_loaded_ =
-        loaded || loaded.assume_error().kind == ErrorKind::kInternal;
-    if (!histories_loaded_) {
-      backoff_.RecordFailure(deps_.peers.Members().size());
-    }
-    return histories_loaded_;
-  }
-  if (!histories_changed_) {
-    return true;
-  }
-  const auto saved = history_store_.SaveIfDue(histories_);
-  if (!saved) {
+  const bool synced = histories_.Sync();
+  if (!synced) {
     backoff_.RecordFailure(deps_.peers.Members().size());
-    return false;
   }
-  histories_changed_ = !saved.assume_value();
-  return true;
+  return synced;
 }
 
 Duration CellController::RefreshInterval() const {
@@ -626,7 +603,7 @@
        .estate = estate,
        .demand = demand,
        .engines = monitor_.statuses(),
-       .histories = histories_,
+       .histories = histories_.all(),
        .unstarted_standby_orders = unstarted_standby_orders,
        .policy = ParseKeepAlivePolicy(
            deps_.settings.keep_alive_policy,
@@ -657,8 +634,7 @@
 }
 
 bool CellController::IsDemandComplete() const {
-  if (!IsCoordinator() || !coordinator_since_ ||
-      deps_.clock.Now() < *coordinator_since_ + kDemandCompleteAfter) {
+  if (!coordinator_.HasBeenSelfFor(kDemandCompleteAfter)) {
     return false;
   }
   return std::ranges::all_of(deps_.peers.Members(), [this](const auto& it) {
@@ -759,37 +735,10 @@
 }
 
 void CellController::ActAsCoordinator() {
-  acting_until_ = deps_.clock.Now() + 2 * deps_.settings.demand_timeout;
+  coordinator_.ActFor(2 * deps_.settings.demand_timeout);
   Wake();
 }
 
-std::string CellController::Coordinator() const {
-  const auto now = deps_.clock.Now();
-  if (cached_coordinator_until_ && now < *cached_coordinator_until_) {
-    return cached_coordinator_;
-  }
-  std::string best;
-  std::uint64_t best_hash = 0;
-  for (const auto& id : deps_.peers.LiveIds()) {
-    const auto hash = StableHash(cell_ + "/" + id);
-    if (best.empty() || hash > best_hash) {
-      best = id;
-      best_hash = hash;
-    }
-  }
-  cached_coordinator_ = best;
-  cached_coordinator_until_ = now + kCoordinatorCacheTime;
-  return best;
-}
-
-bool CellController::IsCoordinator() const {
-  return Coordinator() == deps_.peers.node_id();
-}
-
-bool CellController::IsActingCoordinator() const {
-  return acting_until_ && deps_.clock.Now() < *acting_until_;
-}
-
 bool CellController::HasOpenOrders() const {
   for (const auto& [id, engine] : view_->record.engines) {
     for (const auto& it : engine.replicas) {
--- a/packages/placement/cell_controller.h
+++ b/packages/placement/cell_controller.h
@@ -16,12 +16,12 @@
 #include <string_view>
 #include <utility>
 
-#include "decision/arrival_history.h"
 #include "decision/cell_demand_table.h"
 #include "decision/planner.h"
 #include "decision/reconcile.h"
+#include "placement/cell_coordinator.h"
+#include "placement/cell_histories.h"
 #include "placement/engine_monitor.h"
-#include "placement/history_store.h"
 #include "placement/order_executor.h"
 #include "placement/placement_dependencies.h"
 #include "placement/placement_view.h"
@@ -76,12 +76,11 @@
   /// is coordinator, because that node does not acknowledge demand.
   void ActAsCoordinator();
 
-  /// Returns the coordinator of the cell, which all nodes choose by rendezvous
-  /// hashing over the live members. The result is cached for 20 ms.
-  std::string Coordinator() const;
-  bool IsCoordinator() const;
+  /// Returns the coordinator of the cell; see CellCoordinator.
+  std::string Coordinator() const { return coordinator_.Node(); }
+  bool IsCoordinator() const { return coordinator_.IsSelf(); }
   /// Whether this node decides because of ActAsCoordinator().
-  bool IsActingCoordinator() const;
+  bool IsActingCoordinator() const { return coordinator_.IsActing(); }
 
   /// Whether this process still has open orders.
   bool HasOwnOrders() const;
@@ -121,8 +120,7 @@
   Duration RefreshInterval() const;
   /// Reads the placement record. False if the object store failed.
   bool Refresh();
-  /// Loads the arrival histories when this node becomes coordinator, and saves
-  /// them periodically afterwards. False if the object store failed.
+  /// See CellHistories::Sync.
   bool SyncHistories();
   void RecordWriteFailure();
   /// Replaces the cached record if `stored` is newer.
@@ -206,17 +204,13 @@
   EventFlag wake_;
   bool stopping_ = false;
   bool draining_ = false;
-  mutable std::string cached_coordinator_;
-  mutable std::optional<TimePoint> cached_coordinator_until_;
   std::uint64_t view_seen_ms_ = 0;  ///< Monotonic time of the last new record.
   View view_;
   bool has_view_ = false;
   TimePoint view_confirmed_at_{};  ///< The cached record is not older.
   TimePoint last_refresh_time_{};
-  std::optional<TimePoint> acting_until_;
   bool last_write_failed_ = false;  ///< Reads may succeed while writes fail.
   std::optional<TimePoint> last_pass_time_;
-  std::optional<TimePoint> coordinator_since_;
   std::uint32_t waiting_for_slots_ = 0;
   TimePoint slots_read_at_{};
   /// New orders that have a slot and are not in the record yet.
@@ -226,11 +220,8 @@
   std::vector<LoadDuration> load_durations_;
   /// Time of the last ReportMissingReplica() by engine and key.
   std::map<std::pair<std::string, ModelKey>, TimePoint> missing_replicas_;
-  std::map<ModelKey, ArrivalHistory> histories_;
-  HistoryStore history_store_;
-  /// Whether the histories were loaded since this node became coordinator.
-  bool histories_loaded_ = false;
-  bool histories_changed_ = false;
+  CellCoordinator coordinator_;
+  CellHistories histories_;
   CellDemandTable demand_table_;
   EngineMonitor monitor_;
   OrderExecutor executor_;
