forwarding: a crash of an engine counts once for a part at nodes that hear of it late

What callers would have seen: sound requests refused beside those that crash engines, while nodes are suspended or cut off. Cause: each node gave a crash an id of its own, and of those within 100 ms only one was kept. A node that was suspended took the notices of one crash for later ones, and announced them so; the same engine's crash then counted twice. Change: for parts of prompts a crash has the id of the endpoint's start, which is the same at all nodes. All crashes are kept, the earliest time that is told of a crash holds, and those less than 100 ms apart count once when they are counted, not when they arrive. Evidence: LateNoticesDoNotCountACrashOfAPartAgain, refused at one node after two crashes before, at none after. The model of engines in correctness.crash_guard gives each start a number, as the platform does; what it checks is unchanged.

--- a/packages/fleet/crash_suspects.cc
+++ b/packages/fleet/crash_suspects.cc
@@ -19,13 +19,29 @@
   return entry.proofs * std::exp2(-(age / half_life));
 }
 
+std::uint32_t CrashSuspects::CountCrashes(const Entry& entry) const {
+  std::vector<TimePoint> times;
+  for (const auto& it : entry.crashes) {
+    times.push_back(it.at);
+  }
+  std::ranges::sort(times);
+  std::uint32_t n = 0;
+  TimePoint counted_at{};
+  for (const auto& it : times) {
+    if (n == 0 || it - counted_at >= min_interval_) {
+      ++n;
+      counted_at = it;
+    }
+  }
+  return n;
+}
+
 std::uint32_t CrashSuspects::EffectiveCrashes(const Entry& entry,
-                                              TimePoint now) {
+                                              TimePoint now) const {
   if (entry.expires_at <= now) {
     return 0;
   }
-  const double left = static_cast<double>(entry.crashes.size()) -
-                      std::floor(ProofWeight(entry, now));
+  const double left = CountCrashes(entry) - std::floor(ProofWeight(entry, now));
   return left > 0 ? static_cast<std::uint32_t>(left) : 0;
 }
 
@@ -54,19 +70,15 @@
   return entries_[fingerprint];
 }
 
-void CrashSuspects::AddCrash(Entry& entry, const SuspectCrash& crash) const {
-  const auto is_known = [&](const SuspectCrash& it) {
-    return it.id == crash.id;
-  };
-  if (std::ranges::any_of(entry.crashes, is_known)) {
+void CrashSuspects::AddCrash(Entry& entry, const SuspectCrash& crash) {
+  const auto known =
+      std::ranges::find(entry.crashes, crash.id, &SuspectCrash::id);
+  if (known != entry.crashes.end()) {
+    known->at = std::min(known->at, crash.at);
     return;
   }
   entry.expires_at = std::max(entry.expires_at, crash.at + kRetention);
-  const auto is_close = [&](const SuspectCrash& it) {
-    return std::chrono::abs(it.at - crash.at) < min_interval_;
-  };
-  if (entry.crashes.size() < kMaxCrashes &&
-      std::ranges::none_of(entry.crashes, is_close)) {
+  if (entry.crashes.size() < kMaxCrashes) {
     entry.crashes.push_back(crash);
   }
 }
@@ -124,9 +136,7 @@
 
 std::uint32_t CrashSuspects::CrashesOf(std::uint64_t fingerprint) const {
   const auto it = entries_.find(fingerprint);
-  return it == entries_.end()
-             ? 0
-             : static_cast<std::uint32_t>(it->second.crashes.size());
+  return it == entries_.end() ? 0 : CountCrashes(it->second);
 }
 
 bool CrashSuspects::IsSuspected(std::uint64_t fingerprint) const {
@@ -146,7 +156,7 @@
 
 Suspect CrashSuspects::MakeSuspect(std::uint64_t fingerprint,
                                    const Entry& entry,
-                                   TimePoint now) {
+                                   TimePoint now) const {
   return {fingerprint, EffectiveCrashes(entry, now), entry.expires_at - now,
           entry.crashes};
 }
--- a/packages/fleet/crash_suspects.h
+++ b/packages/fleet/crash_suspects.h
@@ -13,7 +13,8 @@
 
 namespace tanagerloom {
 
-/// A crash that followed a request. All nodes know it by the same id.
+/// A crash that followed a request. All nodes know it by the same id. They may
+/// differ in its time.
 struct SuspectCrash {
   std::uint64_t id = 0;
   TimePoint at{};
@@ -49,7 +50,7 @@
   /// Maximum number of fingerprints kept, which bounds the memory used.
   static constexpr std::size_t kMaxFingerprints = 4096;
   /// Maximum number of crashes kept for a fingerprint.
-  static constexpr std::size_t kMaxCrashes = 16;
+  static constexpr std::size_t kMaxCrashes = 32;
 
   /// Of crashes that are less than `min_interval` apart, one counts.
   explicit CrashSuspects(Duration min_interval = Duration(0))
@@ -102,13 +103,16 @@
   };
 
   /// Returns the crashes that recent proofs do not outweigh.
-  static std::uint32_t EffectiveCrashes(const Entry& entry, TimePoint now);
+  std::uint32_t EffectiveCrashes(const Entry& entry, TimePoint now) const;
+  /// Returns the number of crashes that are far enough apart.
+  std::uint32_t CountCrashes(const Entry& entry) const;
   static double ProofWeight(const Entry& entry, TimePoint now);
-  static Suspect MakeSuspect(std::uint64_t fingerprint,
-                             const Entry& entry,
-                             TimePoint now);
-  /// Adds a crash that is not known yet.
-  void AddCrash(Entry& entry, const SuspectCrash& crash) const;
+  Suspect MakeSuspect(std::uint64_t fingerprint,
+                      const Entry& entry,
+                      TimePoint now) const;
+  /// Adds a crash, or corrects the time of a known one: a notice that was
+  /// delayed lets it seem later than it was.
+  static void AddCrash(Entry& entry, const SuspectCrash& crash);
   /// Returns the entry of a fingerprint. Adds it if there is room for it.
   Entry* FindOrAdd(std::uint64_t fingerprint, TimePoint now);
   /// As FindOrAdd, but removes another entry if there is no room.
--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -154,10 +154,11 @@
 }
 
 std::uint32_t CrashGuard::Count(CrashSuspects& table,
-                                std::uint64_t fingerprint) {
+                                std::uint64_t fingerprint,
+                                std::uint64_t crash_id) {
   const auto now = clock_.Now();
   const bool refused = table.IsQuarantined(fingerprint, now);
-  const auto count = table.OnCrash(fingerprint, RandomU64(), now);
+  const auto count = table.OnCrash(fingerprint, crash_id, now);
   if (count > 0) {
     Announce(table, table.Find(fingerprint, now));
   }
@@ -171,17 +172,21 @@
               {{"request", crash.request},
                {"endpoint", crash.endpoint},
                {"fingerprint", fingerprint},
-               {"crashes", Count(requests_, fingerprint)}});
+               {"crashes", Count(requests_, fingerprint, RandomU64())}});
   if (crash.answering) {
     return;
   }
+  // All nodes see the crash of an endpoint; for a part that many requests share
+  // it counts once.
+  const auto endpoint_crash =
+      StableHash(crash.endpoint + "\n" + std::to_string(crash.boot));
   for (const auto& it : crash.fingerprints.prompt_parts) {
     log_.Record(events::kRequestCrashedEndpoint,
                 {{"request", crash.request},
                  {"endpoint", crash.endpoint},
                  {"prompt_part", it.part},
                  {"fingerprint", it.value},
-                 {"crashes", Count(prompt_parts_, it.value)}});
+                 {"crashes", Count(prompt_parts_, it.value, endpoint_crash)}});
   }
 }
 
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -45,6 +45,7 @@
   RequestFingerprints fingerprints;
   /// The endpoint had begun to answer, so it had read the whole prompt before.
   bool answering = false;
+  std::uint64_t boot = 0;  ///< Start of the endpoint that ended.
 };
 
 /// Counts crashes, announces them to the peers, and adds those of the peers.
@@ -91,7 +92,9 @@
 
  private:
   /// Counts a crash for one fingerprint and returns the count.
-  std::uint32_t Count(CrashSuspects& table, std::uint64_t fingerprint);
+  std::uint32_t Count(CrashSuspects& table,
+                      std::uint64_t fingerprint,
+                      std::uint64_t crash_id);
   /// Announces what this node knows of the crashes of a fingerprint.
   void Announce(const CrashSuspects& table, const Suspect& suspect);
   void Prove(CrashSuspects& table, std::uint64_t fingerprint);
--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -86,7 +86,8 @@
   if (probe.Connect(deps_.clock.Now() + kCrashProbeTimeout)) {
     RecordNotCounted(deps_.log, request_, target.id, "endpoint_reachable");
   } else {
-    deps_.crashes.OnCrash({request_, target.id, fingerprints_, answering_});
+    deps_.crashes.OnCrash(
+        {request_, target.id, fingerprints_, answering_, target.boot});
   }
 }
 
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -87,7 +87,7 @@
 
 /// A crash of an endpoint that ran a request.
 struct ObservedCrash {
-  std::uint64_t id = 0;  ///< Of the run that ended with the crash.
+  std::uint64_t id = 0;  ///< Of the run that ended, or of the endpoint's start.
   std::uint32_t age_ms = 0;
 
   bool operator==(const ObservedCrash&) const = default;
--- a/tests/correctness/crash_guard_test.cc
+++ b/tests/correctness/crash_guard_test.cc
@@ -142,6 +142,7 @@
 
   struct Engine {
     TimePoint up_at;
+    std::uint64_t boot = 0;
     std::vector<Run> runs;
   };
 
@@ -176,7 +177,7 @@
     for (auto& it : engine.runs) {
       auto& guard = nodes_[it.node]->guard;
       if (crashes) {
-        guard.OnCrash({"id", "i", it.fingerprints, it.answering});
+        guard.OnCrash({"id", "i", it.fingerprints, it.answering, engine.boot});
       } else if (!it.answering && it.answers_at <= now) {
         it.answering = true;
         guard.OnAnswering(it.fingerprints);
@@ -186,6 +187,7 @@
       ++crashes_;
       engine.runs.clear();
       engine.up_at = now + kRestartTime;
+      engine.boot = ++starts_;
     }
     std::erase_if(engine.runs,
                   [&](const auto& it) { return it.ends_at <= now; });
@@ -199,6 +201,7 @@
   std::vector<std::unique_ptr<CrashGuardNode>> nodes_;
   std::vector<Engine> engines_{kEngines};
   int crashes_ = 0;
+  std::uint64_t starts_ = kEngines;
 };
 
 // Guards against requests that crash one engine after another because no two of
--- a/tests/correctness/simultaneous_crashes_test.cc
+++ b/tests/correctness/simultaneous_crashes_test.cc
@@ -156,5 +156,35 @@
   EXPECT_EQ(Refusing(FingerprintsOf(other, profile)), 0U);
 }
 
+// Guards against refusing a part of a prompt too early because a node that was
+// suspended gets the notices of one crash late and counts it again.
+TEST_F(SimultaneousCrashes, LateNoticesDoNotCountACrashOfAPartAgain) {
+  RequestProfile profile;
+  profile.prompt = {{"shared", 90}, {"own", 400}};
+  const auto part = FingerprintsOf(HttpRequest(), profile);
+  const auto crash = [&](const std::string& endpoint) {
+    for (const auto i : {0, 1}) {
+      nodes[i]->delayed = true;
+    }
+    for (const auto i : {0, 1}) {
+      nodes[i]->guard.OnCrash({"id", endpoint, part, false});
+    }
+    for (const auto i : {0, 1}) {
+      nodes[i]->delayed = false;
+      nodes[i]->Deliver();
+    }
+  };
+  nodes[2]->delayed = true;
+  crash("i-a");
+  clock.SleepFor(std::chrono::seconds(3));
+  nodes[2]->delayed = false;
+  nodes[2]->Deliver();
+  clock.SleepFor(std::chrono::seconds(2));
+  crash("i-b");
+  HttpRequest other;
+  other.body = "another request with the part";
+  EXPECT_EQ(Refusing(FingerprintsOf(other, profile)), 0U);
+}
+
 }  // namespace
 }  // namespace tanagerloom
