--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "fleet/customer.h"
+
 namespace tanagerloom {
 
 /// Kind of a route's requests, which decides whether they may be retried.
@@ -37,6 +39,7 @@
   /// Maximum endpoints that may run one client request.
   std::uint32_t max_attempts = 1;
   bool resumable = false;  ///< A stream may continue at another endpoint.
+  bool is_public = false;  ///< Admits requests without an API key.
   std::vector<RouteTarget> targets;
 
   /// Returns whether a request may run more than once.
@@ -100,6 +103,8 @@
   std::uint64_t version = 0;
   ConfigParts<Route> routes;
   ConfigParts<FleetService> services;
+  /// Empty if requests need no API keys.
+  ConfigParts<Customer> customers;
   ClientLimits limits;
   /// Text of the whole version, for nodes that cannot read it from the store.
   std::shared_ptr<const std::string> text;
--- a/packages/fleet/request_profile.h
+++ b/packages/fleet/request_profile.h
@@ -29,7 +29,11 @@
   ModelRef model;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
-  std::vector<PromptPart> prompt;  ///< All parts but the last may be shared.
+  bool states_token_counts = false;  ///< Whether the two counts are stated.
+  std::vector<PromptPart> prompt;    ///< All parts but the last may be shared.
+  /// SHA-256 of the client's API key, in hexadecimal; empty without a key. The
+  /// key itself is not kept, so that it cannot reach a log.
+  std::string key_digest;
 
   /// Returns the parts that other requests may share.
   std::span<const PromptPart> SharedPromptParts() const {
--- a/packages/node/fleet_settings.h
+++ b/packages/node/fleet_settings.h
@@ -11,6 +11,15 @@
 
 namespace tanagerloom {
 
+/// How far the requests of a customer may exceed its quota, summed over all
+/// nodes: in any `window` at most `excess` of what the quota allows, plus
+/// `slack`.
+struct QuotaReserve {
+  std::chrono::milliseconds window{8000};
+  double excess = 0;
+  double slack = 0;  ///< In units of the quota.
+};
+
 /// Limits that the platform sets for all nodes.
 struct FleetBounds {
   /// Time from SIGTERM to SIGKILL.
@@ -28,6 +37,9 @@
   /// Time window of the rate limit on loads from the weight store.
   std::chrono::milliseconds load_rate_window{5000};
   RetryLimits retry_limits;  ///< For the retries of all nodes together.
+  QuotaReserve quota_reserve;
+  /// Max time until a revoked API key is refused at all nodes.
+  std::chrono::milliseconds max_revoke_delay{5000};
 };
 
 /// Settings of one node of a registered fleet.
--- a/packages/registry/fleet_registry.h
+++ b/packages/registry/fleet_registry.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "base/error.h"
+#include "fleet/customer_index.h"
 #include "fleet/endpoint_record.h"
 #include "fleet/fleet_config.h"
 #include "fleet/route_table.h"
@@ -52,12 +53,15 @@
 /// The configuration in force and the index of its routes.
 struct ConfigInForce {
   ConfigInForce(FleetConfig given, const Checkpoint& checkpoint)
-      : config(std::move(given)), routes(config, checkpoint) {}
+      : config(std::move(given)),
+        routes(config, checkpoint),
+        customers(config) {}
   ConfigInForce(const ConfigInForce&) = delete;
   ConfigInForce& operator=(const ConfigInForce&) = delete;
 
   FleetConfig config;
   RouteTable routes;
+  CustomerIndex customers;
 };
 
 /// Follows the configuration and the list of endpoints. The configuration is
