forwarding: customers' API keys admit requests

Cause: no customer was known anywhere; the client's Authorization header was passed on to endpoints, every key ran, and a key that was taken away went on working.

Change: a configuration may hold customers with keys, a priority and a quota. Requests on routes that are not public need a known key, found by its digest; 401 otherwise, 503 at a node without a configuration or behind its peers. An endpoint gets the customer's name and never the key, on every attempt. The customer's priority goes before the route's. Without customers nothing changes.

--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -103,7 +103,9 @@
   std::uint64_t version = 0;
   ConfigParts<Route> routes;
   ConfigParts<FleetService> services;
-  /// Empty if requests need no API keys.
+  /// Whether requests on routes that are not public need an API key. True with
+  /// an empty list of customers too: the last key was revoked.
+  bool needs_keys = false;
   ConfigParts<Customer> customers;
   ClientLimits limits;
   /// Text of the whole version, for nodes that cannot read it from the store.
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -35,6 +35,7 @@
 // The least urgent rank that endpoints accept.
 constexpr std::uint32_t kLeastUrgentRank = 9;
 
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
@@ -80,7 +81,7 @@
 // ---- before the first attempt
 
 void ForwardedRequest::Run() {
-  if (!FindRoute() || !CheckServable()) {
+  if (!FindRoute() || !FindCustomer() || !CheckServable()) {
     return;
   }
   WatchClient();
@@ -121,6 +122,29 @@
   return true;
 }
 
+bool ForwardedRequest::FindCustomer() {
+  if (!config_->config.needs_keys) {
+    return true;
+  }
+  customer_ = config_->customers.FindByKey(profile_.key_digest);
+  if (customer_ != nullptr || route_->is_public) {
+    return true;
+  }
+  if (deps_.registry.IsBehindPeers()) {
+    // The newer version may hold the key, and the client does not try again
+    // after a 401.
+    Refuse(kUnavailable, "configuration_behind", kRetryAfterBusy);
+  } else {
+    Refuse(kUnauthorized, "unknown_key", milliseconds(0));
+  }
+  return false;
+}
+
+std::uint32_t ForwardedRequest::Priority() const {
+  return customer_ != nullptr ? customer_->priority.value_or(route_->priority)
+                              : route_->priority;
+}
+
 bool ForwardedRequest::CheckServable() {
   const auto* service = config_->config.FindService(service_);
   if (service == nullptr) {
@@ -251,7 +275,11 @@
   AttemptParameters parameters;
   parameters.endpoint = target.id;
   parameters.time_left = std::max(milliseconds(1), time_left);
-  parameters.urgency = std::min(route_->priority, kLeastUrgentRank);
+  parameters.urgency = std::min(Priority(), kLeastUrgentRank);
+  parameters.hide_key = config_->config.needs_keys;
+  if (customer_ != nullptr) {
+    parameters.customer = customer_->name;
+  }
   if (forwarded_events_) {
     parameters.resume_after_event = event_assembler_.last_event_id();
   }
@@ -600,6 +628,7 @@
   RequestProgress out;
   out.route = route_ == nullptr ? "" : route_->name;
   out.service = service_;
+  out.customer = customer_ == nullptr ? "" : customer_->name;
   out.model = profile_.model.ToString();
   out.config_version = config_ == nullptr ? 0 : config_->config.version;
   out.sends = sends_;
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -22,6 +22,7 @@
 namespace tanagerloom {
 
 struct ConfigInForce;
+struct Customer;
 class ServiceTimes;
 class HttpResponder;
 
@@ -60,6 +61,12 @@
   /// Chooses the route, service and deadline. Refuses the request and returns
   /// false if there is none.
   bool FindRoute();
+  /// Finds the customer whose API key the request carries. Refuses the request
+  /// and returns false if it needs a key and its key is unknown.
+  bool FindCustomer();
+  /// Returns the priority of the customer, or else of the route; 0 is the
+  /// highest.
+  std::uint32_t Priority() const;
   /// Refuses the request and returns false if its service or model is unknown
   /// or if it is quarantined.
   bool CheckServable();
@@ -140,6 +147,7 @@
 
   std::shared_ptr<const ConfigInForce> config_;
   const Route* route_ = nullptr;
+  const Customer* customer_ = nullptr;  ///< Null without a known API key.
   std::string service_;
   RequestProfile profile_;
   RequestLog log_;
--- a/packages/forwarding/request_log.h
+++ b/packages/forwarding/request_log.h
@@ -15,8 +15,9 @@
 
 /// What became of a request so far.
 struct RequestProgress {
-  std::string route;    ///< Name; empty while unknown.
-  std::string service;  ///< Empty while unknown.
+  std::string route;     ///< Name; empty while unknown.
+  std::string service;   ///< Empty while unknown.
+  std::string customer;  ///< Name; empty without a known API key.
   std::string model;
   std::uint64_t config_version = 0;  ///< 0 without a configuration.
   std::uint32_t sends = 0;           ///< Number of times the request was sent.
--- a/packages/forwarding/request_protocol.h
+++ b/packages/forwarding/request_protocol.h
@@ -20,7 +20,10 @@
   std::string endpoint;
   std::chrono::milliseconds time_left{0};
   std::uint32_t urgency = 0;  ///< 0 is the most urgent, 9 the least.
-  std::string customer;       ///< Name of the customer; empty if there is none.
+  /// Whether the client's API key, and what it says of its customer, are
+  /// removed from the request.
+  bool hide_key = false;
+  std::string customer;  ///< Name of the customer; empty if there is none.
   /// Id of the event after which the stream resumes. If empty, the client's own
   /// value is sent.
   std::string resume_after_event;
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -222,6 +222,14 @@
       "tanagerloom_endpoints_set_aside",
       "Listed endpoints that drain or want a pause.",
       [this] { return static_cast<double>(view.SetAsideCount()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_customers", "Customers of the configuration in force.",
+      [this] {
+        const auto config = registry.config();
+        return config == nullptr
+                   ? 0.0
+                   : static_cast<double>(config->customers.size());
+      });
   metrics.AddGaugeReader("tanagerloom_holds_order_lease",
                          "1 while this node orders engines.",
                          [this] { return lease.is_holder() ? 1.0 : 0.0; });
--- a/packages/registry/fleet_registry.cc
+++ b/packages/registry/fleet_registry.cc
@@ -161,6 +161,7 @@
               {{"version", version},
                {"previous", current_version},
                {"routes", config_->config.routes.size()},
+               {"customers", config_->customers.size()},
                {"source", source}});
   peers_.SetConfigVersion(version);
   if (on_config_changed_) {
@@ -198,6 +199,10 @@
   }
 }
 
+bool FleetRegistry::IsBehindPeers() const {
+  return NewestPeer(peers_).config_version > ConfigVersion();
+}
+
 void FleetRegistry::OnPeerConfig(const ConfigUpdate& update) {
   if (update.version > ConfigVersion()) {
     ApplyConfig(update.root, "peer");
--- a/packages/registry/fleet_registry.h
+++ b/packages/registry/fleet_registry.h
@@ -84,6 +84,9 @@
   /// the configuration that was in force when it arrived.
   std::shared_ptr<const ConfigInForce> config() const { return config_; }
 
+  /// Returns whether a peer has a newer configuration in force.
+  bool IsBehindPeers() const;
+
   /// Returns whether the list of endpoints was read at least once.
   bool endpoints_known() const { return endpoints_known_; }
 
--- a/tests/correctness/platform_format_test.cc
+++ b/tests/correctness/platform_format_test.cc
@@ -1,6 +1,8 @@
 // Tests of the adapter that decodes and encodes the platform's messages.
 #include <gtest/gtest.h>
 
+#include "config/digest.h"
+#include "fleet/customer_index.h"
 #include "platform/config_decoder.h"
 #include "platform/entry_decoder.h"
 #include "platform/header_protocol.h"
@@ -64,6 +66,47 @@
       R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"other","service":"s"}]})"));
 }
 
+// Guards against a customer whose quota or priority is decoded into another
+// field, and against keys that are kept as they are.
+TEST(PlatformConfig, CustomersAreRead) {
+  const auto result = platform::DecodeConfig(
+      R"({"version":1,"tenants":[
+          {"name":"north","apiKeys":["k1","k2"],"priority":1,"unit":"tokens",
+           "plainTokens":200,"ratePerS":5000,"burst":700},
+          {"name":"south","apiKeys":["k3"],"ratePerS":20}]})");
+  ASSERT_TRUE(result);
+  const auto& config = result.assume_value();
+  EXPECT_TRUE(config.needs_keys);
+  ASSERT_EQ(config.customers.size(), 2U);
+  const auto& north = *config.customers[0].value;
+  EXPECT_EQ(north.name, "north");
+  EXPECT_EQ(north.priority, 1U);
+  EXPECT_EQ(north.quota, (CustomerQuota{5000, 700, QuotaUnit::kTokens, 200}));
+  const auto& south = *config.customers[1].value;
+  EXPECT_FALSE(south.priority);
+  EXPECT_EQ(south.quota.unit, QuotaUnit::kRequests);
+  const CustomerIndex index(config);
+  EXPECT_EQ(index.FindByKey(Sha256Hex("k2")), &north);
+  EXPECT_EQ(index.FindByKey(Sha256Hex("k3")), &south);
+  EXPECT_EQ(index.FindByKey("k3"), nullptr);
+  EXPECT_EQ(index.FindByName("south"), &south);
+  EXPECT_FALSE(
+      platform::DecodeConfig(R"({"version":1})").assume_value().needs_keys);
+}
+
+// Guards against a quota that counts only a part of a request, or nothing for a
+// request without counts.
+TEST(CustomerQuota, CostFollowsItsUnit) {
+  const CustomerQuota tokens{1, 0, QuotaUnit::kTokens, 200};
+  RequestProfile profile;
+  EXPECT_EQ(QuotaCost(tokens, profile), 200);
+  profile.states_token_counts = true;
+  profile.prompt_tokens = 1460;
+  profile.max_output_tokens = 80;
+  EXPECT_EQ(QuotaCost(tokens, profile), 1540);
+  EXPECT_EQ(QuotaCost(CustomerQuota{1, 0}, profile), 1);
+}
+
 constexpr char kEndpoint[] =
     R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","version":"v1",
         "slots":64,"state":"ready","coldLeftMs":10,"born":1700000000000,
