ordering: a new VM of a removed holder's name waits for the handover gap

Cause: OrderLease::TryTake compared only the names of the nodes. A node on a new VM with the name of a removed lease holder took the stored lease for that of an earlier process of its own VM, and sent orders at once.

Change: the stored lease has the address of the holder's VM. Only a process with the same name and address takes it over at once; all others wait until the lease has ended and for the handover gap.

--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -133,6 +133,7 @@
               clock,
               log,
               std::string(kOrderLeaseKey),
+              settings.peer_listen.ip,
               LeaseTimingFor(settings.bounds)),
         orders(
             {lease, ports.engines, peers, registry, view, demand, clock, log},
--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -27,6 +27,7 @@
 
 struct StoredLease {
   std::string holder;
+  std::string vm_address;  ///< Of the holder; empty if it did not store it.
   std::uint64_t fence = 0;
   std::uint64_t renewal_number = 0;
   bool released = false;
@@ -44,6 +45,7 @@
     return out;
   }
   out.holder = json.value("holder", "");
+  out.vm_address = json.value("vm_address", "");
   out.fence = json.value("fence", std::uint64_t{0});
   out.renewal_number = json.value("renewal", std::uint64_t{0});
   out.released = json.value("released", false);
@@ -73,12 +75,14 @@
                        Clock& clock,
                        EventLog& log,
                        std::string key,
+                       std::string vm_address,
                        LeaseTiming timing)
     : store_(store),
       peers_(peers),
       clock_(clock),
       log_(log),
       key_(std::move(key)),
+      vm_address_(std::move(vm_address)),
       timing_(timing) {}
 
 bool OrderLease::MaySendOrder() const {
@@ -129,6 +133,7 @@
 std::string OrderLease::SerializeLease(bool released) const {
   const auto now = clock_.SuspendAwareNow();
   nlohmann::json out{{"holder", peers_.node_id()},
+                     {"vm_address", vm_address_},
                      {"fence", fence_},
                      {"renewal", renewals_sent_},
                      {"released", released},
@@ -224,7 +229,10 @@
 
 Duration OrderLease::TakeoverTimeout() const {
   auto live = peers_.LiveIds();
-  std::erase(live, holder_);
+  if (holder_ != peers_.node_id()) {
+    // Otherwise the holder was another VM of this node's name.
+    std::erase(live, holder_);
+  }
   const auto it = std::ranges::find(live, peers_.node_id());
   const auto rank = std::min<std::size_t>(
       static_cast<std::size_t>(it - live.begin()), kMaxRank);
@@ -269,7 +277,7 @@
   const auto& object = stored.assume_value();
   const auto lease = ParseLease(object.value);
   const Handover whole_gap{timing_.handover_gap, {}, timing_.handover_gap};
-  if (lease.holder == peers_.node_id()) {
+  if (lease.holder == peers_.node_id() && lease.vm_address == vm_address_) {
     // The lease belongs to an earlier process of this VM, whose orders count as
     // this node's. If that process was still waiting for the handover from its
     // predecessor, this one has to wait too.
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -39,14 +39,18 @@
 /// compared. A holder that stops stores which engines it sent orders to and how
 /// long they still count, so that its successor waits only for those. The lease
 /// stays safe if the holder crashes, freezes, is disconnected from the store or
-/// loses the response to a renewal.
+/// loses the response to a renewal. A restarted process of the holder's VM
+/// takes its lease over at once; a new VM of the same name is another holder.
 class OrderLease {
  public:
+  /// `key` is the key of the stored lease. `vm_address` tells this VM from a
+  /// removed one of the same name.
   OrderLease(ObjectStore& store,
              PeerNetwork& peers,
              Clock& clock,
              EventLog& log,
              std::string key,
+             std::string vm_address,
              LeaseTiming timing);
 
   /// Renews the lease, or waits to take it, until Stop(). Call it on a fiber.
@@ -145,6 +149,7 @@
   Clock& clock_;
   EventLog& log_;
   std::string key_;
+  std::string vm_address_;
   LeaseTiming timing_;
 
   bool is_holder_ = false;
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -87,12 +87,14 @@
   Node(FakeCluster& cluster,
        FakeObjectStore& shared,
        VirtualClock& time,
-       const std::string& id)
-      : peers(cluster, id, "dc"),
+       const std::string& id,
+       const std::string& address)
+      : vm_address(address),
+        peers(cluster, id, "dc"),
         store(shared),
         clock(time),
         log(id, 10, MakeNullLogger()),
-        lease(store, peers, clock, log, "leases/orders", {}) {
+        lease(store, peers, clock, log, "leases/orders", address, {}) {
     peers.OnMessage([this](const std::string&, const PeerMessage& message) {
       if (const auto* it = std::get_if<LeaseNotice>(&message)) {
         lease.OnNotice(*it);
@@ -105,6 +107,7 @@
     fiber.join();
   }
 
+  std::string vm_address;
   FakePeers peers;
   NodeStore store;
   VmClock clock;
@@ -123,8 +126,13 @@
     }
   }
 
-  void AddNode(const std::string& id) {
-    nodes[id] = std::make_unique<Node>(cluster, store, clock, id);
+  // Starts a process on the VM of this id. With an address the VM is new.
+  void AddNode(const std::string& id, const std::string& new_address = "") {
+    auto& address = addresses.try_emplace(id, "first VM").first->second;
+    if (!new_address.empty()) {
+      address = new_address;
+    }
+    nodes[id] = std::make_unique<Node>(cluster, store, clock, id, address);
   }
 
   // Advances time by `duration` in steps of 50 ms; in each, every node sends
@@ -137,7 +145,7 @@
         for (const auto& engine : EnginesWithOrders()) {
           if (node->clock.IsAwake() && node->lease.MaySendOrder(engine)) {
             node->lease.RecordOrder(engine);
-            CheckOrder(id, engine, node->lease.fence());
+            CheckOrder(*node, engine, node->lease.fence());
           }
         }
       }
@@ -156,18 +164,25 @@
     return out;
   }
 
-  // Checks an order: another node's last order to the engine is at least the
-  // handover gap of 3 s old, and the fencing token rises with the lease holder.
-  void CheckOrder(const std::string& id,
+  // Checks an order: another VM's last order to the engine is at least the
+  // handover gap of 3 s old, whatever the names of the two, and the fencing
+  // token rises with the lease holder.
+  void CheckOrder(const Node& node,
                   const std::string& engine,
                   std::uint64_t fence) {
     ++order_count;
+    const auto& id = node.peers.node_id();
+    const auto vm = id + " at " + node.vm_address;
     auto& previous = last_orders[engine];
-    if (!previous.first.empty() && previous.first != id) {
+    if (!previous.first.empty() && previous.first != vm) {
       EXPECT_GE(clock.Now() - previous.second, seconds(3))
-          << id << " after " << previous.first << " at " << engine;
+          << vm << " after " << previous.first << " at " << engine;
+    }
+    previous = {vm, clock.Now()};
+    if (!last_vm.empty() && last_vm != vm) {
+      EXPECT_GT(fence, last_fence);
     }
-    previous = {id, clock.Now()};
+    last_vm = vm;
     if (!last_holder.empty() && last_holder != id) {
       EXPECT_GT(fence, last_fence);
       ++handovers;
@@ -185,9 +200,11 @@
   FakeObjectStore store;
   FakeCluster cluster;
   std::map<std::string, std::unique_ptr<Node>> nodes;
-  /// By engine, the node that sent its last order, and when.
+  std::map<std::string, std::string> addresses;  ///< Of the VMs, by node id.
+  /// By engine, the VM that sent its last order, and when.
   std::map<std::string, std::pair<std::string, TimePoint>> last_orders;
-  std::string last_holder;
+  std::string last_holder;  ///< Id of the node that sent the last order.
+  std::string last_vm;      ///< Its VM.
   TimePoint last_order_at{};
   std::uint64_t last_fence = 0;
   int order_count = 0;
@@ -237,6 +254,38 @@
   EXPECT_GT(test_bed.last_order_at, restart_time);
 }
 
+// Guards against a new VM that takes the lease of a removed VM of the same name
+// for its own and sends orders within the handover gap.
+TEST(OrderLease, NewVmOfTheSameNameKeepsTheHandoverGap) {
+  LeaseTestBed test_bed(3);
+  test_bed.RunFor(seconds(12));
+  const auto id = test_bed.last_holder;
+  const auto fence = test_bed.last_fence;
+  const auto last_order_at = test_bed.last_order_at;
+  test_bed.nodes.at(id)->store.disconnected = true;
+  test_bed.nodes.erase(id);
+  test_bed.AddNode(id, "second VM");
+  while (test_bed.clock.Now() < last_order_at + seconds(3)) {
+    test_bed.clock.SleepFor(milliseconds(50));
+    EXPECT_FALSE(test_bed.nodes.at(id)->lease.MaySendOrder());
+  }
+  test_bed.RunFor(seconds(5));
+  EXPECT_GT(test_bed.last_fence, fence);
+}
+
+// Guards against a fleet of one node without orders for good after its VM was
+// replaced by one of the same name.
+TEST(OrderLease, OnlyVmIsReplacedByOneOfTheSameName) {
+  LeaseTestBed test_bed(1);
+  test_bed.RunFor(seconds(5));
+  test_bed.nodes.at("n0")->store.disconnected = true;
+  test_bed.nodes.erase("n0");
+  test_bed.AddNode("n0", "second VM");
+  const int previous_count = test_bed.order_count;
+  test_bed.RunFor(seconds(10));
+  EXPECT_GT(test_bed.order_count, previous_count);
+}
+
 // Guards against orders of a lease holder whose VM was suspended: its steady
 // clock does not show that another node may have taken the lease since.
 TEST(OrderLease, SuspendedHolderSendsNoOrders) {
@@ -406,6 +455,11 @@
         test_bed.nodes.erase(victim);
         test_bed.AddNode(victim);
         break;
+      case 6:  // Its VM is replaced by a new one of the same name.
+        test_bed.nodes.at(victim)->store.disconnected = true;
+        test_bed.nodes.erase(victim);
+        test_bed.AddNode(victim, "VM of step " + std::to_string(step));
+        break;
       default:
         break;
     }
