base: never wait for the reader of the log

Cause: EventLog wrote each line to a blocking descriptor on the one thread that runs all fibers. Once the pipe to a paused reader was full, the process answered nothing.

Change: LineWriter asks poll(2) before each write whether the descriptor takes it, writes at most PIPE_BUF bytes at a time, and keeps up to 512 KB of lines for later. Lines beyond that are dropped whole and counted by event 106. The descriptor stays in blocking mode, which other processes share. A fiber of the daemon writes kept lines also when no further event follows; the end of the process waits up to 100 ms for the reader.

--- a/apps/tanagerloomd/fleet_daemon.cc
+++ b/apps/tanagerloomd/fleet_daemon.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "apps/tanagerloomd/log_flusher.h"
 #include "base/event_log.h"
 #include "base/events.h"
 #include "base/invariant.h"
@@ -85,6 +86,7 @@
   EventLog log(settings.node_id, kMaxEventsInMemory, MakeLogger(/*json=*/true));
   SetInvariantLog(&log);
   SteadyClock clock;
+  StartLogFlusher(log, clock);
   // Separate, so that faulty engines leave the store its memory.
   const auto buffer_bytes = settings.memory_bytes / kClientMemoryDivisor;
   HttpClient store_client(runtime.io(), buffer_bytes);
@@ -113,6 +115,7 @@
   const auto started = node.Start();
   if (!started) {
     std::cerr << "cannot start: " << started.assume_error().message << "\n";
+    log.FlushBeforeExit();
     Runtime::Exit(kExitStartFailed);
   }
   running = true;
@@ -120,6 +123,7 @@
     node.RequestStop();
   }
   node.WaitUntilStopped();
+  log.FlushBeforeExit();
   Runtime::Exit(0);
 }
 
--- a/apps/tanagerloomd/main.cc
+++ b/apps/tanagerloomd/main.cc
@@ -7,11 +7,13 @@
 #include <sstream>
 
 #include "apps/tanagerloomd/fleet_daemon.h"
+#include "apps/tanagerloomd/log_flusher.h"
 #include "base/event_log.h"
 #include "base/invariant.h"
 #include "config/settings.h"
 #include "node/node.h"
 #include "runtime/runtime.h"
+#include "runtime/steady_clock.h"
 
 namespace {
 
@@ -83,14 +85,18 @@
   auto& runtime = tanagerloom::Runtime::Get();
   tanagerloom::EventLog log(settings.node_id, settings.event_ring_size,
                             tanagerloom::MakeLogger(settings.json_logs));
+  tanagerloom::SteadyClock clock;
+  tanagerloom::StartLogFlusher(log, clock);
   tanagerloom::SetInvariantLog(&log);
   tanagerloom::Node node(std::move(settings), log);
   const auto started = node.Start();
   if (!started) {
     std::cerr << "cannot start: " << started.assume_error().message << "\n";
+    log.FlushBeforeExit();
     tanagerloom::Runtime::Exit(kExitStartFailed);
   }
   runtime.OnStopSignal([&](int) { node.RequestStop(); });
   node.WaitUntilStopped();
+  log.FlushBeforeExit();
   tanagerloom::Runtime::Exit(0);
 }
--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -1,18 +1,42 @@
 #include "base/event_log.h"
 
+#include <spdlog/details/null_mutex.h>
 #include <spdlog/logger.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/null_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <utility>
 
 #include "base/events.h"
+#include "base/line_writer.h"
 
 namespace tanagerloom {
 
 namespace {
 
+// Max time that the end of the process waits for the reader of the log.
+constexpr std::chrono::milliseconds kExitFlushTimeout{100};
+
+// Passes formatted lines to a LineWriter.
+class LineWriterSink final
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit LineWriterSink(std::shared_ptr<LineWriter> writer)
+      : writer_(std::move(writer)) {}
+
+ private:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t buf;
+    formatter_->format(message, buf);
+    writer_->Write({buf.data(), buf.size()});
+  }
+  void flush_() override { writer_->Flush(); }
+
+  std::shared_ptr<LineWriter> writer_;
+};
+
 spdlog::level::level_enum LevelOf(Severity severity) {
   switch (severity) {
     case Severity::kDebug:
@@ -36,25 +60,18 @@
           {"fields", fields}};
 }
 
-EventLog::EventLog(std::string process,
-                   std::size_t capacity,
-                   std::shared_ptr<spdlog::logger> logger)
+EventLog::EventLog(std::string process, std::size_t capacity, LogOutput output)
     : process_(std::move(process)),
       capacity_(capacity),
-      logger_(std::move(logger)) {}
+      output_(std::move(output)) {}
 
 EventLog::~EventLog() = default;
 
 void EventLog::Record(EventId id, nlohmann::json fields) {
   EventRecord record{clock_.Now(), ++sequence_, id, std::move(fields)};
-  if (logger_->should_log(LevelOf(id.severity)) &&
+  if (output_.logger->should_log(LevelOf(id.severity)) &&
       limiter_.Allow(id.severity, std::chrono::steady_clock::now())) {
-    if (const auto omitted = limiter_.TakeOmittedCount()) {
-      Write({clock_.Now(),
-             ++sequence_,
-             events::kEventsOmitted,
-             {{"lines", omitted}}});
-    }
+    WriteOmittedCount();
     Write(record);
   }
   if (observer_) {
@@ -67,9 +84,39 @@
 }
 
 void EventLog::Write(const EventRecord& record) {
-  logger_->log(LevelOf(record.id.severity),
-               record.ToJson(process_).dump(
-                   -1, ' ', false, nlohmann::json::error_handler_t::replace));
+  output_.logger->log(
+      LevelOf(record.id.severity),
+      record.ToJson(process_).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace));
+}
+
+void EventLog::WriteOmittedCount() {
+  auto* writer = output_.writer.get();
+  if (writer != nullptr && writer->IsCongested()) {
+    return;  // The line with the count could be dropped itself.
+  }
+  const auto dropped = writer == nullptr ? 0 : writer->TakeDroppedCount();
+  if (const auto omitted = limiter_.TakeOmittedCount() + dropped) {
+    Write({clock_.Now(),
+           ++sequence_,
+           events::kEventsOmitted,
+           {{"lines", omitted}}});
+  }
+}
+
+void EventLog::Flush() {
+  if (output_.writer != nullptr) {
+    output_.writer->Flush();
+    if (output_.writer->dropped_count() > 0) {
+      WriteOmittedCount();
+    }
+  }
+}
+
+void EventLog::FlushBeforeExit() {
+  if (output_.writer != nullptr) {
+    output_.writer->FlushWithin(kExitFlushTimeout);
+  }
 }
 
 void EventLog::SetObserver(std::function<void(const EventRecord&)> observer) {
@@ -86,16 +133,21 @@
   return out;
 }
 
-std::shared_ptr<spdlog::logger> MakeLogger(bool json) {
-  auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
-  auto logger = std::make_shared<spdlog::logger>("tanagerloom", sink);
+LogOutput MakeLogger(bool json) {
+  return MakeLogger(json, std::make_shared<LineWriter>(STDOUT_FILENO));
+}
+
+LogOutput MakeLogger(bool json, std::shared_ptr<LineWriter> writer) {
+  auto logger = std::make_shared<spdlog::logger>(
+      "tanagerloom", std::make_shared<LineWriterSink>(writer));
   logger->set_pattern(json ? "%v" : "%Y-%m-%d %H:%M:%S.%e %l %v");
-  return logger;
+  return {std::move(logger), std::move(writer)};
 }
 
-std::shared_ptr<spdlog::logger> MakeNullLogger() {
-  return std::make_shared<spdlog::logger>(
-      "null", std::make_shared<spdlog::sinks::null_sink_st>());
+LogOutput MakeNullLogger() {
+  return {std::make_shared<spdlog::logger>(
+              "null", std::make_shared<spdlog::sinks::null_sink_st>()),
+          nullptr};
 }
 
 }  // namespace tanagerloom
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -22,6 +22,14 @@
 
 namespace tanagerloom {
 
+class LineWriter;
+
+/// Where the lines of a log go. `writer` is null if they go nowhere.
+struct LogOutput {
+  std::shared_ptr<spdlog::logger> logger;
+  std::shared_ptr<LineWriter> writer;
+};
+
 /// One recorded event. `sequence` rises by one with each event of a process.
 struct EventRecord {
   HybridTime time;
@@ -34,14 +42,13 @@
 };
 
 /// Keeps the latest events and writes all of them to the log of the process, up
-/// to the rate that LogRateLimiter allows.
+/// to the rate that LogRateLimiter allows. It never waits for the reader of the
+/// log: see LineWriter.
 class EventLog {
  public:
   /// `process` names this process in the merged timeline. `capacity` is the
   /// maximum number of events in the ring buffer.
-  EventLog(std::string process,
-           std::size_t capacity,
-           std::shared_ptr<spdlog::logger> logger);
+  EventLog(std::string process, std::size_t capacity, LogOutput output);
   ~EventLog();
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
@@ -49,6 +56,14 @@
   /// Records an event at the current time. `fields` is a JSON object.
   void Record(EventId id, nlohmann::json fields);
 
+  /// Writes the lines that the log did not take before, as far as it takes them
+  /// now.
+  void Flush();
+
+  /// Does the same before the end of the process, and waits a short time for
+  /// the reader of the log.
+  void FlushBeforeExit();
+
   /// Calls `observer` with each event recorded from now on. Replaces the
   /// previous observer.
   void SetObserver(std::function<void(const EventRecord&)> observer);
@@ -62,10 +77,12 @@
 
  private:
   void Write(const EventRecord& record);
+  /// Records how many lines were omitted, if any, once there is room for it.
+  void WriteOmittedCount();
 
   std::string process_;
   std::size_t capacity_;
-  std::shared_ptr<spdlog::logger> logger_;
+  LogOutput output_;
   HybridClock clock_;
   LogRateLimiter limiter_;
   std::uint64_t sequence_ = 0;
@@ -73,13 +90,15 @@
   std::function<void(const EventRecord&)> observer_;
 };
 
-/// Makes a logger that writes one line per event to standard output. With
-/// `json` a line is the JSON object alone; otherwise a time and a level precede
-/// it.
-std::shared_ptr<spdlog::logger> MakeLogger(bool json);
+/// Makes an output with one line per event on standard output. With `json` a
+/// line is the JSON object alone; otherwise a time and a level precede it.
+LogOutput MakeLogger(bool json);
+
+/// Makes such an output with `writer` in place of standard output.
+LogOutput MakeLogger(bool json, std::shared_ptr<LineWriter> writer);
 
-/// Makes a logger that writes nothing, for tests and tools.
-std::shared_ptr<spdlog::logger> MakeNullLogger();
+/// Makes an output that writes nothing, for tests and tools.
+LogOutput MakeNullLogger();
 
 }  // namespace tanagerloom
 
