store: eras of an object store that comes back from a copy

Cause: the store may come back as it was some seconds ago. Revisions are then given out again and the stored order lease may be an old one; nodes took both for the present ones.

Change: StoreEra has the highest era that answers state in Store-Era, and the client fails calls whose answer is of an older one. In a new era followers list again and report an outage, so that endpoints that the copy lacks are kept for the time of lapsed ones; nodes register again; the holder of the order lease stops at once, and the lease is taken anew after the time of a lease and the handover gap. Fencing tokens rise with the era, and with the stored revision within it. Notices of the lease state the era. An entry that is older than the last one of a removed endpoint does not bring it back after an outage. Without the header nothing changes.

--- a/apps/tanagerloomd/fleet_daemon.cc
+++ b/apps/tanagerloomd/fleet_daemon.cc
@@ -94,9 +94,10 @@
   platform::StoreClient store(store_client, clock, settings.store);
   platform::EngineClient engines(engine_client, clock);
   const platform::HeaderProtocol protocol;
-  FleetNode node(
-      settings,
-      {store, store, engines, protocol, platform::MakeRegistryFormat()}, log);
+  FleetNode node(settings,
+                 {store, store, engines, protocol,
+                  platform::MakeRegistryFormat(), store.era()},
+                 log);
   // A stop signal that arrives while the node starts takes effect after the
   // start; it must not end the process at once.
   bool running = false;
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -22,6 +22,8 @@
                                         "events_omitted"};
 inline constexpr EventId kReadinessChanged{107, Severity::kInfo,
                                            "readiness_changed"};
+inline constexpr EventId kStoreEraChanged{108, Severity::kWarning,
+                                          "store_era_changed"};
 inline constexpr EventId kPeerConnected{200, Severity::kInfo, "peer_connected"};
 inline constexpr EventId kPeerDisconnected{201, Severity::kInfo,
                                            "peer_disconnected"};
--- a/packages/fleet/endpoint_directory.cc
+++ b/packages/fleet/endpoint_directory.cc
@@ -16,6 +16,32 @@
   }
 }
 
+void EndpointDirectory::Erase(const std::string& id, TimePoint now) {
+  const auto it = records_.find(id);
+  if (it == records_.end()) {
+    return;
+  }
+  std::erase_if(removed_, [now](const auto& known) {
+    return now - known.second.removed_at >= kRemovedMemory;
+  });
+  removed_[id] = {it->second.boot, it->second.entry_sequence, now};
+  records_.erase(it);
+  changed_at_.erase(id);
+}
+
+bool EndpointDirectory::IsOutdated(const EndpointRecord& record,
+                                   TimePoint now) const {
+  const auto it = removed_.find(record.id);
+  if (it == removed_.end() || !IsInGrace(now) ||
+      now - it->second.removed_at >= kRemovedMemory) {
+    return false;
+  }
+  const auto& last = it->second;
+  return record.boot < last.boot ||
+         (record.boot == last.boot &&
+          record.entry_sequence < last.entry_sequence);
+}
+
 void EndpointDirectory::RememberDraining(const std::string& id,
                                          std::uint64_t boot) {
   if (draining_boots_.size() >= kMaxRememberedDraining) {
@@ -48,6 +74,9 @@
   }
   const auto it = records_.find(record.id);
   if (it == records_.end()) {
+    if (IsOutdated(record, now)) {
+      return;
+    }
     change.listed.push_back(record.id);
     if (record.draining) {
       change.draining.push_back(record.id);
@@ -121,8 +150,7 @@
     removal_at_.emplace(id, since + kReregistrationGrace);
     return change;
   }
-  records_.erase(it);
-  changed_at_.erase(id);
+  Erase(id, now);
   removal_at_.erase(id);
   change.gone.push_back(id);
   return change;
@@ -138,8 +166,7 @@
       ++it;
       continue;
     }
-    records_.erase(it->first);
-    changed_at_.erase(it->first);
+    Erase(it->first, now);
     change.gone.push_back(it->first);
     it = removal_at_.erase(it);
   }
--- a/packages/fleet/endpoint_directory.h
+++ b/packages/fleet/endpoint_directory.h
@@ -37,6 +37,9 @@
   /// within this time.
   static constexpr Duration kReregistrationGrace =
       std::chrono::milliseconds(1800);
+  /// How long the last entry of a removed endpoint is remembered. A list that
+  /// comes back from a copy is older by less.
+  static constexpr Duration kRemovedMemory = std::chrono::seconds(30);
   /// Max number of draining endpoints that are remembered.
   static constexpr std::size_t kMaxRememberedDraining = 4096;
 
@@ -86,6 +89,19 @@
 
   std::map<std::string, EndpointRecord, std::less<>> records_;
   std::map<std::string, TimePoint, std::less<>> changed_at_;
+  /// Which start of a removed endpoint wrote its last entry, and when the
+  /// endpoint was removed.
+  struct RemovedEndpoint {
+    std::uint64_t boot = 0;
+    std::uint64_t entry_sequence = 0;
+    TimePoint removed_at{};
+  };
+
+  /// Removes a listed endpoint and remembers its last entry.
+  void Erase(const std::string& id, TimePoint now);
+  /// Returns whether an entry is older than the last one of an endpoint that
+  /// was removed before the list came back from an outage.
+  bool IsOutdated(const EndpointRecord& record, TimePoint now) const;
   /// Marks the start of an endpoint as draining, also in later entries.
   void RememberDraining(const std::string& id, std::uint64_t boot);
 
@@ -94,6 +110,7 @@
   std::map<std::string, std::uint64_t, std::less<>> draining_boots_;
   /// Endpoints missing from the list, with the time at which they are removed.
   std::map<std::string, TimePoint, std::less<>> removal_at_;
+  std::map<std::string, RemovedEndpoint, std::less<>> removed_;
   bool list_unavailable_ = false;
   std::optional<TimePoint> available_at_;
 };
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -187,7 +187,7 @@
     const auto holder = PutString(builder, body.holder);
     return {wire::Body::LeaseNotice,
             wire::CreateLeaseNotice(builder, holder, body.fence, body.revision,
-                                    body.released)
+                                    body.released, body.era)
                 .Union()};
   }
   Encoded operator()(const LoadEstimate& body) const {
@@ -388,9 +388,9 @@
     }
     case wire::Body::LeaseNotice: {
       const auto& body = *envelope.body_as_LeaseNotice();
-      return EnvelopeBody(
-          PeerMessage(LeaseNotice{ToString(body.holder()), body.fence(),
-                                  body.revision(), body.released()}));
+      return EnvelopeBody(PeerMessage(
+          LeaseNotice{ToString(body.holder()), body.fence(), body.revision(),
+                      body.released(), body.era()}));
     }
     case wire::Body::LoadOutlook:
       return DecodeLoadEstimate(*envelope.body_as_LoadOutlook());
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -23,6 +23,7 @@
 #include "ordering/order_coordinator.h"
 #include "ordering/order_lease.h"
 #include "ports/object_store.h"
+#include "ports/store_era.h"
 #include "registry/node_registry.h"
 #include "runtime/event_flag.h"
 #include "runtime/runtime.h"
@@ -114,14 +115,20 @@
   Parts(FleetSettings initial_settings, FleetPorts ports, EventLog& event_log)
       : settings(std::move(initial_settings)),
         log(event_log),
+        store_era(ports.store_era),
         view(settings.data_centre, clock),
         demand(clock),
         buffers(settings.memory_bytes / kBufferMemoryDivisor),
-        nodes(ports.store, ports.collections, clock, SelfAsVm(settings)),
+        nodes(ports.store,
+              ports.collections,
+              store_era,
+              clock,
+              SelfAsVm(settings)),
         peers(Runtime::Get().io(), nodes, clock, log, PeerSettings(settings)),
         crashes(peers, clock, log),
         statements(view, peers, clock, log),
         registry(ports.collections,
+                 store_era,
                  peers,
                  view,
                  clock,
@@ -129,6 +136,7 @@
                  std::move(ports.format),
                  RegistryTimingFor(settings.bounds)),
         lease(ports.store,
+              store_era,
               peers,
               clock,
               log,
@@ -162,6 +170,7 @@
             }) {}
 
   void AddMetrics();
+  void OnStoreEraChanged();
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
   void ApplyClientLimits();
   void BroadcastUseLoop();
@@ -175,6 +184,7 @@
 
   FleetSettings settings;
   EventLog& log;
+  StoreEra& store_era;
   SteadyClock clock;
   FleetView view;
   DemandTracker demand;
@@ -234,6 +244,16 @@
   metrics.AddGaugeReader("tanagerloom_holds_order_lease",
                          "1 while this node orders engines.",
                          [this] { return lease.is_holder() ? 1.0 : 0.0; });
+  metrics.AddGaugeReader(
+      "tanagerloom_store_era",
+      "Era of the object store; rises when it is restored from a copy.",
+      [this] { return static_cast<double>(store_era.current()); });
+}
+
+void FleetNode::Parts::OnStoreEraChanged() {
+  log.Record(events::kStoreEraChanged, {{"era", store_era.current()},
+                                        {"previous", store_era.previous()}});
+  boost::fibers::fiber([this] { nodes.Register(); }).detach();
 }
 
 // ---- messages from peers
@@ -386,6 +406,7 @@
 Result<void> FleetNode::Start() {
   auto& parts = *parts_;
   parts.AddMetrics();
+  parts.store_era.OnChanged([&parts] { parts.OnStoreEraChanged(); });
   parts.registry.OnConfigChanged([&parts] { parts.ApplyClientLimits(); });
   parts.peers.OnMessage(
       [&parts](const std::string& from, const PeerMessage& message) {
--- a/packages/node/fleet_node.h
+++ b/packages/node/fleet_node.h
@@ -16,6 +16,7 @@
 class ObjectCollection;
 class ObjectStore;
 class RequestProtocol;
+class StoreEra;
 
 /// The outside systems of a node. They must outlive it.
 struct FleetPorts {
@@ -24,6 +25,7 @@
   EngineControl& engines;
   const RequestProtocol& protocol;
   RegistryFormat format;
+  StoreEra& store_era;
 };
 
 /// A node of a registered fleet.
--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/events.h"
 #include "ports/peer_network.h"
+#include "ports/store_era.h"
 
 namespace tanagerloom {
 
@@ -24,12 +25,16 @@
 constexpr auto kStoreRetryDelay = std::chrono::milliseconds(250);
 // Allowance for timers that fire late and clocks that differ slightly in rate.
 constexpr auto kClockMargin = std::chrono::milliseconds(100);
+// Fencing tokens of one era of the store, with room for the revisions that the
+// store gives out again.
+constexpr std::uint64_t kFencesPerEra = 1'000'000;
 
 struct StoredLease {
   std::string holder;
   std::string vm_address;  ///< Of the holder; empty if it did not store it.
   std::uint64_t fence = 0;
   std::uint64_t renewal_number = 0;
+  std::uint32_t era = 0;  ///< Era of the store in which it was taken.
   bool released = false;
   bool handover_complete =
       false;  ///< The holder had finished waiting for the previous one.
@@ -48,6 +53,7 @@
   out.vm_address = json.value("vm_address", "");
   out.fence = json.value("fence", std::uint64_t{0});
   out.renewal_number = json.value("renewal", std::uint64_t{0});
+  out.era = json.value("era", std::uint32_t{0});
   out.released = json.value("released", false);
   out.handover_complete = json.value("ordering", false);
   const auto waits = json.find("engine_waits_ms");
@@ -71,6 +77,7 @@
 }  // namespace
 
 OrderLease::OrderLease(ObjectStore& store,
+                       StoreEra& era,
                        PeerNetwork& peers,
                        Clock& clock,
                        EventLog& log,
@@ -78,12 +85,15 @@
                        std::string vm_address,
                        LeaseTiming timing)
     : store_(store),
+      era_(era),
       peers_(peers),
       clock_(clock),
       log_(log),
       key_(std::move(key)),
       vm_address_(std::move(vm_address)),
-      timing_(timing) {}
+      timing_(timing) {
+  era_.OnChanged([this] { OnNewEra(); });
+}
 
 bool OrderLease::MaySendOrder() const {
   const auto now = clock_.SuspendAwareNow();
@@ -138,6 +148,9 @@
                      {"renewal", renewals_sent_},
                      {"released", released},
                      {"ordering", is_holder_ && IsHandoverComplete(now)}};
+  if (lease_era_ != 0) {
+    out["era"] = lease_era_;
+  }
   if (released && now >= release_lists_all_at_) {
     auto waits = nlohmann::json::object();
     for (const auto& [engine, wait] : WaitsAfterRelease(now)) {
@@ -151,7 +164,7 @@
 
 void OrderLease::Announce() {
   peers_.Broadcast(LeaseNotice{peers_.node_id(), fence_, stored_revision_,
-                               /*released=*/false});
+                               /*released=*/false, lease_era_});
 }
 
 void OrderLease::SleepUnlessStopping(Duration duration) {
@@ -227,6 +240,36 @@
   changed_.Signal();
 }
 
+void OrderLease::OnNewEra() {
+  if (is_holder_) {
+    Lose("the store came back from an older copy");
+  } else if (!holder_.empty()) {
+    holder_.clear();
+    changed_.Signal();
+  }
+  if (lease_read_) {
+    // All nodes see the new era at about the same time: only the delay by rank
+    // remains.
+    observed_ = ObservedLease{0, clock_.SuspendAwareNow() - timing_.validity};
+  }
+}
+
+OrderLease::Handover OrderLease::AfterEndedLease() const {
+  return {timing_.handover_gap, {}, timing_.handover_gap};
+}
+
+OrderLease::Handover OrderLease::AfterEndedEra() const {
+  const Duration wait = timing_.validity + kClockMargin + timing_.handover_gap;
+  return {wait, {}, wait};
+}
+
+std::uint64_t OrderLease::NextFence(std::uint64_t stored,
+                                    std::uint64_t version) const {
+  const std::uint64_t era = era_.current();
+  const auto first = era == 0 ? 0 : era * kFencesPerEra + version;
+  return std::max({fence_, stored, first}) + 1;
+}
+
 Duration OrderLease::TakeoverTimeout() const {
   auto live = peers_.LiveIds();
   if (holder_ != peers_.node_id()) {
@@ -270,28 +313,38 @@
       observed_ = ObservedLease{0, now - timing_.validity};
       return;
     }
-    Take(0, 1, {});
+    // A store that has eras may have lost a lease.
+    Take(0, NextFence(0, 0),
+         era_.current() == 0 ? Handover{} : AfterEndedEra());
     return;
   }
   lease_read_ = true;
   const auto& object = stored.assume_value();
   const auto lease = ParseLease(object.value);
-  const Handover whole_gap{timing_.handover_gap, {}, timing_.handover_gap};
+  const auto fence = NextFence(lease.fence, object.version);
+  if (lease.era != era_.current()) {
+    // It was restored with the copy, or written late by a call of that time,
+    // perhaps over a lease of this era.
+    Take(object.version, fence, AfterEndedEra());
+    return;
+  }
+  // While a holder itself waits, its own wait may be the longer one.
+  const auto incomplete = lease.era == 0 ? AfterEndedLease() : AfterEndedEra();
   if (lease.holder == peers_.node_id() && lease.vm_address == vm_address_) {
     // The lease belongs to an earlier process of this VM, whose orders count as
     // this node's. If that process was still waiting for the handover from its
     // predecessor, this one has to wait too.
     const Duration longest_wait = timing_.order_delivery + timing_.handover_gap;
-    Take(object.version, lease.fence + 1,
+    Take(object.version, fence,
          lease.handover_complete ? Handover{Duration(0), {}, longest_wait}
-                                 : whole_gap);
+                                 : incomplete);
     return;
   }
   if (lease.released) {
-    Take(object.version, lease.fence + 1,
+    Take(object.version, fence,
          lease.engine_waits
              ? Handover{Duration(0), *lease.engine_waits, Duration(0)}
-             : whole_gap);
+             : incomplete);
     return;
   }
   if (!observed_ || observed_->revision != object.version) {
@@ -303,7 +356,7 @@
     return;
   }
   if (now - observed_->observed_at >= timing_.validity + kClockMargin) {
-    Take(object.version, lease.fence + 1, whole_gap);
+    Take(object.version, fence, AfterEndedLease());
   }
 }
 
@@ -312,6 +365,7 @@
                       const Handover& handover) {
   const auto sent_at = clock_.SuspendAwareNow();
   const auto previous_fence = std::exchange(fence_, fence);
+  lease_era_ = era_.current();
   renewals_sent_ = 1;
   orders_allowed_at_ = sent_at + handover.before_any_order;
   release_lists_all_at_ =
@@ -326,8 +380,10 @@
   if (stopping_) {
     return;
   }
-  if (!result) {
-    fence_ = previous_fence;
+  if (!result || lease_era_ != era_.current()) {
+    if (fence_ == fence) {
+      fence_ = previous_fence;  // No notice told of a later one meanwhile.
+    }
     observed_.reset();
     SleepUnlessStopping(kStoreRetryDelay);
     return;
@@ -346,7 +402,8 @@
 }
 
 void OrderLease::OnNotice(const LeaseNotice& notice) {
-  if (notice.fence < fence_) {
+  era_.Observe(notice.era);
+  if (notice.era != era_.current() || notice.fence < fence_) {
     return;
   }
   if (is_holder_) {
@@ -387,7 +444,8 @@
   }
   if (result) {
     peers_.Broadcast(LeaseNotice{peers_.node_id(), fence_,
-                                 result.assume_value(), /*released=*/true});
+                                 result.assume_value(), /*released=*/true,
+                                 lease_era_});
   }
   log_.Record(events::kLeaseReleased,
               {{"fence", fence_}, {"stored", static_cast<bool>(result)}});
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -18,6 +18,7 @@
 
 class EventLog;
 class PeerNetwork;
+class StoreEra;
 
 /// Durations of the lease protocol.
 struct LeaseTiming {
@@ -41,11 +42,18 @@
 /// stays safe if the holder crashes, freezes, is disconnected from the store or
 /// loses the response to a renewal. A restarted process of the holder's VM
 /// takes its lease over at once; a new VM of the same name is another holder.
+///
+/// In a new era of the store, which came back from an older copy, no earlier
+/// lease counts: the holder stops, and the lease is taken anew. What the stored
+/// one says of that time may be outdated, so that its new holder assumes that
+/// another node renewed a lease until now, and waits until that has ended and
+/// for the handover gap.
 class OrderLease {
  public:
   /// `key` is the key of the stored lease. `vm_address` tells this VM from a
   /// removed one of the same name.
   OrderLease(ObjectStore& store,
+             StoreEra& era,
              PeerNetwork& peers,
              Clock& clock,
              EventLog& log,
@@ -115,6 +123,17 @@
 
   /// Sends a renewal, or sleeps until the next one.
   void Renew();
+  /// Stops to hold or observe a lease of an ended era of the store.
+  void OnNewEra();
+  /// Returns the waits after a holder whose lease has ended.
+  Handover AfterEndedLease() const;
+  /// Returns the waits after a holder of whose lease nothing is known but that
+  /// it was renewed in an era of the store that has ended.
+  Handover AfterEndedEra() const;
+  /// Returns a fencing token above `stored` and all that this node knows. In a
+  /// store with eras it also rises with `version`, that of the stored lease,
+  /// and with the era, since a restored lease may have lost later tokens.
+  std::uint64_t NextFence(std::uint64_t stored, std::uint64_t version) const;
   /// Extends the lease by a stored renewal and announces it.
   void OnRenewed(std::uint64_t revision, TimePoint sent_at);
   /// Reads the stored lease after a renewal whose outcome is unknown.
@@ -145,6 +164,7 @@
   void SleepUnlessStopping(Duration duration);
 
   ObjectStore& store_;
+  StoreEra& era_;
   PeerNetwork& peers_;
   Clock& clock_;
   EventLog& log_;
@@ -155,6 +175,8 @@
   bool is_holder_ = false;
   bool stopping_ = false;
   std::uint64_t fence_ = 0;
+  /// Era of the store in which this node took the lease.
+  std::uint32_t lease_era_ = 0;
   /// Renewals sent under fence_; identifies each one.
   std::uint64_t renewals_sent_ = 0;
   std::uint64_t stored_revision_ = 0;  ///< Version of the stored lease.
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -118,6 +118,7 @@
   std::uint64_t fence = 0;     ///< Rises with each change of the lease holder.
   std::uint64_t revision = 0;  ///< Version of the stored lease.
   bool released = false;       ///< The sender has released the lease.
+  std::uint32_t era = 0;       ///< Era of the store in which it was written.
 };
 
 /// A model loaded on an engine, with its loaded adapters.
--- a/packages/registry/collection_follower.cc
+++ b/packages/registry/collection_follower.cc
@@ -5,16 +5,19 @@
 
 #include "base/event_log.h"
 #include "base/events.h"
+#include "ports/store_era.h"
 
 namespace tanagerloom {
 
 CollectionFollower::CollectionFollower(ObjectCollection& collections,
+                                       const StoreEra& era,
                                        Clock& clock,
                                        EventLog& log,
                                        std::string collection,
                                        FollowTiming timing,
                                        FollowHandlers handlers)
     : collections_(collections),
+      era_(era),
       clock_(clock),
       log_(log),
       collection_(std::move(collection)),
@@ -62,6 +65,7 @@
   }
   OnSuccess();
   has_list_ = true;
+  list_era_ = era_.current();
   revision_ = list.assume_value().revision;
   handlers_.on_list(list.assume_value());
 }
@@ -70,7 +74,7 @@
   const auto called_at = clock_.Now();
   const auto changes =
       collections_.WatchAll(collection_, revision_, timing_.watch_timeout);
-  if (stopping_) {
+  if (stopping_ || list_era_ != era_.current()) {
     return;
   }
   if (!changes) {
@@ -90,8 +94,17 @@
   }
 }
 
+void CollectionFollower::OnNewEra() {
+  has_list_ = false;
+  OnFailure(MakeError(ErrorKind::kHistoryGone,
+                      "the store came back from an older copy"));
+}
+
 void CollectionFollower::Run() {
   while (!stopping_) {
+    if (has_list_ && list_era_ != era_.current()) {
+      OnNewEra();
+    }
     if (has_list_) {
       WatchOnce();
     } else {
--- a/packages/registry/collection_follower.h
+++ b/packages/registry/collection_follower.h
@@ -14,6 +14,7 @@
 namespace tanagerloom {
 
 class EventLog;
+class StoreEra;
 
 /// Timing of the calls to the store. Every call has a cost, and a connection
 /// may go silent without an error.
@@ -37,10 +38,13 @@
   std::function<void()> on_available;
 };
 
-/// Follows one collection until Stop(), also through outages of the store.
+/// Follows one collection until Stop(), also through outages of the store. A
+/// new era of the store counts as an outage: revisions of the old era mean
+/// nothing in it, and the list may lack what was written last.
 class CollectionFollower {
  public:
   CollectionFollower(ObjectCollection& collections,
+                     const StoreEra& era,
                      Clock& clock,
                      EventLog& log,
                      std::string collection,
@@ -56,6 +60,8 @@
   void ReadAll();
   /// Waits for changes once. A whole read follows if the history is gone.
   void WatchOnce();
+  /// Reports an outage and discards the revision.
+  void OnNewEra();
   void OnFailure(const Error& error);
   void OnSuccess();
   /// Waits until the next call may follow a failed one that was made at
@@ -63,13 +69,15 @@
   void AwaitRetry(TimePoint called_at);
 
   ObjectCollection& collections_;
+  const StoreEra& era_;
   Clock& clock_;
   EventLog& log_;
   std::string collection_;
   FollowTiming timing_;
   FollowHandlers handlers_;
   std::uint64_t revision_ = 0;
-  bool has_list_ = false;  ///< revision_ is valid to watch from.
+  bool has_list_ = false;       ///< revision_ is valid to watch from.
+  std::uint32_t list_era_ = 0;  ///< The era of the store in which it is.
   bool unavailable_ = false;
   TimePoint outage_started_at_{};
   bool stopping_ = false;
--- a/packages/registry/fleet_registry.h
+++ b/packages/registry/fleet_registry.h
@@ -23,6 +23,7 @@
 
 class FleetView;
 class PeerNetwork;
+class StoreEra;
 struct ConfigRequest;
 struct ConfigUpdate;
 struct DirectoryChange;
@@ -69,6 +70,7 @@
 class FleetRegistry {
  public:
   FleetRegistry(ObjectCollection& store,
+                const StoreEra& era,
                 PeerNetwork& peers,
                 FleetView& view,
                 Clock& clock,
--- a/packages/registry/node_registry.cc
+++ b/packages/registry/node_registry.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "ports/store_era.h"
 #include "runtime/clock.h"
 
 namespace tanagerloom {
@@ -47,20 +48,24 @@
 
 NodeRegistry::NodeRegistry(ObjectStore& store,
                            ObjectCollection& collections,
+                           const StoreEra& era,
                            Clock& clock,
                            Vm self)
     : store_(store),
       collections_(collections),
+      era_(era),
       clock_(clock),
       self_(std::move(self)) {}
 
 Result<void> NodeRegistry::TryRegister() {
   const auto value = NodeObjectValue(self_);
   const auto stored = store_.Get(NodeObjectKey(self_.id));
+  const auto era = era_.current();
   std::uint64_t version = 0;
   if (stored) {
     const auto known = ParseNode({self_.id, stored.assume_value().value, 0});
     if (known && NodeObjectValue(known.assume_value()) == value) {
+      registered_era_ = era;
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     version = stored.assume_value().version;
@@ -68,13 +73,23 @@
     return stored.assume_error();
   }
   BOOST_OUTCOME_TRYV(store_.Put(NodeObjectKey(self_.id), value, version));
+  if (era_.current() != era) {
+    return MakeError(ErrorKind::kUnknown, "the store was restored meanwhile");
+  }
+  registered_era_ = era;
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void NodeRegistry::Register() {
-  while (!stopping_ && !TryRegister()) {
-    clock_.SleepFor(kRegisterRetryDelay);
+  if (std::exchange(registering_, true)) {
+    return;
+  }
+  while (!stopping_ && registered_era_ != era_.current()) {
+    if (!TryRegister()) {
+      clock_.SleepFor(kRegisterRetryDelay);
+    }
   }
+  registering_ = false;
 }
 
 Result<std::vector<Vm>> NodeRegistry::Read() {
--- a/testing/fleet_standin/store_standin.cc
+++ b/testing/fleet_standin/store_standin.cc
@@ -76,13 +76,33 @@
   return it == objects->second.end() ? nlohmann::json() : it->second.spec;
 }
 
+StoreStandin::Copy StoreStandin::MakeCopy() const {
+  return {objects_by_kind_, revision_};
+}
+
+void StoreStandin::Restore(const Copy& copy) {
+  objects_by_kind_ = copy.objects_by_kind;
+  revision_ = copy.revision;
+  history_.clear();
+  oldest_revision_ = revision_;
+  era = era.value_or(0) + 1;
+  changed_.Signal();
+}
+
+void StoreStandin::Send(HttpResponder& responder, HttpResponse response) const {
+  if (era) {
+    response.headers.Set("Store-Era", std::to_string(*era));
+  }
+  (void)responder.Send(std::move(response));
+}
+
 void StoreStandin::Handle(const HttpRequest& request,
                           HttpResponder& responder) {
   const std::string call = request.method + " " + request.target;
   calls.push_back(call);
   const auto call_fault = fault(call);
   if (call_fault == StoreStandinFault::kRefused) {
-    (void)responder.Send(StatusResponse(503));
+    Send(responder, StatusResponse(503));
     return;
   }
   if (call_fault == StoreStandinFault::kSilent) {
@@ -95,7 +115,7 @@
     responder.Abort();
     return;
   }
-  (void)responder.Send(std::move(answer));
+  Send(responder, std::move(answer));
 }
 
 HttpResponse StoreStandin::Answer(const HttpRequest& request) {
@@ -186,7 +206,7 @@
       std::chrono::steady_clock::now() +
       std::chrono::milliseconds(ParseNumber(request.Query("waitMs")));
   while (true) {
-    if (since < oldest_revision_) {
+    if (since < oldest_revision_ || since > revision_) {
       return StatusResponse(410);
     }
     const auto seen = changed_.count();
--- a/testing/fleet_standin/store_standin.h
+++ b/testing/fleet_standin/store_standin.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,17 @@
   /// status 410.
   void ForgetHistory() { oldest_revision_ = revision_ + 1; }
 
+  struct Copy;
+
+  /// Returns a copy of the objects and of the last revision.
+  Copy MakeCopy() const;
+  /// Goes back to a copy and starts a new era. Revisions after that of the copy
+  /// are given out again.
+  void Restore(const Copy& copy);
+
+  /// Era that all responses state in a header; empty for a store without eras.
+  std::optional<std::uint32_t> era;
+
   /// Returns the fault to inject into a call, given as "METHOD TARGET".
   std::function<StoreStandinFault(const std::string& call)> fault =
       [](const std::string&) { return StoreStandinFault::kNone; };
@@ -74,6 +86,8 @@
   void Handle(const HttpRequest& request, HttpResponder& responder);
   /// Executes a call and returns its response.
   HttpResponse Answer(const HttpRequest& request);
+  /// Sends a response that states the era.
+  void Send(HttpResponder& responder, HttpResponse response) const;
   HttpResponse List(const std::string& kind, const HttpRequest& request) const;
   /// Waits for changes after a revision, at most for the time in the request.
   HttpResponse Watch(const std::string& kind, const HttpRequest& request);
@@ -89,7 +103,7 @@
                    nlohmann::json spec);
 
   std::map<std::string, Kind> objects_by_kind_;
-  std::vector<Change> history_;
+  std::vector<Change> history_;  ///< Since the start or the last restoration.
   std::uint64_t revision_ = 100;
   std::uint64_t oldest_revision_ = 0;  ///< Oldest that a watch may start from.
   EventFlag changed_;
@@ -97,6 +111,12 @@
   Address address_;
 };
 
+/// The content of a StoreStandin at one time.
+struct StoreStandin::Copy {
+  std::map<std::string, Kind> objects_by_kind;
+  std::uint64_t revision = 0;
+};
+
 }  // namespace tanagerloom
 
 #endif  // TESTING_FLEET_STANDIN_STORE_STANDIN_H_
--- a/tests/correctness/endpoint_directory_test.cc
+++ b/tests/correctness/endpoint_directory_test.cc
@@ -51,6 +51,25 @@
   EXPECT_NE(directory.Find("b"), nullptr);
 }
 
+// Guards against requests to an endpoint that has gone and that an older copy
+// of the list shows again, and against one that is ignored when it comes back.
+TEST(EndpointDirectory, OlderListDoesNotBringAnEndpointBack) {
+  EndpointDirectory directory;
+  directory.Replace({Record("a", 2, 5), Record("b", 1, 1)}, kStart);
+  directory.Remove("a", kStart);
+  const auto available_at = kStart + std::chrono::seconds(2);
+  directory.OnListUnavailable();
+  directory.OnListAvailable(available_at);
+  EXPECT_TRUE(
+      directory.Replace({Record("a", 2, 4), Record("b", 1, 1)}, available_at)
+          .listed.empty());
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  directory.Update(Record("a", 1, 9), available_at);
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  directory.Update(Record("a", 2, 6), available_at);
+  EXPECT_NE(directory.Find("a"), nullptr);
+}
+
 // Guards against a grace period for an endpoint that had announced that it
 // drains.
 TEST(EndpointDirectory, DrainingEndpointGetsNoGracePeriod) {
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -5,10 +5,13 @@
 
 #include <boost/fiber/fiber.hpp>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <random>
+#include <tuple>
 
 #include "base/event_log.h"
 #include "ordering/order_lease.h"
+#include "ports/store_era.h"
 #include "tests/fakes/fake_object_store.h"
 #include "tests/fakes/fake_peers.h"
 #include "tests/fakes/virtual_clock.h"
@@ -47,19 +50,20 @@
 };
 
 // One node's connection to the object store; every call fails with a timeout
-// while `disconnected` is set.
+// while `disconnected` is set. Like the client of the store it observes the era
+// of each answer.
 class NodeStore final : public ObjectStore {
  public:
-  explicit NodeStore(FakeObjectStore& store) : store_(store) {}
+  NodeStore(FakeObjectStore& store, StoreEra& era) : store_(store), era_(era) {}
   Result<StoredObject> Get(std::string_view key) override {
     return disconnected ? Result<StoredObject>(TimeoutError())
-                        : store_.Get(key);
+                        : Observe(store_.Get(key));
   }
   Result<std::uint64_t> Put(std::string_view key,
                             std::string_view value,
                             std::uint64_t version) override {
     return disconnected ? Result<std::uint64_t>(TimeoutError())
-                        : store_.Put(key, value, version);
+                        : Observe(store_.Put(key, value, version));
   }
   Result<void> Delete(std::string_view, std::uint64_t) override {
     return TimeoutError();
@@ -80,7 +84,21 @@
     return MakeError(ErrorKind::kTimeout, "no response");
   }
 
+  // Observes the era of an answer that was just made, unless it was lost.
+  template <typename T>
+  Result<T> Observe(Result<T> answer) {
+    const auto era = store_.era;
+    if (!answer && answer.assume_error().kind == ErrorKind::kUnknown) {
+      return answer;
+    }
+    if (!era_.Observe(era)) {
+      return MakeError(ErrorKind::kUnknown, "an era that has ended");
+    }
+    return answer;
+  }
+
   FakeObjectStore& store_;
+  StoreEra& era_;
 };
 
 struct Node {
@@ -91,10 +109,10 @@
        const std::string& address)
       : vm_address(address),
         peers(cluster, id, "dc"),
-        store(shared),
+        store(shared, era),
         clock(time),
         log(id, 10, MakeNullLogger()),
-        lease(store, peers, clock, log, "leases/orders", address, {}) {
+        lease(store, era, peers, clock, log, "leases/orders", address, {}) {
     peers.OnMessage([this](const std::string&, const PeerMessage& message) {
       if (const auto* it = std::get_if<LeaseNotice>(&message)) {
         lease.OnNotice(*it);
@@ -109,6 +127,7 @@
 
   std::string vm_address;
   FakePeers peers;
+  StoreEra era;
   NodeStore store;
   VmClock clock;
   EventLog log;
@@ -405,14 +424,137 @@
   EXPECT_GT(test_bed.handovers, 2);
 }
 
-class OrderLeaseFaults : public testing::TestWithParam<unsigned> {};
+// Guards against a lease holder that goes on with its lease in a new era of the
+// store, in which another node may take it, and against a fleet that gets no
+// orders afterwards.
+TEST(OrderLease, HolderStopsWhenItSeesANewEra) {
+  LeaseTestBed test_bed(4);
+  test_bed.RunFor(seconds(10));
+  const auto copy = test_bed.store.MakeCopy();
+  test_bed.RunFor(seconds(3));
+  const auto fence = test_bed.last_fence;
+  test_bed.store.Restore(copy);
+  auto& holder = test_bed.LastHolder();
+  holder.era.Observe(test_bed.store.era);
+  const auto restored_at = test_bed.clock.Now();
+  while (test_bed.clock.Now() < restored_at + seconds(3)) {
+    for (const auto& [id, node] : test_bed.nodes) {
+      EXPECT_FALSE(node->lease.MaySendOrder()) << id;
+    }
+    test_bed.clock.SleepFor(milliseconds(50));
+  }
+  const int previous_count = test_bed.order_count;
+  test_bed.RunFor(seconds(6));
+  EXPECT_GT(test_bed.order_count, previous_count + 50);
+  EXPECT_GT(test_bed.last_fence, fence);
+}
+
+// Guards against a node that starts after the restoration and trusts the lease
+// of the copy, or the lack of one, while the last holder, which the store does
+// not reach, still sends orders.
+TEST(OrderLease, NodeStartedInANewEraWaitsForTheLastHolder) {
+  for (const bool copy_has_lease : {true, false}) {
+    LeaseTestBed test_bed(1);
+    FakeObjectStore::Copy copy;
+    test_bed.RunFor(seconds(5));
+    if (copy_has_lease) {
+      copy = test_bed.store.MakeCopy();
+    }
+    test_bed.RunFor(seconds(3));
+    test_bed.nodes.at("n0")->store.disconnected = true;
+    test_bed.cluster.deliver = [](const std::string&, const std::string&) {
+      return false;
+    };
+    test_bed.store.Restore(copy);
+    test_bed.AddNode("n1");
+    test_bed.RunFor(seconds(10));
+    EXPECT_EQ(test_bed.last_holder, "n1");
+    EXPECT_EQ(test_bed.handovers, 1);
+  }
+}
+
+// Guards against a restart of the holder's process that trusts the lease of the
+// copy as that of an earlier process of its VM: another node may have held a
+// lease that the copy lacks.
+TEST(OrderLease, RestartInANewEraIsNoContinuation) {
+  LeaseTestBed test_bed(3);
+  test_bed.RunFor(seconds(10));
+  const auto first = test_bed.last_holder;
+  const auto copy = test_bed.store.MakeCopy();
+  test_bed.nodes.at(first)->store.disconnected = true;
+  test_bed.nodes.erase(first);
+  test_bed.RunFor(seconds(8));
+  ASSERT_NE(test_bed.last_holder, first);
+  test_bed.store.Restore(copy);
+  test_bed.AddNode(first);
+  test_bed.RunFor(seconds(10));
+}
+
+// Guards against a renewal that was sent before the restoration, takes effect
+// after it because the copy has the expected version again, and then counts as
+// a lease of the new era.
+TEST(OrderLease, LateRenewalOfAnEndedEraIsNoLease) {
+  LeaseTestBed test_bed(2);
+  test_bed.RunFor(seconds(10));
+  auto& holder = test_bed.LastHolder();
+  const auto copy = test_bed.store.MakeCopy();
+  const auto lease = copy.objects.at("leases/orders").value;
+  test_bed.RunFor(seconds(1));
+  test_bed.store.Restore(copy);
+  test_bed.RunFor(seconds(6));
+  // The new lease is overwritten by the late renewal.
+  test_bed.store.objects.at("leases/orders") = {
+      lease, test_bed.store.objects.at("leases/orders").version + 1};
+  holder.store.disconnected = false;
+  test_bed.RunFor(seconds(12));
+  const auto stored =
+      nlohmann::json::parse(test_bed.store.objects.at("leases/orders").value);
+  EXPECT_EQ(stored.value("era", 0U), test_bed.store.era);
+  EXPECT_GT(test_bed.last_order_at, test_bed.clock.Now() - seconds(1));
+}
+
+// Guards against a node that goes back to an era that has ended when answers or
+// notices arrive out of order.
+TEST(OrderLease, IgnoresAnswersAndNoticesOfAnEndedEra) {
+  LeaseTestBed test_bed(2);
+  test_bed.RunFor(seconds(5));
+  test_bed.store.Restore(test_bed.store.MakeCopy());
+  test_bed.store.Restore(test_bed.store.MakeCopy());
+  test_bed.RunFor(seconds(10));
+  auto& holder = test_bed.LastHolder();
+  ASSERT_TRUE(holder.lease.MaySendOrder());
+  const auto fence = holder.lease.fence();
+  holder.lease.OnNotice({"n9", fence + 100, 1, /*released=*/false, /*era=*/1});
+  EXPECT_TRUE(holder.lease.MaySendOrder());
+  EXPECT_EQ(holder.lease.fence(), fence);
+  EXPECT_FALSE(holder.era.Observe(1));
+  EXPECT_EQ(holder.era.current(), 2U);
+  EXPECT_TRUE(holder.lease.MaySendOrder());
+}
+
+// Guards against a holder that the store does not reach and that goes on for
+// the rest of its lease although a peer has seen the new era.
+TEST(OrderLease, HolderLearnsOfANewEraFromAPeer) {
+  LeaseTestBed test_bed(2);
+  test_bed.RunFor(seconds(5));
+  auto& holder = test_bed.LastHolder();
+  ASSERT_TRUE(holder.lease.MaySendOrder());
+  holder.lease.OnNotice({"n9", 1, 1, /*released=*/false, /*era=*/1});
+  EXPECT_FALSE(holder.lease.MaySendOrder());
+}
+
+// By seed, and by whether the store is restored from copies of itself.
+class OrderLeaseFaults
+    : public testing::TestWithParam<std::tuple<unsigned, bool>> {};
 
 // Guards against orders of two lease holders within the handover gap under
 // random sequences of lost connections, killed and restarted processes,
-// suspensions, faults of the object store and lost peer messages.
+// suspensions, faults of the object store, restored copies of it and lost peer
+// messages.
 TEST_P(OrderLeaseFaults, NeverTwoHoldersWithinTheHandoverGap) {
+  const auto [seed, with_restores] = GetParam();
   LeaseTestBed test_bed(5);
-  std::mt19937 random(GetParam());
+  std::mt19937 random(seed);
   const auto random_below = [&](unsigned n) { return random() % n; };
   unsigned store_fault_percent = 0;
   bool peer_messages_lost = false;
@@ -427,7 +569,17 @@
                                  const std::string& to) {
     return from == to || !peer_messages_lost || random_below(2) == 0;
   };
+  std::vector<FakeObjectStore::Copy> copies;
+  if (with_restores) {
+    test_bed.store.write_delay = seconds(2);
+  }
   for (int step = 0; step < 60; ++step) {
+    copies.push_back(test_bed.store.MakeCopy());
+    if (with_restores && random_below(5) == 0) {
+      const auto age =
+          std::min<std::size_t>(copies.size(), 1 + random_below(4));
+      test_bed.store.Restore(copies[copies.size() - age]);
+    }
     const std::string id = "n" + std::to_string(random_below(5));
     const std::string victim =
         random_below(2) == 0 && test_bed.nodes.contains(test_bed.last_holder)
@@ -466,9 +618,15 @@
     test_bed.RunFor(milliseconds(200 + random_below(3000)));
   }
   EXPECT_GT(test_bed.order_count, 0);
+  // Late writes must end before the store does.
+  test_bed.store.fault = [](std::string_view) { return StoreFault::kNone; };
+  test_bed.RunFor(test_bed.store.write_delay + seconds(1));
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OrderLeaseFaults, testing::Range(1U, 41U));
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         OrderLeaseFaults,
+                         testing::Combine(testing::Range(1U, 41U),
+                                          testing::Bool()));
 
 }  // namespace
 }  // namespace tanagerloom
--- a/tests/correctness/registry_timing_test.cc
+++ b/tests/correctness/registry_timing_test.cc
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "node/fleet_settings.h"
+#include "ports/store_era.h"
 #include "registry/collection_follower.h"
 #include "registry/fleet_registry.h"
 #include "tests/fakes/virtual_clock.h"
@@ -61,7 +62,9 @@
   };
   handlers.on_unavailable = [] {};
   handlers.on_available = [] {};
-  CollectionFollower follower(collection, clock, log, "c", timing, handlers);
+  const StoreEra era;
+  CollectionFollower follower(collection, era, clock, log, "c", timing,
+                              handlers);
   running = &follower;
   boost::fibers::fiber([&] { follower.Run(); }).join();
   return *seen_at - outage_ends_at;
--- a/tests/error/platform_store_test.cc
+++ b/tests/error/platform_store_test.cc
@@ -9,6 +9,7 @@
 #include "http/http_client.h"
 #include "platform/store_client.h"
 #include "registry/collection_follower.h"
+#include "registry/node_registry.h"
 #include "runtime/runtime.h"
 #include "runtime/steady_clock.h"
 #include "testing/fleet_standin/store_standin.h"
@@ -127,10 +128,68 @@
   EXPECT_LT(clock.Now() - start, milliseconds(2500));
 }
 
+// Guards against a node that goes back to an era that has ended when answers
+// arrive out of order.
+TEST_F(PlatformStore, AnswerOfAnEndedEraFails) {
+  standin.Set("k", "a", {{"x", 1}});
+  EXPECT_TRUE(store.Get("k/a"));
+  EXPECT_EQ(store.era().current(), 0U);
+  standin.era = 2;
+  EXPECT_TRUE(store.Get("k/a"));
+  EXPECT_EQ(store.era().current(), 2U);
+  standin.era = 1;
+  EXPECT_EQ(store.Get("k/a").assume_error().kind, ErrorKind::kUnknown);
+  EXPECT_FALSE(store.ReadAll("k", Freshness::kCurrent));
+  EXPECT_FALSE(store.Put("k/b", "{}", 0));
+  EXPECT_EQ(store.era().current(), 2U);
+  standin.era = 3;
+  EXPECT_EQ(store.Get("k/none").assume_error().kind, ErrorKind::kNotFound);
+  EXPECT_EQ(store.era().current(), 3U);
+}
+
+// Guards against a list whose first page is of another era than its last.
+TEST_F(PlatformStore, ListOfTwoErasFails) {
+  standin.era = 1;
+  standin.page_size = 1;
+  standin.Set("k", "a", {});
+  standin.Set("k", "b", {});
+  const auto copy = standin.MakeCopy();
+  standin.fault = [&](const std::string& call) {
+    if (call.find("after=") != std::string::npos && standin.era == 1U) {
+      standin.Restore(copy);
+    }
+    return StoreStandinFault::kNone;
+  };
+  EXPECT_FALSE(store.ReadAll("k", Freshness::kCurrent));
+  EXPECT_EQ(store.ReadAll("k", Freshness::kCurrent).assume_value().items.size(),
+            2U);
+}
+
+// Guards against a node that the others no longer find after the store lost its
+// address, and against writes of an address that is still stored.
+TEST_F(PlatformStore, NodeRegistersAgainInANewEra) {
+  Vm vm;
+  vm.id = "n";
+  vm.address.ip = "127.0.0.1";
+  const auto copy = standin.MakeCopy();
+  NodeRegistry nodes(store, store, store.era(), clock, vm);
+  nodes.Register();
+  EXPECT_FALSE(standin.Spec("fleet-nodes", "n").is_null());
+  const auto calls = standin.calls.size();
+  nodes.Register();
+  EXPECT_EQ(standin.calls.size(), calls);
+  standin.Restore(copy);
+  EXPECT_TRUE(standin.Spec("fleet-nodes", "n").is_null());
+  (void)store.Get("k/a");
+  nodes.Register();
+  EXPECT_FALSE(standin.Spec("fleet-nodes", "n").is_null());
+}
+
 // Runs a CollectionFollower and records what it reports.
 struct FollowerRecorder {
   FollowerRecorder(platform::StoreClient& store, Clock& clock)
       : follower(store,
+                 store.era(),
                  clock,
                  log,
                  "k",
@@ -199,5 +258,24 @@
   EXPECT_EQ(recorder.outages, 1);
 }
 
+// Guards against changes that are missed, or taken from another history,
+// because revisions of an ended era are given out again.
+TEST_F(PlatformStore, FollowerListsAgainInANewEra) {
+  standin.era = 1;
+  standin.Set("k", "a", {});
+  FollowerRecorder recorder(store, clock);
+  ASSERT_TRUE(WaitUntil([&] { return recorder.names.contains("a"); }));
+  const auto copy = standin.MakeCopy();
+  standin.Set("k", "lost", {});
+  ASSERT_TRUE(WaitUntil([&] { return recorder.names.contains("lost"); }));
+  standin.Restore(copy);
+  standin.Set("k", "new", {});  // With the revision that "lost" had.
+  const std::set<std::string> stored{"a", "new"};
+  EXPECT_TRUE(WaitUntil([&] { return recorder.names == stored; }));
+  EXPECT_EQ(recorder.outages, 1);
+  EXPECT_EQ(recorder.recoveries, 1);
+  EXPECT_EQ(recorder.lists, 2);
+}
+
 }  // namespace
 }  // namespace tanagerloom
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/fake_object_store.h
@@ -18,7 +18,7 @@
   kNone,
   kRefused,     ///< No effect; the caller is told so.
   kAnswerLost,  ///< Takes effect; the caller is not told.
-  kLate,        ///< Takes effect 20 ms after the call failed.
+  kLate,        ///< Takes effect some time after the call failed.
 };
 
 /// Keeps objects in memory. Each call yields once, so that other fibers
@@ -31,8 +31,28 @@
   std::function<StoreFault(std::string_view key)> fault = [](std::string_view) {
     return StoreFault::kNone;
   };
-  std::map<std::string, StoredObject, std::less<>> objects;
+  using Objects = std::map<std::string, StoredObject, std::less<>>;
+
+  /// The content of the store at one time.
+  struct Copy {
+    Objects objects;
+    std::uint64_t last_version = 0;
+  };
+
+  Copy MakeCopy() const { return {objects, last_version_}; }
+
+  /// Goes back to a copy and starts a new era: versions are given out again.
+  void Restore(const Copy& copy) {
+    objects = copy.objects;
+    last_version_ = copy.last_version;
+    ++era;
+  }
+
+  Objects objects;
+  std::uint32_t era = 0;
   std::size_t calls = 0;
+  /// Time after which a late write takes effect.
+  Duration write_delay = std::chrono::milliseconds(20);
 
   Result<StoredObject> Get(std::string_view key) override {
     if (BeginCall(key) != StoreFault::kNone) {
@@ -59,7 +79,7 @@
       case StoreFault::kLate:
         boost::fibers::fiber([this, key = std::string(key),
                               value = std::string(value), expected_version] {
-          clock_.SleepFor(std::chrono::milliseconds(20));
+          clock_.SleepFor(write_delay);
           (void)Write(key, value, expected_version);
         }).detach();
         break;
--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -73,6 +73,7 @@
         peers(cluster, "n", "z"),
         registry(
             adapter,
+            adapter.era(),
             peers,
             view,
             clock,
