--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/fiber/operations.hpp>
 #include <fstream>
+#include <set>
 
 #include "http/http_client.h"
 #include "runtime/runtime.h"
@@ -123,6 +124,20 @@
     }
   }
 
+  // Expects that no engine got an order to load a model that it had loaded.
+  void ExpectNoLoadOfALoadedModel() const {
+    for (const auto* engine : engines) {
+      std::set<std::string> ordered;
+      for (const auto& it : engine->orders()) {
+        if (it.operation != "load") {
+          ordered.erase(it.model);
+        } else {
+          EXPECT_TRUE(ordered.insert(it.model).second) << it.model;
+        }
+      }
+    }
+  }
+
   // Expects that the models loaded by each engine fit in its memory.
   void ExpectMemoryLimit() const {
     for (const auto* engine : engines) {
@@ -200,6 +215,27 @@
   ExpectMemoryLimit();
 }
 
+// Guards against a fleet that orders nothing any more after its store came back
+// from an older copy, against two lease holders within the handover gap, and
+// against loads that are ordered again although the copy lacks their traces.
+TEST_F(FleetTest, OrdersAgainAfterTheStoreWasRestored) {
+  EXPECT_EQ(SendRequest(*nodes[0], "m0"), 200);
+  const auto copy = store.MakeCopy();
+  EXPECT_EQ(SendRequest(*nodes[1], "m1"), 200);
+  store.Restore(copy);
+  NodeById(LeaseHolder()).process().Kill();
+  NodeById(LeaseHolder()).Start();
+  for (const auto& it : nodes) {
+    ASSERT_TRUE(WaitUntil([&] { return it->IsReady(); }));
+  }
+  EXPECT_EQ(SendRequest(*nodes[2], "m1"), 200);
+  EXPECT_EQ(SendRequest(*nodes[1], "m3"), 200);
+  EXPECT_EQ(store.Spec("fleet-leases", "orders").value("era", 0), 1);
+  ExpectHandoverGap();
+  ExpectMemoryLimit();
+  ExpectNoLoadOfALoadedModel();
+}
+
 // Guards against a graceful shutdown that breaks a request, keeps the order
 // lease, or outlasts the time after which the platform kills the process.
 TEST_F(FleetTest, StopsGracefully) {
