--- a/testing/harness/node_process.cc
+++ b/testing/harness/node_process.cc
@@ -37,12 +37,13 @@
 NodeProcess::NodeProcess(const std::string& folder,
                          const std::string& id,
                          Address store,
-                         int retry_slack)
+                         int retry_slack,
+                         NodeLimits limits)
     : id_(id),
       front_{kLoopback, FreePort()},
       ready_{kLoopback, FreePort()},
       path_(folder + "/" + id + ".json") {
-  const nlohmann::json settings{
+  nlohmann::json settings{
       {"nodeName", id},
       {"ip", kLoopback},
       {"zone", "z"},
@@ -54,6 +55,12 @@
        {{"graceS", kNodeGrace.count()},
         {"retrySlack", retry_slack},
         {"leaseMs", kNodeHandoverGap.count()}}}};
+  if (limits.memory_mb > 0) {
+    settings["limits"]["memoryMb"] = limits.memory_mb;
+  }
+  if (limits.max_fds > 0) {
+    settings["limits"]["maxFds"] = limits.max_fds;
+  }
   std::ofstream(path_) << settings.dump();
   Start();
 }
--- a/testing/harness/node_process.h
+++ b/testing/harness/node_process.h
@@ -18,6 +18,12 @@
 /// Handover gap in the settings of the nodes.
 constexpr std::chrono::milliseconds kNodeHandoverGap{1500};
 
+/// Limits in the settings of a node; 0 leaves one out.
+struct NodeLimits {
+  int memory_mb = 0;
+  int max_fds = 0;
+};
+
 /// A temporary folder for the files of one test. The destructor removes it.
 class TestFolder {
  public:
@@ -41,7 +47,8 @@
   NodeProcess(const std::string& folder,
               const std::string& id,
               Address store,
-              int retry_slack = 50);
+              int retry_slack = 50,
+              NodeLimits limits = {});
   ~NodeProcess();
 
   /// Starts the node, also after its process has ended. A running process is
