--- a/tests/support/raw_endpoint.h
+++ b/tests/support/raw_endpoint.h
@@ -12,6 +12,8 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,11 +28,13 @@
 struct RawAnswer {
   const char* name;
   std::string head;
-  std::string repeat;
+  std::string repeat = {};
   /// If set, stands for `head`, and may change between requests.
   const std::string* changing_head = nullptr;
   /// Whether the connection is reset after `head`, instead of closed.
   bool reset = false;
+  /// Time between `head` and the end of the connection.
+  std::chrono::milliseconds pause{0};
 };
 
 /// A server that gives each request the same bytes. It must live until the
@@ -84,6 +88,7 @@
         next = answer_.repeat;
       }
     }
+    boost::this_fiber::sleep_for(answer_.pause);
     boost::system::error_code ec;
     if (answer_.reset) {
       socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
