http, node: one budget for the memory of connections, requests and responses

Request bodies had a limit each and none in sum, each was held four times, and nothing limited the sockets below the descriptors of the VM. A crowd of clients with long bodies, most of which stop short of their end, took a node over its memory (tests/integration/hostile_clients_test.cc).

All connections, requests and responses now share two fifths of memoryMb. RequestMemory decides what requests may take: near the limit they are not read on, wait up to 1 s in the order of their arrival, and are refused with 503 and Retry-After. Requests whose client is stalled while others wait get 408. The limit on connections follows from maxFds. A body is held once: it moves out of the parser, and attempts are written from the request. Parse buffers are small and freed between requests. glibc's threshold for mapped blocks stays at 128 KiB, so that long bodies return to the kernel when their requests end. The metric tanagerloom_response_buffer_bytes becomes tanagerloom_buffer_bytes, since requests count too.

--- a/apps/tanagerloomd/fleet_daemon.cc
+++ b/apps/tanagerloomd/fleet_daemon.cc
@@ -1,5 +1,7 @@
 #include "apps/tanagerloomd/fleet_daemon.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -54,6 +56,14 @@
   return std::move(settings).assume_value();
 }
 
+// Lets glibc return the memory of each long body to the kernel when it is
+// freed. By default it raises the threshold once such a block is freed, and
+// then keeps the next ones in its heap, where they outlive their requests.
+void ReturnLongBlocks() {
+  constexpr int kMinMappedBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+}
+
 // Holds back stop and reload signals until their handlers are installed. They
 // may be sent as soon as the process exists.
 void HoldSignals() {
@@ -81,6 +91,7 @@
 
 void RunFleetDaemon(const std::string& settings_path, bool check_only) {
   HoldSignals();
+  ReturnLongBlocks();
   const auto settings = ReadSettingsOrExit(settings_path, check_only);
   auto& runtime = Runtime::Get();
   EventLog log(settings.node_id, kMaxEventsInMemory, MakeLogger(/*json=*/true));
--- a/packages/forwarding/endpoint_attempt.cc
+++ b/packages/forwarding/endpoint_attempt.cc
@@ -70,11 +70,12 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-AttemptResult<void> EndpointAttempt::Send(const HttpRequest& request,
+AttemptResult<void> EndpointAttempt::Send(const HttpRequest& head,
+                                          std::string_view body,
                                           const std::string& attempt,
                                           TimePoint deadline) {
   const auto sent = connection_->Send(
-      request, {.deadline = deadline, .max_body_bytes = kMaxResponseBytes});
+      head, body, {.deadline = deadline, .max_body_bytes = kMaxResponseBytes});
   if (!sent) {
     return Failure(sent.assume_error());
   }
--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/address.h"
 #include "base/verdict.h"
@@ -62,9 +63,11 @@
   /// Connects to the endpoint; a failure means that the request did not run.
   AttemptResult<void> Connect(TimePoint deadline);
 
-  /// Sends the request and reads the response headers. Fails with kForeign if
-  /// the response is for another attempt or did not come from the endpoint.
-  AttemptResult<void> Send(const HttpRequest& request,
+  /// Sends the request, whose body the caller holds, and reads the response
+  /// headers. Fails with kForeign if the response is for another attempt or did
+  /// not come from the endpoint.
+  AttemptResult<void> Send(const HttpRequest& head,
+                           std::string_view body,
                            const std::string& attempt,
                            TimePoint deadline);
 
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -323,8 +323,8 @@
   log_.Sent(target.id, sends_);
   sent_at_ = deps_.clock.Now();
   progress_at_ = sent_at_;
-  const auto sent = attempt.Send(MakeAttempt(target), profile_.attempt_id,
-                                 ResponseDeadline(target));
+  const auto sent = attempt.Send(MakeAttempt(target), request_.body,
+                                 profile_.attempt_id, ResponseDeadline(target));
   if (!sent) {
     return OnAttemptFailed(target, sent.assume_error());
   }
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -46,7 +46,7 @@
   std::function<std::size_t()> live_nodes;
   /// Returns the time at which requests in flight end because the node stops.
   std::function<TimePoint()> stop_at;
-  /// Memory for responses of endpoints.
+  /// Memory for requests and responses; forwarding counts the responses.
   BufferBudget& buffers;
 };
 
--- a/packages/forwarding/request_protocol.h
+++ b/packages/forwarding/request_protocol.h
@@ -53,7 +53,8 @@
   /// Returns what the headers of a client request state.
   virtual RequestProfile ReadRequest(const HttpRequest& request) const = 0;
 
-  /// Returns the request to send to an endpoint.
+  /// Returns the request to send to an endpoint, without its body, which stays
+  /// with `request`.
   virtual HttpRequest MakeAttempt(
       const HttpRequest& request,
       const AttemptParameters& parameters) const = 0;
--- a/packages/http/buffer_budget.h
+++ b/packages/http/buffer_budget.h
@@ -1,5 +1,5 @@
 // Defines BufferBudget and BufferShare, which limit the memory that all
-// requests of a process together use for responses that are not yet forwarded.
+// connections of a process together use for requests and responses.
 #ifndef HTTP_BUFFER_BUDGET_H_
 #define HTTP_BUFFER_BUDGET_H_
 
@@ -7,9 +7,8 @@
 
 namespace tanagerloom {
 
-/// A number of bytes that buffers share. An endpoint may send bytes without
-/// end; without a limit over all requests a few of them would use up a small
-/// VM.
+/// A number of bytes that buffers share. Clients and endpoints may send bytes
+/// without end; without a limit over all of them a few would use up a small VM.
 class BufferBudget {
  public:
   /// One response may use this fraction of the budget, so that several endless
@@ -41,6 +40,15 @@
   BufferShare(const BufferShare&) = delete;
   BufferShare& operator=(const BufferShare&) = delete;
 
+  std::size_t bytes() const { return bytes_; }
+
+  /// Sets the size of the buffer, for a caller that has compared it with a
+  /// limit of its own.
+  void Set(std::size_t bytes) {
+    budget_.used_bytes_ += bytes - bytes_;
+    bytes_ = bytes;
+  }
+
   /// Sets the size of the buffer. Returns false, and changes nothing, if the
   /// buffer may not grow so far.
   bool Resize(std::size_t bytes) {
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 // Keep this after <utility>.
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -67,6 +68,10 @@
   /// unset before the deadline.
   std::optional<std::size_t> late_bytes;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
+  /// Body bytes of one read; null while no body is read. They are not on the
+  /// stack of the fiber, whose pages would stay in memory for as long as its
+  /// client is connected.
+  std::unique_ptr<std::array<char, kReadBufferBytes>> chunk;
   std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
 };
 
@@ -110,17 +115,16 @@
 // error again.
 std::size_t HttpConnection::Impl::ParseBuffered(std::string& out) {
   constexpr std::size_t kMaxBytes = 64UL * 1024;
-  char chunk[kReadBufferBytes];
   std::size_t total = 0;
   while (!parser->is_done() && buffer.size() > 0 && total < kMaxBytes) {
-    parser->get().body().data = chunk;
-    parser->get().body().size = sizeof(chunk);
+    parser->get().body().data = chunk->data();
+    parser->get().body().size = chunk->size();
     boost::system::error_code ec;
     const auto used = parser->put(buffer.data(), ec);
     buffer.consume(used);
     CountLateBytes(used);
-    const std::size_t n = sizeof(chunk) - parser->get().body().size;
-    out.append(chunk, n);
+    const std::size_t n = chunk->size() - parser->get().body().size;
+    out.append(chunk->data(), n);
     total += n;
     if ((ec && ec != bhttp::error::need_buffer) || used == 0) {
       break;
@@ -162,8 +166,9 @@
 }
 
 HttpResult<void> HttpConnection::Send(const HttpRequest& request,
+                                      std::string_view body,
                                       const HttpCallOptions& options) {
-  bhttp::request<bhttp::string_body> message;
+  bhttp::request<bhttp::span_body<const char>> message;
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
@@ -173,7 +178,7 @@
   for (const auto& it : request.headers.fields()) {
     message.insert(it.name, it.value);
   }
-  message.body() = request.body;
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   // After a suspension of the process, the connect and the deadline complete at
   // the same time. Without this check the request would be written although its
@@ -238,7 +243,11 @@
 
 HttpResult<std::size_t> HttpConnection::ReadSome(std::string& out,
                                                  TimePoint deadline) {
-  char chunk[kReadBufferBytes];
+  auto& chunk = impl_->chunk;
+  if (chunk == nullptr) {
+    chunk =
+        std::make_unique_for_overwrite<std::array<char, kReadBufferBytes>>();
+  }
   auto& parser = *impl_->parser;
   impl_->stream.expires_never();
   while (!parser.is_done()) {
@@ -247,8 +256,8 @@
                      "the deadline passed within the response of", address_,
                      Verdict::kMayHaveRun);
     }
-    parser.get().body().data = chunk;
-    parser.get().body().size = sizeof(chunk);
+    parser.get().body().data = chunk->data();
+    parser.get().body().size = chunk->size();
     const auto ec = impl_->Read(deadline, [&](auto done) {
       bhttp::async_read_some(impl_->stream.socket(), impl_->buffer, parser,
                              done);
@@ -256,12 +265,13 @@
     if (ec && ec != bhttp::error::need_buffer) {
       return Failure(ec, "response cut from", address_, Verdict::kMayHaveRun);
     }
-    const std::size_t n = sizeof(chunk) - parser.get().body().size;
+    const std::size_t n = chunk->size() - parser.get().body().size;
     if (n > 0) {
-      out.append(chunk, n);
+      out.append(chunk->data(), n);
       return n + impl_->ParseBuffered(out);
     }
   }
+  chunk.reset();
   return std::size_t{0};
 }
 
--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/address.h"
 #include "http/http_client.h"
@@ -24,6 +25,12 @@
   HttpResult<void> Connect(TimePoint deadline);
   /// Writes the request and reads the head of the response.
   HttpResult<void> Send(const HttpRequest& request,
+                        const HttpCallOptions& options) {
+    return Send(request, request.body, options);
+  }
+  /// As above, with a body that the caller holds; that of `head` is not used.
+  HttpResult<void> Send(const HttpRequest& head,
+                        std::string_view body,
                         const HttpCallOptions& options);
   /// Appends the next bytes of the body to `out` and returns their number,
   /// which is 0 at the end of the response. Input that had arrived by the
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -3,19 +3,23 @@
 // Boost 1.74's Asio uses std::exchange without including its header.
 #include <utility>
 // Keep this after <utility>.
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
-#include <optional>
-#include <set>
+#include <list>
+#include <variant>
 #include <vector>
 
+#include "http/buffer_budget.h"
 #include "http/connection_responder.h"
-#include "http/io_watchdog.h"
 #include "http/malformed_request.h"
+#include "http/request_memory.h"
+#include "http/request_reader.h"
+#include "http/server_connection.h"
 #include "runtime/await.h"
 
 namespace tanagerloom {
@@ -30,20 +34,14 @@
 // a header if that is more.
 constexpr std::uint32_t kMinUnparsedBytes = 64 * 1024;
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
-
-HttpRequest ToRequest(const bhttp::request<bhttp::string_body>& message) {
-  HttpRequest request;
-  const auto method = message.method_string();
-  request.method.assign(method.data(), method.size());
-  request.target.assign(message.target().data(), message.target().size());
-  for (const auto& it : message) {
-    request.headers.Add(
-        std::string_view(it.name_string().data(), it.name_string().size()),
-        std::string_view(it.value().data(), it.value().size()));
-  }
-  request.body = message.body();
-  return request;
-}
+// A connection without a request for less than this time is not closed for
+// another one: its client may be about to send.
+constexpr auto kMinIdleTime = std::chrono::seconds(1);
+// Max number of bytes of one connection that wait in the kernel. They count as
+// memory of the VM, and the kernel would take some megabytes for each.
+constexpr int kReceiveBufferBytes = 192 * 1024;
+constexpr auto kRetryAfterLimit = std::chrono::seconds(1);
+constexpr int kServiceUnavailable = 503;
 
 // Reads and discards what the client still sends, within limits. Closing a
 // connection with unread input resets it, and the client may lose the response.
@@ -53,7 +51,8 @@
   boost::system::error_code ec;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
   stream.expires_after(kMaxDiscardTime);
-  std::vector<char> discarded(16UL * 1024);
+  // Shared by all connections, since nobody looks at the bytes.
+  static std::vector<char> discarded(16UL * 1024);
   for (std::size_t total = 0; total < kMaxDiscardedBytes;) {
     const auto read = AwaitIo([&](auto done) {
       stream.async_read_some(asio::buffer(discarded), done);
@@ -68,35 +67,51 @@
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-  State(asio::io_context& io, HttpServerLimits limits, Handler handler)
-      : io(io), limits(limits), handler(std::move(handler)), acceptor(io) {}
+  State(asio::io_context& io,
+        HttpServerLimits limits,
+        Handler handler,
+        RequestMemory* shared_memory)
+      : io(io),
+        limits(limits),
+        handler(std::move(handler)),
+        memory(shared_memory == nullptr ? own_memory : *shared_memory),
+        acceptor(io) {}
 
   asio::io_context& io;
   HttpServerLimits limits;
   Handler handler;
+  BufferBudget unlimited{std::numeric_limits<std::size_t>::max()};
+  RequestMemory own_memory{unlimited};  ///< If none is shared.
+  RequestMemory& memory;
   asio::ip::tcp::acceptor acceptor;
   bool stopping = false;
   bool closed = false;  ///< The handler can't be called any more.
   /// Whether responses announce that their connection closes.
   bool announce_close = false;
   std::size_t requests = 0;
-  std::set<beast::tcp_stream*> connections;
-  std::set<beast::tcp_stream*> idle;
+  std::size_t connections = 0;
+  std::uint64_t closed_at_limit = 0;
+  /// Connections without a request, the one that has had none for longest
+  /// first.
+  std::list<ServerConnection*> idle;
 
   void AcceptLoop();
+  bool IsAtLimit() const {
+    return connections >= limits.max_connections ||
+           connections + requests >= limits.max_sockets;
+  }
+  /// Closes one connection for others that have no place.
+  void CloseOne();
   void Serve(asio::ip::tcp::socket socket);
   /// Waits for the first byte of a request. Returns false if the connection
   /// ends or none arrives in time.
-  bool AwaitRequest(beast::tcp_stream& stream,
-                    IoWatchdog& watchdog,
-                    beast::flat_buffer& buffer);
+  bool AwaitRequest(ServerConnection& connection);
   /// Serves one request. Returns whether the connection may be used again.
-  bool ServeOne(beast::tcp_stream& stream,
-                IoWatchdog& watchdog,
-                beast::flat_buffer& buffer);
+  bool ServeOne(ServerConnection& connection);
+  bool Handle(ServerConnection& connection, ArrivedRequest arrived);
   /// Refuses a request that cannot be read, and reads what follows without
   /// taking it for another one. The connection can't be used again.
-  void Refuse(beast::tcp_stream& stream, const MalformedRequest& problem);
+  void Refuse(ServerConnection& connection, const MalformedRequest& problem);
 };
 
 void HttpServer::State::AcceptLoop() {
@@ -113,7 +128,9 @@
       boost::this_fiber::sleep_for(kAcceptRetryDelay);
       continue;
     }
-    if (connections.size() >= limits.max_connections) {
+    if (IsAtLimit()) {
+      ++closed_at_limit;
+      CloseOne();
       continue;
     }
     boost::fibers::fiber([self = shared_from_this(),
@@ -123,106 +140,131 @@
   }
 }
 
+void HttpServer::State::CloseOne() {
+  const auto now = std::chrono::steady_clock::now();
+  if (memory.EndStalled(now) || idle.empty() ||
+      now - idle.front()->idle_since < kMinIdleTime) {
+    return;
+  }
+  auto* longest = idle.front();
+  // Not chosen again while its read ends.
+  longest->idle_since = now;
+  idle.splice(idle.end(), idle, idle.begin());
+  longest->stream.cancel();
+}
+
 void HttpServer::State::Serve(asio::ip::tcp::socket socket) {
-  beast::tcp_stream stream(std::move(socket));
   boost::system::error_code ec;
-  stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  socket.set_option(asio::ip::tcp::no_delay(true), ec);
   // The parser keeps a header, a chunk extension or the trailers until they are
   // complete.
-  beast::flat_buffer buffer(
-      2UL * std::max(limits.max_header_bytes, kMinUnparsedBytes));
-  IoWatchdog watchdog(io, stream.socket());
-  connections.insert(&stream);
+  ServerConnection connection(
+      io, std::move(socket),
+      2UL * std::max(limits.max_header_bytes, kMinUnparsedBytes),
+      memory.budget());
+  if (!memory.AddConnection(connection.memory)) {
+    ++closed_at_limit;
+    CloseOne();
+    return;
+  }
+  ++connections;
   // A client that has been told nothing may send another request at the moment
   // at which the server stops; it gets a response, which announces the close.
-  while (!closed && ServeOne(stream, watchdog, buffer)) {
+  while (!closed && ServeOne(connection)) {
   }
-  connections.erase(&stream);
-  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  --connections;
+  memory.RemoveConnection(connection.memory);
+  connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
 }
 
-bool HttpServer::State::AwaitRequest(beast::tcp_stream& stream,
-                                     IoWatchdog& watchdog,
-                                     beast::flat_buffer& buffer) {
-  auto& socket = stream.socket();
-  idle.insert(&stream);
+bool HttpServer::State::AwaitRequest(ServerConnection& connection) {
+  auto& socket = connection.stream.socket();
+  connection.idle_since = std::chrono::steady_clock::now();
+  connection.idle_place = idle.insert(idle.end(), &connection);
   IoResult read;
   boost::system::error_code ec;
   do {
-    watchdog.Begin(std::chrono::steady_clock::now() + limits.idle_timeout);
-    read = AwaitIo(
-        [&](auto done) { socket.async_read_some(buffer.prepare(1), done); });
+    connection.watchdog.Begin(std::chrono::steady_clock::now() +
+                              limits.idle_timeout);
+    read = AwaitIo([&](auto done) {
+      socket.async_read_some(connection.buffer.prepare(1), done);
+    });
     // The timer may have been handled before input that arrived earlier.
-  } while (watchdog.End(read.ec) && socket.available(ec) > 0);
-  idle.erase(&stream);
-  buffer.commit(read.bytes_transferred);
+  } while (connection.watchdog.End(read.ec) && socket.available(ec) > 0);
+  idle.erase(connection.idle_place);
+  connection.buffer.commit(read.bytes_transferred);
   return !read.ec;
 }
 
-bool HttpServer::State::ServeOne(beast::tcp_stream& stream,
-                                 IoWatchdog& watchdog,
-                                 beast::flat_buffer& buffer) {
-  if (buffer.size() == 0 && !AwaitRequest(stream, watchdog, buffer)) {
+bool HttpServer::State::ServeOne(ServerConnection& connection) {
+  if (connection.buffer.size() == 0 && !AwaitRequest(connection)) {
     return false;
   }
-  bhttp::request_parser<bhttp::string_body> parser;
-  parser.header_limit(limits.max_header_bytes);
-  parser.body_limit(limits.max_body_bytes);
-  watchdog.Begin(std::chrono::steady_clock::now() + limits.read_timeout);
-  auto ec = AwaitIo([&](auto done) {
-              bhttp::async_read(stream.socket(), buffer, parser, done);
-            }).ec;
-  if (watchdog.End(ec)) {
-    ec = beast::error::timeout;
-  }
-  if (IsEndOfConnection(ec)) {
+  auto outcome = ReadRequest(connection, memory, limits);
+  if (auto* problem = std::get_if<MalformedRequest>(&outcome)) {
+    Refuse(connection, *problem);
     return false;
   }
-  if (ec) {
-    Refuse(stream, ProblemOf(ec, limits));
+  auto* arrived = std::get_if<ArrivedRequest>(&outcome);
+  if (arrived == nullptr || closed) {
     return false;
   }
-  if (closed) {
-    return false;
-  }
-  const auto message = parser.release();
-  HttpRequest request = ToRequest(message);
-  if (const auto problem = FramingProblemOf(message.version(), request)) {
-    Refuse(stream, *problem);
+  const bool reuse = Handle(connection, std::move(*arrived));
+  memory.EndRead(connection.memory, 0);
+  return reuse;
+}
+
+bool HttpServer::State::Handle(ServerConnection& connection,
+                               ArrivedRequest arrived) {
+  if (connections + requests >= limits.max_sockets) {
+    Refuse(connection, {kServiceUnavailable,
+                        "the node has too many connections", kRetryAfterLimit});
     return false;
   }
-  request.client_ip = stream.socket().remote_endpoint(ec).address().to_string();
+  boost::system::error_code ec;
+  arrived.request.client_ip =
+      connection.stream.socket().remote_endpoint(ec).address().to_string();
   ++requests;
   bool reuse = false;
   {
-    ConnectionResponder responder(stream, watchdog, limits, announce_close,
-                                  message.keep_alive());
-    handler(request, responder);
+    ConnectionResponder responder(connection.stream, connection.watchdog,
+                                  limits, announce_close, arrived.keep_alive);
+    handler(arrived.request, responder);
     reuse = responder.may_reuse();
   }
   --requests;
   return reuse;
 }
 
-void HttpServer::State::Refuse(beast::tcp_stream& stream,
+void HttpServer::State::Refuse(ServerConnection& connection,
                                const MalformedRequest& problem) {
+  auto& stream = connection.stream;
   bhttp::response<bhttp::string_body> message;
   message.result(static_cast<unsigned>(problem.status));
   message.version(11);
   message.set(bhttp::field::content_type, "application/json");
   message.keep_alive(false);
+  if (problem.retry_after > Duration(0)) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(problem.retry_after);
+    message.set(bhttp::field::retry_after, std::to_string(seconds.count()));
+  }
   message.body() = R"({"error":{"code":"malformed_request","message":")" +
                    problem.message + R"(","verdict":"not_run"}})";
   message.prepare_payload();
   stream.expires_after(limits.write_timeout);
   AwaitIo([&](auto done) { bhttp::async_write(stream, message, done); });
-  DiscardInput(stream);
+  // A stalled client has sent nothing that is unread, and its place is needed.
+  if (!connection.ended_as_stalled) {
+    DiscardInput(stream);
+  }
 }
 
 HttpServer::HttpServer(asio::io_context& io,
                        HttpServerLimits limits,
-                       Handler handler)
-    : state_(std::make_shared<State>(io, limits, std::move(handler))) {}
+                       Handler handler,
+                       RequestMemory* memory)
+    : state_(std::make_shared<State>(io, limits, std::move(handler), memory)) {}
 
 HttpServer::~HttpServer() {
   state_->closed = true;
@@ -238,6 +280,9 @@
   const asio::ip::tcp::endpoint local(ip, address.port);
   state_->acceptor.open(local.protocol(), ec);
   state_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  // Accepted connections inherit it.
+  state_->acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
   state_->acceptor.bind(local, ec);
   if (!ec) {
     state_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
@@ -265,7 +310,7 @@
   boost::system::error_code ec;
   state_->acceptor.close(ec);
   for (auto* it : state_->idle) {
-    it->cancel();
+    it->stream.cancel();
   }
 }
 
@@ -273,4 +318,12 @@
   return state_->requests;
 }
 
+std::size_t HttpServer::connections() const {
+  return state_->connections;
+}
+
+std::uint64_t HttpServer::closed_at_limit() const {
+  return state_->closed_at_limit;
+}
+
 }  // namespace tanagerloom
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 
 #include "base/address.h"
@@ -19,6 +20,7 @@
 namespace tanagerloom {
 
 class HttpResponder;
+class RequestMemory;
 
 /// Limits on the connections and requests of clients.
 struct HttpServerLimits {
@@ -28,19 +30,26 @@
   Duration idle_timeout = std::chrono::seconds(120);  ///< Without a request.
   Duration write_timeout = std::chrono::seconds(60);  ///< For each write.
   std::size_t max_connections = 20000;
+  /// Limit on the connections together with the requests that are handled, each
+  /// of which may need a connection to an endpoint.
+  std::size_t max_sockets = std::numeric_limits<std::size_t>::max();
 };
 
 /// Accepts connections and calls a handler for each request. A connection that
-/// exceeds `max_connections` is closed; a malformed or too large request is
-/// refused without calling the handler.
+/// exceeds a limit is closed, and with it one whose client is stalled or has
+/// sent nothing for long. A malformed or too large request is refused without
+/// calling the handler, and so is one for which there is no memory.
 class HttpServer {
  public:
   /// Handles one request. It answers through the responder before it returns.
   using Handler = std::function<void(const HttpRequest&, HttpResponder&)>;
 
+  /// Requests share `memory`, which must outlive the process's fibers. Without
+  /// it, only their single sizes are limited.
   HttpServer(boost::asio::io_context& io,
              HttpServerLimits limits,
-             Handler handler);
+             Handler handler,
+             RequestMemory* memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -64,6 +73,11 @@
   /// Number of requests whose handler is running.
   std::size_t requests_in_flight() const;
 
+  /// Number of open connections.
+  std::size_t connections() const;
+  /// Number of connections closed because a limit on connections was reached.
+  std::uint64_t closed_at_limit() const;
+
  private:
   struct State;
   std::shared_ptr<State> state_;
--- a/packages/http/malformed_request.h
+++ b/packages/http/malformed_request.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "runtime/clock.h"
+
 namespace tanagerloom {
 
 struct HttpRequest;
@@ -16,6 +18,7 @@
 struct MalformedRequest {
   int status = 400;
   std::string message;
+  Duration retry_after{};  ///< When it may be sent again; 0 if it may not.
 };
 
 /// Returns whether a read failed only because the connection was closed.
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -16,6 +16,7 @@
 #include "http/buffer_budget.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
+#include "http/request_memory.h"
 #include "membership/peer_counters.h"
 #include "membership/peer_service.h"
 #include "node/event_metrics.h"
@@ -66,9 +67,21 @@
 // Min read timeout of a request with its body, since a client may be slow to
 // send a long body. The header has a limit of its own.
 constexpr milliseconds kMinReadTimeout{15000};
-// Fraction of the VM's memory for responses that are not yet forwarded. Strings
-// grow by doubling, so that twice as much may be allocated.
+// Fraction of the VM's memory for connections, requests and responses: two
+// fifths. The rest is for what the node knows of the fleet, for calls of the
+// store and of engines, and for unread bytes in the kernel.
 constexpr std::uint64_t kBufferMemoryDivisor = 5;
+constexpr std::uint64_t kBufferMemoryParts = 2;
+// One response may use this fraction of that memory, so that several endless
+// ones leave room for all others.
+constexpr std::size_t kResponseShareDivisor = 16;
+// Fraction of the sockets that clients leave to the store, peers and engines.
+constexpr std::size_t kReservedSocketsDivisor = 8;
+// Limits of the listeners that only the platform and operators use.
+constexpr std::size_t kMaxOwnConnections = 64;
+constexpr std::uint64_t kMaxOwnBodyBytes = 64UL * 1024;
+// Min interval between two reports of requests refused for lack of memory.
+constexpr milliseconds kMemoryReportInterval{5000};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -93,6 +106,21 @@
   return out;
 }
 
+HttpServerLimits WithSocketLimits(HttpServerLimits limits,
+                                  std::size_t max_sockets) {
+  if (max_sockets > 0) {
+    limits.max_sockets = max_sockets - max_sockets / kReservedSocketsDivisor;
+  }
+  return limits;
+}
+
+HttpServerLimits OwnServerLimits() {
+  HttpServerLimits out;
+  out.max_body_bytes = kMaxOwnBodyBytes;
+  out.max_connections = kMaxOwnConnections;
+  return out;
+}
+
 // Returns this node's entry in the list of nodes.
 Vm SelfAsVm(const FleetSettings& settings) {
   Vm vm;
@@ -118,7 +146,9 @@
         store_era(ports.store_era),
         view(settings.data_centre, clock),
         demand(clock),
-        buffers(settings.memory_bytes / kBufferMemoryDivisor),
+        buffers(
+            settings.memory_bytes / kBufferMemoryDivisor * kBufferMemoryParts,
+            kResponseShareDivisor),
         nodes(ports.store,
               ports.collections,
               store_era,
@@ -153,28 +183,31 @@
                    [this] { return stop_at; }, buffers}),
         client_server(
             Runtime::Get().io(),
-            HttpServerLimits{},
+            WithSocketLimits({}, settings.max_sockets),
             [this](const HttpRequest& request, HttpResponder& responder) {
               forwarder.Handle(request, responder);
-            }),
+            },
+            &request_memory),
         readiness_server(Runtime::Get().io(),
-                         HttpServerLimits{},
+                         OwnServerLimits(),
                          [this](const HttpRequest&, HttpResponder& responder) {
                            AnswerReadiness(responder);
                          }),
         control_server(
             Runtime::Get().io(),
-            HttpServerLimits{},
+            OwnServerLimits(),
             [this](const HttpRequest& request, HttpResponder& responder) {
               AnswerControl(request, responder);
             }) {}
 
   void AddMetrics();
   void OnStoreEraChanged();
+  void AddMemoryMetrics();
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
   void ApplyClientLimits();
   void BroadcastUseLoop();
   void AnnounceQuarantineLoop();
+  void ReportMemoryLoop();
   bool IsReady() const;
   void AnswerReadiness(HttpResponder& responder);
   void AnswerControl(const HttpRequest& request, HttpResponder& responder);
@@ -189,6 +222,7 @@
   FleetView view;
   DemandTracker demand;
   BufferBudget buffers;
+  RequestMemory request_memory{buffers};
   NodeRegistry nodes;
   PeerService peers;
   CrashGuard crashes;
@@ -210,6 +244,36 @@
   EventFlag stop_changed;
 };
 
+void FleetNode::Parts::AddMemoryMetrics() {
+  metrics.AddGaugeReader(
+      "tanagerloom_buffer_bytes",
+      "Bytes of connections, requests and responses that are held.",
+      [this] { return static_cast<double>(buffers.used_bytes()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_buffer_max_bytes", "Limit on tanagerloom_buffer_bytes.",
+      [this] { return static_cast<double>(buffers.max_bytes()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_requests_waiting_for_memory",
+      "Requests whose client is held up until memory is free.",
+      [this] { return static_cast<double>(request_memory.waiting()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_requests_refused_for_memory",
+      "Requests refused since the start because no memory was free.",
+      [this] { return static_cast<double>(request_memory.refused()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_stalled_requests_ended",
+      "Requests ended since the start because their client sent nothing while "
+      "others needed the memory or the connection.",
+      [this] { return static_cast<double>(request_memory.ended()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_connections", "Open connections of clients.",
+      [this] { return static_cast<double>(client_server.connections()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_connections_closed_at_limit",
+      "Connections closed since the start because there were too many.",
+      [this] { return static_cast<double>(client_server.closed_at_limit()); });
+}
+
 void FleetNode::Parts::AddMetrics() {
   log.SetObserver(
       [this](const EventRecord& record) { event_metrics.Observe(record); });
@@ -221,10 +285,7 @@
       "tanagerloom_endpoints", "Endpoints that the store lists.", [this] {
         return static_cast<double>(view.directory().records().size());
       });
-  metrics.AddGaugeReader(
-      "tanagerloom_response_buffer_bytes",
-      "Bytes of endpoints' responses that are not yet forwarded.",
-      [this] { return static_cast<double>(buffers.used_bytes()); });
+  AddMemoryMetrics();
   metrics.AddGaugeReader(
       "tanagerloom_quarantined_fingerprints",
       "Kinds of requests that are refused because they crash endpoints.",
@@ -326,6 +387,23 @@
   }
 }
 
+void FleetNode::Parts::ReportMemoryLoop() {
+  std::uint64_t reported = 0;
+  while (!stopped) {
+    clock.SleepFor(kMemoryReportInterval);
+    const auto refused = request_memory.refused();
+    const auto ended = request_memory.ended();
+    const auto closed = client_server.closed_at_limit();
+    if (std::exchange(reported, refused + ended + closed) != reported) {
+      log.Record(events::kMemoryShort, {{"refused", refused},
+                                        {"ended", ended},
+                                        {"closed", closed},
+                                        {"used", buffers.used_bytes()},
+                                        {"max", buffers.max_bytes()}});
+    }
+  }
+}
+
 // ---- client limits, readiness and control listeners
 
 void FleetNode::Parts::ApplyClientLimits() {
@@ -335,7 +413,7 @@
   out.max_body_bytes = limits.max_body_bytes;
   out.idle_timeout = limits.idle_timeout;
   out.read_timeout = std::max<Duration>(limits.header_timeout, kMinReadTimeout);
-  client_server.SetLimits(out);
+  client_server.SetLimits(WithSocketLimits(out, settings.max_sockets));
 }
 
 bool FleetNode::Parts::IsReady() const {
@@ -425,6 +503,7 @@
   parts.orders.Start();
   boost::fibers::fiber([&parts] { parts.BroadcastUseLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
+  boost::fibers::fiber([&parts] { parts.ReportMemoryLoop(); }).detach();
   BOOST_OUTCOME_TRYV(parts.client_server.Listen(parts.settings.client_listen));
   parts.log.Record(events::kNodeStarted, {{"node", parts.settings.node_id},
                                           {"incarnation", parts.peers.self()}});
