http: a status outside 100 to 599 is no answer

HttpConnection took the first head for the answer whatever its status, so that 000, 099, 600 or 999, and an interim response, reached the client as an answer.

--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -24,11 +24,24 @@
 namespace {
 
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// Max number of interim responses before an answer.
+constexpr int kMaxInterimResponses = 8;
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 // Max number of bytes that are received and not yet parsed. The parser keeps a
 // header, a chunk extension or the trailers until they are complete.
 constexpr std::size_t kMaxUnparsedBytes = 2UL * kMaxHeaderBytes;
 
+// Whether a response with this status precedes the answer to the same request.
+// A change of the protocol (101) is never asked for.
+bool IsInterim(unsigned status) {
+  return status >= 100 && status < 200 && status != 101;
+}
+
+// Whether a status is one that an answer can have.
+bool IsFinal(unsigned status) {
+  return status >= 200 && status < 600;
+}
+
 HttpFailure Failure(boost::system::error_code ec,
                     std::string_view what,
                     const Address& address,
@@ -208,19 +221,29 @@
                    result.bytes_transferred == 0 ? Verdict::kNotRun
                                                  : Verdict::kMayHaveRun);
   }
-  impl_->parser.emplace();
-  impl_->parser->header_limit(kMaxHeaderBytes);
-  impl_->parser->body_limit(options.max_body_bytes);
-  // The response to HEAD states the length of a body that is not sent.
-  impl_->parser->skip(request.method == "HEAD");
-  return ReadHead(options.deadline);
+  return ReadHead(request, options);
 }
 
-HttpResult<void> HttpConnection::ReadHead(TimePoint deadline) {
-  const auto ec = impl_->Read(deadline, [&](auto done) {
-    bhttp::async_read_header(impl_->stream.socket(), impl_->buffer,
-                             *impl_->parser, done);
-  });
+HttpResult<void> HttpConnection::ReadHead(const HttpRequest& request,
+                                          const HttpCallOptions& options) {
+  boost::system::error_code ec;
+  int interim = -1;
+  do {
+    ++interim;
+    auto& parser = impl_->parser.emplace();
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(options.max_body_bytes);
+    // The response to HEAD states the length of a body that is not sent.
+    parser.skip(request.method == "HEAD");
+    ec = impl_->Read(options.deadline, [&](auto done) {
+      bhttp::async_read_header(impl_->stream.socket(), impl_->buffer, parser,
+                               done);
+    });
+  } while (!ec && IsInterim(impl_->parser->get().result_int()) &&
+           interim < kMaxInterimResponses);
+  if (!ec && !IsFinal(impl_->parser->get().result_int())) {
+    ec = bhttp::error::bad_status;
+  }
   if (ec) {
     return Failure(ec, "no response from", address_, Verdict::kMayHaveRun);
   }
--- a/packages/http/http_connection.h
+++ b/packages/http/http_connection.h
@@ -53,7 +53,9 @@
   const Address& address() const { return address_; }
 
  private:
-  HttpResult<void> ReadHead(TimePoint deadline);
+  /// Reads the head of the answer, after any interim responses.
+  HttpResult<void> ReadHead(const HttpRequest& request,
+                            const HttpCallOptions& options);
 
   struct Impl;
   std::unique_ptr<Impl> impl_;
