forwarding: an endpoint that reads slowly holds up only its own requests

All long requests to an endpoint that reads nothing were held until their deadline, and so was the memory that requests to others need.

--- a/packages/forwarding/endpoint_attempt.cc
+++ b/packages/forwarding/endpoint_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "forwarding/upload_limit.h"
 #include "http/http_connection.h"
 
 namespace tanagerloom {
@@ -72,10 +73,14 @@
 
 AttemptResult<void> EndpointAttempt::Send(const HttpRequest& head,
                                           std::string_view body,
+                                          Upload& upload,
                                           const std::string& attempt,
                                           TimePoint deadline) {
-  const auto sent = connection_->Send(
-      head, body, {.deadline = deadline, .max_body_bytes = kMaxResponseBytes});
+  const auto sent =
+      connection_->Send(head, body,
+                        {.deadline = deadline,
+                         .max_body_bytes = kMaxResponseBytes,
+                         .on_written = [&upload] { upload.End(); }});
   if (!sent) {
     return Failure(sent.assume_error());
   }
--- a/packages/forwarding/endpoint_attempt.h
+++ b/packages/forwarding/endpoint_attempt.h
@@ -22,6 +22,7 @@
 namespace tanagerloom {
 
 class HttpConnection;
+class Upload;
 
 /// Why an attempt failed.
 enum class AttemptFailure {
@@ -64,10 +65,11 @@
   AttemptResult<void> Connect(TimePoint deadline);
 
   /// Sends the request, whose body the caller holds, and reads the response
-  /// headers. Fails with kForeign if the response is for another attempt or did
-  /// not come from the endpoint.
+  /// headers; `upload` ends when the request is written. Fails with kForeign if
+  /// the response is for another attempt or did not come from the endpoint.
   AttemptResult<void> Send(const HttpRequest& head,
                            std::string_view body,
+                           Upload& upload,
                            const std::string& attempt,
                            TimePoint deadline);
 
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/request_times.h"
 #include "forwarding/service_times.h"
+#include "forwarding/upload_limit.h"
 #include "http/http_responder.h"
 #include "registry/fleet_registry.h"
 
@@ -58,11 +59,13 @@
 ForwardedRequest::ForwardedRequest(const ForwardingDependencies& deps,
                                    SharedRetryBudgets& budgets,
                                    ServiceTimes& service_times,
+                                   UploadLimit& uploads,
                                    const HttpRequest& request,
                                    HttpResponder& responder)
     : deps_(deps),
       budgets_(budgets),
       service_times_(service_times),
+      uploads_(uploads),
       request_(request),
       responder_(responder),
       client_(std::make_shared<ClientState>()),
@@ -288,6 +291,11 @@
 
 ForwardedRequest::NextStep ForwardedRequest::RunAttempt(
     const EndpointTarget& target) {
+  Upload upload(uploads_, target.id, request_.body.size());
+  if (!upload.granted()) {
+    chooser_->Exclude(target.id, deps_.clock.Now() + kExcludeNotRun);
+    return NextStep::kRetry;
+  }
   EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
                           target.address);
   client_->attempt = &attempt;
@@ -296,7 +304,7 @@
   crash_watch_.BeginRun();
   deps_.demand.BeginRun(service_, profile_.model);
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
-  const auto next = Exchange(attempt, target);
+  const auto next = Exchange(attempt, upload, target);
   crash_watch_.EndRun();
   deps_.demand.EndRun(service_, profile_.model);
   if (std::exchange(prompt_pending_, false)) {
@@ -310,6 +318,7 @@
 
 ForwardedRequest::NextStep ForwardedRequest::Exchange(
     EndpointAttempt& attempt,
+    Upload& upload,
     const EndpointTarget& target) {
   const auto connected = attempt.Connect(deadline_);
   if (!connected) {
@@ -323,7 +332,7 @@
   log_.Sent(target.id, sends_);
   sent_at_ = deps_.clock.Now();
   progress_at_ = sent_at_;
-  const auto sent = attempt.Send(MakeAttempt(target), request_.body,
+  const auto sent = attempt.Send(MakeAttempt(target), request_.body, upload,
                                  profile_.attempt_id, ResponseDeadline(target));
   if (!sent) {
     return OnAttemptFailed(target, sent.assume_error());
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -24,6 +24,8 @@
 struct ConfigInForce;
 struct Customer;
 class ServiceTimes;
+class Upload;
+class UploadLimit;
 class HttpResponder;
 
 /// Routes a request, waits for an endpoint that can run it, sends it there and
@@ -33,6 +35,7 @@
   ForwardedRequest(const ForwardingDependencies& deps,
                    SharedRetryBudgets& budgets,
                    ServiceTimes& service_times,
+                   UploadLimit& uploads,
                    const HttpRequest& request,
                    HttpResponder& responder);
   ~ForwardedRequest();
@@ -94,7 +97,9 @@
   /// Runs one attempt and counts it as in flight meanwhile.
   NextStep RunAttempt(const EndpointTarget& target);
   /// Connects, sends the request and handles the response.
-  NextStep Exchange(EndpointAttempt& attempt, const EndpointTarget& target);
+  NextStep Exchange(EndpointAttempt& attempt,
+                    Upload& upload,
+                    const EndpointTarget& target);
   /// Reads the whole response and sends it to the client.
   NextStep RelayWholeResponse(EndpointAttempt& attempt,
                               const EndpointTarget& target);
@@ -140,6 +145,7 @@
   const ForwardingDependencies& deps_;
   SharedRetryBudgets& budgets_;
   ServiceTimes& service_times_;
+  UploadLimit& uploads_;
   const HttpRequest& request_;
   HttpResponder& responder_;
   const std::shared_ptr<ClientState> client_;
--- a/packages/forwarding/request_forwarder.cc
+++ b/packages/forwarding/request_forwarder.cc
@@ -1,12 +1,25 @@
 #include "forwarding/request_forwarder.h"
 
 #include "forwarding/forwarded_request.h"
+#include "http/buffer_budget.h"
 
 namespace tanagerloom {
 
+namespace {
+
+// One endpoint may hold this fraction of the memory for requests and responses
+// by reading slowly.
+constexpr std::size_t kUploadDivisor = 8;
+
+}  // namespace
+
+RequestForwarder::RequestForwarder(ForwardingDependencies deps)
+    : deps_(std::move(deps)),
+      uploads_(deps_.buffers.max_bytes() / kUploadDivisor) {}
+
 void RequestForwarder::Handle(const HttpRequest& request,
                               HttpResponder& responder) {
-  ForwardedRequest forwarded(deps_, budgets_, service_times_, request,
+  ForwardedRequest forwarded(deps_, budgets_, service_times_, uploads_, request,
                              responder);
   requests_.insert(&forwarded);
   forwarded.Run();
--- a/packages/forwarding/request_forwarder.h
+++ b/packages/forwarding/request_forwarder.h
@@ -8,6 +8,7 @@
 
 #include "forwarding/forwarding_dependencies.h"
 #include "forwarding/service_times.h"
+#include "forwarding/upload_limit.h"
 
 namespace tanagerloom {
 
@@ -18,8 +19,7 @@
 /// Handles client requests; each has its response when its call returns.
 class RequestForwarder {
  public:
-  explicit RequestForwarder(ForwardingDependencies deps)
-      : deps_(std::move(deps)) {}
+  explicit RequestForwarder(ForwardingDependencies deps);
 
   /// Handles one request; call it on the request's fiber.
   void Handle(const HttpRequest& request, HttpResponder& responder);
@@ -35,6 +35,7 @@
   ForwardingDependencies deps_;
   SharedRetryBudgets budgets_;
   ServiceTimes service_times_;
+  UploadLimit uploads_;
   std::set<ForwardedRequest*> requests_;  ///< In flight.
 };
 
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -48,6 +48,8 @@
   /// process may be suspended meanwhile. If it returns false, the call fails
   /// with the verdict kNotRun.
   std::function<bool()> may_send = {};
+  /// Called once the whole request is written.
+  std::function<void()> on_written = {};
 };
 
 /// HTTP client that keeps a pool of idle connections for each address. All
--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -221,6 +221,9 @@
                    result.bytes_transferred == 0 ? Verdict::kNotRun
                                                  : Verdict::kMayHaveRun);
   }
+  if (options.on_written) {
+    options.on_written();
+  }
   return ReadHead(request, options);
 }
 
