--- a/tests/correctness/platform_format_test.cc
+++ b/tests/correctness/platform_format_test.cc
@@ -164,7 +164,7 @@
   "bounds":{"graceS":8,"drainMs":2000,"configMs":2000,"contactMs":3000,
             "leaseMs":3000,"retryRatio":0.2,"retryWindowS":10,"retrySlack":56,
             "ceilingWindowS":5},
-  "limits":{"memoryMb":260,"cpuShare":0.25},
+  "limits":{"memoryMb":260,"cpuShare":0.25,"maxFds":4100},
   "platform":{"address":"10.200.1.7:8142"}})";
 
 // Guards against a setting that is decoded into another one or in the wrong
@@ -185,6 +185,8 @@
   EXPECT_EQ(settings.bounds.load_rate_window, milliseconds(5000));
   EXPECT_EQ(settings.bounds.retry_limits.slack, 56);
   EXPECT_EQ(settings.memory_bytes, 260U * 1024 * 1024);
+  // 200 descriptors are for files.
+  EXPECT_EQ(settings.max_sockets, 3900U);
 }
 
 // Guards against a node that refuses every response because the settings state
