wire: messages with which nodes keep quotas

A report tells the quota coordinator what a node holds, has charged and needs of each customer's quota, and carries its vote; a grant answers it. Amounts that are negative or no numbers are refused, since one would spoil all sums.

--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -1,5 +1,6 @@
 #include "membership/envelope.h"
 
+#include <cmath>
 #include <type_traits>
 
 #include "wire/generated/peer_generated.h"
@@ -190,6 +191,31 @@
                                     body.released, body.era)
                 .Union()};
   }
+  Encoded operator()(const QuotaReport& body) const {
+    std::vector<wire::QuotaNeed> needs;
+    needs.reserve(body.needs.size());
+    for (const auto& it : body.needs) {
+      needs.emplace_back(it.customer, it.held, it.pending, it.returned,
+                         it.wanted, it.urgent);
+    }
+    const auto list = builder.CreateVectorOfStructs(needs);
+    return {wire::Body::QuotaReport,
+            wire::CreateQuotaReport(builder, body.number, body.last_grant,
+                                    body.votes, body.vote_ms, list)
+                .Union()};
+  }
+  Encoded operator()(const QuotaGrant& body) const {
+    std::vector<wire::QuotaAllowance> allowances;
+    allowances.reserve(body.allowances.size());
+    for (const auto& it : body.allowances) {
+      allowances.emplace_back(it.customer, it.granted, it.room_ms);
+    }
+    const auto list = builder.CreateVectorOfStructs(allowances);
+    return {wire::Body::QuotaGrant,
+            wire::CreateQuotaGrant(builder, body.number, body.report,
+                                   body.reply_at_once, list)
+                .Union()};
+  }
   Encoded operator()(const LoadEstimate& body) const {
     const auto service = PutString(builder, body.service);
     const auto models = PutStrings(builder, body.models);
@@ -327,6 +353,43 @@
   return EnvelopeBody(PeerMessage(std::move(out)));
 }
 
+// Returns whether a received number of units can be counted.
+bool IsAmount(float units) {
+  return std::isfinite(units) && units >= 0;
+}
+
+Result<EnvelopeBody> DecodeQuotaReport(const wire::QuotaReport& body) {
+  QuotaReport out{
+      body.number(), body.last_grant(), body.votes(), body.vote_ms(), {}};
+  if (body.needs() != nullptr) {
+    for (const auto* it : *body.needs()) {
+      if (!IsAmount(it->held()) || !IsAmount(it->pending()) ||
+          !IsAmount(it->returned()) || !IsAmount(it->wanted()) ||
+          !IsAmount(it->urgent())) {
+        return MakeError(ErrorKind::kInvalid,
+                         "quota report with a negative amount");
+      }
+      out.needs.push_back({it->customer(), it->held(), it->pending(),
+                           it->returned(), it->wanted(), it->urgent()});
+    }
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
+Result<EnvelopeBody> DecodeQuotaGrant(const wire::QuotaGrant& body) {
+  QuotaGrant out{body.number(), body.report(), body.reply_at_once(), {}};
+  if (body.allowances() != nullptr) {
+    for (const auto* it : *body.allowances()) {
+      if (!IsAmount(it->granted())) {
+        return MakeError(ErrorKind::kInvalid,
+                         "quota grant with a negative amount");
+      }
+      out.allowances.push_back({it->customer(), it->granted(), it->room_ms()});
+    }
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
 Result<EnvelopeBody> DecodeBody(const wire::Envelope& envelope) {
   // The verifier accepts a union whose value is absent.
   if (envelope.body_type() != wire::Body::NONE && envelope.body() == nullptr) {
@@ -394,6 +457,10 @@
     }
     case wire::Body::LoadOutlook:
       return DecodeLoadEstimate(*envelope.body_as_LoadOutlook());
+    case wire::Body::QuotaReport:
+      return DecodeQuotaReport(*envelope.body_as_QuotaReport());
+    case wire::Body::QuotaGrant:
+      return DecodeQuotaGrant(*envelope.body_as_QuotaGrant());
     case wire::Body::HoldingsNotice:
       return EnvelopeBody(
           PeerMessage(DecodeLoadedModels(*envelope.body_as_HoldingsNotice())));
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -150,6 +150,45 @@
   std::vector<std::uint32_t> ready_in_ms;  ///< Times, in the order of `models`.
 };
 
+/// What the sender needs of one customer's quota. Amounts are in units.
+struct QuotaNeed {
+  std::uint64_t customer = 0;  ///< StableHash of its name.
+  float held = 0;              ///< Granted and not charged.
+  float pending = 0;           ///< Charged to requests that are not sent yet.
+  float returned = 0;          ///< Of earlier grants, no longer needed.
+  float wanted = 0;            ///< For requests that are expected.
+  float urgent = 0;            ///< For requests that wait for a grant.
+};
+
+/// Reports to the quota coordinator. Customers that are not listed need and
+/// hold nothing.
+struct QuotaReport {
+  std::uint64_t number = 0;      ///< Rises with each report of a sender.
+  std::uint64_t last_grant = 0;  ///< Number of the last grant; 0 without one.
+  /// The sender assigns its part of all quotas to the receiver, and to no other
+  /// node for `vote_ms`. A report without a vote ends the assignment.
+  bool votes = false;
+  std::uint32_t vote_ms = 0;
+  std::vector<QuotaNeed> needs;
+};
+
+/// What the quota coordinator grants of one customer's quota.
+struct QuotaAllowance {
+  std::uint64_t customer = 0;
+  float granted = 0;  ///< In units.
+  /// Time until the quota has room for what nodes ask for; 0 if the urgent need
+  /// is granted.
+  std::uint32_t room_ms = 0;
+};
+
+/// Answers a quota report.
+struct QuotaGrant {
+  std::uint64_t number = 0;    ///< Rises with each grant of a sender.
+  std::uint64_t report = 0;    ///< The answered report; 0 if there is none.
+  bool reply_at_once = false;  ///< Asks for a report without delay.
+  std::vector<QuotaAllowance> allowances;
+};
+
 using PeerMessage = std::variant<Demand,
                                  DemandAck,
                                  RecordUpdate,
@@ -161,7 +200,9 @@
                                  LeaseNotice,
                                  LoadedModelsNotice,
                                  LoadEstimate,
-                                 ConfigRequest>;
+                                 ConfigRequest,
+                                 QuotaReport,
+                                 QuotaGrant>;
 
 }  // namespace tanagerloom
 
--- a/tests/error/peer_refusal_test.cc
+++ b/tests/error/peer_refusal_test.cc
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <boost/asio/read.hpp>
+#include <cmath>
 
 #include "base/events.h"
 #include "membership/envelope.h"
@@ -223,7 +224,8 @@
 PeerMessage RandomMessage() {
   const auto number = *rc::gen::arbitrary<std::uint32_t>();
   const std::string text = RandomText();
-  switch (*rc::gen::inRange(0, 8)) {
+  const auto units = static_cast<float>(number);
+  switch (*rc::gen::inRange(0, 10)) {
     case 0:
       return Demand{
           text, number, {{text, "1", RandomText(), number, 2, 3, 4, 5}}};
@@ -240,6 +242,10 @@
       return EndpointUse{{text, "b"}, {number, 2}, {3, 4}};
     case 6:
       return CrashNotice{number, 2, 3, true, {{number, 4}, {5, 6}}};
+    case 7:
+      return QuotaReport{number, 2, true, 3, {{4, units, 5, 6, 7, 8}}};
+    case 8:
+      return QuotaGrant{number, 2, true, {{3, units, 4}}};
     default:
       return OrderDone{text, RandomText(), "order"};
   }
@@ -275,6 +281,17 @@
   }));
 }
 
+// Guards against an amount from a peer that would make all sums unusable.
+TEST(PeerEncoding, AmountThatIsNoNumberIsInvalid) {
+  for (const float it : {-1.0F, std::nanf(""), HUGE_VALF}) {
+    Envelope envelope;
+    envelope.body = PeerMessage(QuotaReport{1, 2, true, 3, {{4, it}}});
+    EXPECT_FALSE(DecodeEnvelope(EncodeEnvelope(envelope)).has_value());
+    envelope.body = PeerMessage(QuotaGrant{1, 2, true, {{3, it, 4}}});
+    EXPECT_FALSE(DecodeEnvelope(EncodeEnvelope(envelope)).has_value());
+  }
+}
+
 // Guards against reads beyond the end of a mutated or truncated envelope.
 TEST(PeerEncoding, MutatedEnvelopeIsDecodedOrInvalid) {
   EXPECT_TRUE(rc::check([] {
