fleet: quotas that hold over all nodes

A node charges requests to units that it holds (QuotaShare). They are granted by the quota coordinator (QuotaPool), in proportion to the votes that it has; each node has one vote. No store call is made, and a cut, a restart or a frozen node costs units instead of exceeding the quota. docs/design/quotas.md states the sum bound and what was weighed.

--- a/packages/node/fleet_settings.h
+++ b/packages/node/fleet_settings.h
@@ -7,19 +7,11 @@
 #include <string>
 
 #include "base/address.h"
+#include "fleet/quota_reserve.h"
 #include "fleet/shared_retry_budget.h"
 
 namespace tanagerloom {
 
-/// How far the requests of a customer may exceed its quota, summed over all
-/// nodes: in any `window` at most `excess` of what the quota allows, plus
-/// `slack`.
-struct QuotaReserve {
-  std::chrono::milliseconds window{8000};
-  double excess = 0;
-  double slack = 0;  ///< In units of the quota.
-};
-
 /// Limits that the platform sets for all nodes.
 struct FleetBounds {
   /// Time from SIGTERM to SIGKILL.
