forwarding: admission by quota

A request is charged to its customer's quota once, before it waits for an endpoint, and gives the units back if no endpoint ran it. Refuse() sent no Retry-After with a status other than 503; it does with 429 now.

Events 650 to 652, metrics of units granted, charged and of refusals by reason.

--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -151,6 +151,12 @@
 inline constexpr EventId kForwardClientGone{635, Severity::kInfo,
                                             "forward_client_gone"};
 inline constexpr EventId kMemoryShort{650, Severity::kWarning, "memory_short"};
+inline constexpr EventId kQuotaExhausted{650, Severity::kInfo,
+                                         "quota_exhausted"};
+inline constexpr EventId kQuotaAvailable{651, Severity::kInfo,
+                                         "quota_available"};
+inline constexpr EventId kQuotaCoordinatorChanged{652, Severity::kInfo,
+                                                  "quota_coordinator_changed"};
 inline constexpr EventId kInvariantViolated{900, Severity::kError,
                                             "invariant_violated"};
 
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include "base/id.h"
+#include "fleet/customer.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
 #include "forwarding/endpoint_statements.h"
+#include "forwarding/quota_gate.h"
 #include "forwarding/request_times.h"
 #include "forwarding/service_times.h"
 #include "forwarding/upload_limit.h"
@@ -38,6 +40,7 @@
 
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
@@ -84,7 +87,7 @@
 // ---- before the first attempt
 
 void ForwardedRequest::Run() {
-  if (!FindRoute() || !FindCustomer() || !CheckServable()) {
+  if (!FindRoute() || !FindCustomer() || !CheckServable() || !ChargeQuota()) {
     return;
   }
   WatchClient();
@@ -162,6 +165,23 @@
   return !RejectQuarantined();
 }
 
+bool ForwardedRequest::ChargeQuota() {
+  if (customer_ == nullptr || !customer_->quota.limited()) {
+    return true;
+  }
+  auto decision =
+      deps_.quotas.Admit(*customer_, QuotaCost(customer_->quota, profile_));
+  if (const auto* refused = std::get_if<QuotaRefused>(&decision)) {
+    // Without an answer it is not known whether the customer is over its quota.
+    const bool is_known = refused->reason != QuotaRefusal::kNoAnswer;
+    Refuse(is_known ? kTooManyRequests : kUnavailable,
+           ToString(refused->reason), refused->retry_after);
+    return false;
+  }
+  charge_ = std::get<QuotaCharge>(std::move(decision));
+  return true;
+}
+
 bool ForwardedRequest::RejectQuarantined() {
   if (!crash_watch_.IsQuarantined()) {
     return false;
@@ -305,6 +325,9 @@
   deps_.demand.BeginRun(service_, profile_.model);
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, upload, target);
+  if (history_.runs == 0) {
+    charge_.Unuse();
+  }
   crash_watch_.EndRun();
   deps_.demand.EndRun(service_, profile_.model);
   if (std::exchange(prompt_pending_, false)) {
@@ -329,6 +352,7 @@
     return NextStep::kRetry;
   }
   ++sends_;
+  charge_.Use();
   log_.Sent(target.id, sends_);
   sent_at_ = deps_.clock.Now();
   progress_at_ = sent_at_;
@@ -621,7 +645,7 @@
 void ForwardedRequest::Refuse(int status,
                               std::string_view reason,
                               milliseconds retry_after) {
-  if (status != kUnavailable) {
+  if (status != kUnavailable && status != kTooManyRequests) {
     retry_after = milliseconds(0);
   }
   log_.Refused(status, reason, Progress());
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "forwarding/endpoint_chooser.h"
 #include "forwarding/event_assembler.h"
 #include "forwarding/forwarding_dependencies.h"
+#include "forwarding/quota_charge.h"
 #include "forwarding/request_log.h"
 #include "forwarding/retry_policy.h"
 #include "http/http_message.h"
@@ -73,6 +74,9 @@
   /// Refuses the request and returns false if its service or model is unknown
   /// or if it is quarantined.
   bool CheckServable();
+  /// Charges the request to its customer's quota. Refuses it and returns false
+  /// if the quota has no room.
+  bool ChargeQuota();
   /// Ends the request and returns true if it is quarantined. Checked before
   /// each attempt, since the last crash may come while the request waits.
   bool RejectQuarantined();
@@ -161,6 +165,7 @@
   TimePoint deadline_{};
   std::optional<EndpointChooser> chooser_;  ///< Set once the service is known.
 
+  QuotaCharge charge_;  ///< Given back if no endpoint runs the request.
   bool ended_ = false;  ///< The node stops.
   RequestHistory history_;
   std::uint32_t sends_ = 0;  ///< Number of times the request was sent.
--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -24,6 +24,7 @@
 class EventLog;
 class FleetRegistry;
 class FleetView;
+class QuotaGate;
 class RequestProtocol;
 
 /// Retry budgets of this node by service.
@@ -48,6 +49,7 @@
   std::function<TimePoint()> stop_at;
   /// Memory for requests and responses; forwarding counts the responses.
   BufferBudget& buffers;
+  QuotaGate& quotas;
 };
 
 }  // namespace tanagerloom
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -12,6 +12,7 @@
 #include "fleet/fleet_view.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
+#include "forwarding/quota_gate.h"
 #include "forwarding/request_forwarder.h"
 #include "http/buffer_budget.h"
 #include "http/http_responder.h"
@@ -165,6 +166,7 @@
                  log,
                  std::move(ports.format),
                  RegistryTimingFor(settings.bounds)),
+        quotas(peers, registry, clock, log, settings.bounds.quota_reserve),
         lease(ports.store,
               store_era,
               peers,
@@ -180,7 +182,7 @@
                    crashes, statements, clock, log,
                    settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
-                   [this] { return stop_at; }, buffers}),
+                   [this] { return stop_at; }, buffers, quotas}),
         client_server(
             Runtime::Get().io(),
             WithSocketLimits({}, settings.max_sockets),
@@ -203,6 +205,7 @@
   void AddMetrics();
   void OnStoreEraChanged();
   void AddMemoryMetrics();
+  void AddQuotaMetrics();
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
   void ApplyClientLimits();
   void BroadcastUseLoop();
@@ -228,6 +231,7 @@
   CrashGuard crashes;
   EndpointStatements statements;
   FleetRegistry registry;
+  QuotaGate quotas;
   OrderLease lease;
   OrderCoordinator orders;
   RequestForwarder forwarder;
@@ -317,6 +321,29 @@
   boost::fibers::fiber([this] { nodes.Register(); }).detach();
 }
 
+void FleetNode::Parts::AddQuotaMetrics() {
+  const auto& counts = quotas.counts();
+  metrics.AddCounterReader("tanagerloom_quota_granted_units_total",
+                           "Units of quotas that were granted to this node.",
+                           [&counts] { return counts.granted; });
+  metrics.AddCounterReader("tanagerloom_quota_charged_units_total",
+                           "Units of quotas that admitted requests use.",
+                           [&counts] { return counts.charged; });
+  const auto add_refused = [&](const std::string& reason,
+                               const std::uint64_t& n) {
+    metrics.AddCounterReader(
+        "tanagerloom_quota_refused_requests_total",
+        "Requests refused because of their customer's quota.",
+        [&n] { return static_cast<double>(n); }, {{"reason", reason}});
+  };
+  add_refused("over_quota", counts.over_quota);
+  add_refused("no_answer", counts.no_answer);
+  add_refused("too_large", counts.too_large);
+  metrics.AddGaugeReader("tanagerloom_quota_vote_share",
+                         "Part of the nodes whose quota coordinator is this.",
+                         [this] { return quotas.VoteShare(); });
+}
+
 // ---- messages from peers
 
 namespace {
@@ -329,7 +356,9 @@
   FleetRegistry& registry;
   CrashGuard& crashes;
   EndpointStatements& statements;
+  QuotaGate& quotas;
   std::string node;  ///< Id of the sender.
+  std::string from;  ///< Its process, "NODE/INCARNATION".
 
   void operator()(const Demand& it) const { orders.OnDemand(node, it); }
   void operator()(const LeaseNotice& it) const { lease.OnNotice(it); }
@@ -344,6 +373,8 @@
   }
   void operator()(const CrashNotice& it) const { crashes.OnNotice(it); }
   void operator()(const EndpointNotice& it) const { statements.OnNotice(it); }
+  void operator()(const QuotaReport& it) const { quotas.OnReport(from, it); }
+  void operator()(const QuotaGrant& it) const { quotas.OnGrant(from, it); }
   // Sent only by nodes that keep placement records, which a registered fleet
   // does not have.
   void operator()(const DemandAck&) const {}
@@ -356,7 +387,7 @@
 void FleetNode::Parts::OnPeerMessage(const std::string& from,
                                      const PeerMessage& message) {
   std::visit(MessageHandler{view, lease, orders, registry, crashes, statements,
-                            NodeIdOf(from)},
+                            quotas, NodeIdOf(from), from},
              message);
 }
 
@@ -466,6 +497,7 @@
   log.Record(events::kNodeStopped,
              {{"ended", unfinished},
               {"requests", client_server.requests_in_flight()}});
+  quotas.Stop();
   registry.Stop();
   nodes.Stop();
   stopped = true;
@@ -485,6 +517,7 @@
   auto& parts = *parts_;
   parts.AddMetrics();
   parts.store_era.OnChanged([&parts] { parts.OnStoreEraChanged(); });
+  parts.AddQuotaMetrics();
   parts.registry.OnConfigChanged([&parts] { parts.ApplyClientLimits(); });
   parts.peers.OnMessage(
       [&parts](const std::string& from, const PeerMessage& message) {
@@ -502,6 +535,7 @@
   boost::fibers::fiber([&parts] { parts.lease.Run(); }).detach();
   parts.orders.Start();
   boost::fibers::fiber([&parts] { parts.BroadcastUseLoop(); }).detach();
+  boost::fibers::fiber([&parts] { parts.quotas.Run(); }).detach();
   boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.ReportMemoryLoop(); }).detach();
   BOOST_OUTCOME_TRYV(parts.client_server.Listen(parts.settings.client_listen));
--- a/tests/support/forwarding_site.h
+++ b/tests/support/forwarding_site.h
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/fiber/fiber.hpp>
 #include <string>
 
 #include "base/event_log.h"
@@ -12,6 +13,7 @@
 #include "fleet/fleet_view.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
+#include "forwarding/quota_gate.h"
 #include "forwarding/request_forwarder.h"
 #include "http/buffer_budget.h"
 #include "http/http_client.h"
@@ -83,10 +85,11 @@
               std::chrono::milliseconds(50)},
              {std::chrono::milliseconds(500), std::chrono::milliseconds(10),
               std::chrono::milliseconds(50)}}),
+        quotas(peers, registry, clock, log, quota_reserve),
         forwarder({Runtime::Get().io(), registry, view, demand, protocol,
                    crashes, statements, clock, log, retry_limits,
                    [] { return std::size_t{1}; }, [this] { return stop_at; },
-                   buffers}),
+                   buffers, quotas}),
         server(Runtime::Get().io(),
                HttpServerLimits{},
                [this](const HttpRequest& request, HttpResponder& responder) {
@@ -101,6 +104,7 @@
     a.Register();
     b.Register();
     registry.Start();
+    boost::fibers::fiber([this] { quotas.Run(); }).detach();
     ASSERT_TRUE(testing_support::WaitUntil([&] {
       return registry.config() != nullptr &&
              view.directory().records().size() == 2;
@@ -149,6 +153,8 @@
   EndpointStatements statements{view, peers, clock, log};
   FleetRegistry registry;
   TimePoint stop_at = TimePoint::max();
+  QuotaReserve quota_reserve;
+  QuotaGate quotas;
   RequestForwarder forwarder;
   HttpServer server;
   Address address;
