forwarding, fleet: fair waiting at a node and over nodes

Cause: each waiting request woke at every change of the view and every 50 ms, and the first to wake took the free place, whatever its priority, customer or deadline. Models were loaded for the number of requests that wait, whatever their class.

Change: one waiting list for each target. A free place goes by priority, equal shares of customers by cost, and deadline; one in ten turns goes to the classes after the first. FairQueue of the older request path is generalised and serves both. A request of a customer whose turn surely comes too late is refused at once, with the time after which it would be served. With customers in the configuration nodes report what waits to the lease holder, which sends sums, so that a node leaves places to a higher class elsewhere. Models are loaded by the class that waits for them.

--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -150,6 +150,8 @@
 inline constexpr EventId kForwardSent{634, Severity::kInfo, "forward_sent"};
 inline constexpr EventId kForwardClientGone{635, Severity::kInfo,
                                             "forward_client_gone"};
+inline constexpr EventId kForwardTurnTooLate{636, Severity::kInfo,
+                                             "forward_turn_too_late"};
 inline constexpr EventId kMemoryShort{640, Severity::kWarning, "memory_short"};
 inline constexpr EventId kQuotaExhausted{650, Severity::kInfo,
                                          "quota_exhausted"};
--- a/packages/fleet/demand_table.cc
+++ b/packages/fleet/demand_table.cc
@@ -41,8 +41,9 @@
       entry.last_arrival_at = now;
     }
     auto& counts = entry.nodes[node];
-    counts = {it.waiting, it.running, std::nullopt, now};
+    counts = {it.waiting, it.running, std::nullopt, std::nullopt, now};
     if (it.waiting > 0) {
+      counts.best_rank = it.rank;
       counts.earliest_deadline =
           now + std::chrono::milliseconds(it.earliest_deadline_ms);
     }
@@ -76,6 +77,10 @@
            *counts.earliest_deadline < *demand.earliest_deadline)) {
         demand.earliest_deadline = counts.earliest_deadline;
       }
+      if (counts.best_rank) {
+        demand.best_rank =
+            std::min(demand.best_rank.value_or(UINT32_MAX), *counts.best_rank);
+      }
     }
     out.emplace(it->first, demand);
     ++it;
--- a/packages/fleet/demand_table.h
+++ b/packages/fleet/demand_table.h
@@ -24,6 +24,8 @@
   TimePoint last_arrival_at{};
   /// Earliest deadline of the waiting requests.
   std::optional<TimePoint> earliest_deadline;
+  /// Lowest rank of the waiting requests. All have 0 without customers.
+  std::optional<std::uint32_t> best_rank;
 };
 
 /// Demand by service and model, from the latest report of each node.
@@ -51,6 +53,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
     std::optional<TimePoint> earliest_deadline;
+    std::optional<std::uint32_t> best_rank;
     TimePoint received_at{};
   };
   struct Entry {
--- a/packages/fleet/demand_tracker.cc
+++ b/packages/fleet/demand_tracker.cc
@@ -12,18 +12,23 @@
 
 void DemandTracker::BeginWait(const std::string& service,
                               const ModelRef& model,
-                              TimePoint deadline) {
-  CountsFor(service, model).waiting.insert(deadline);
+                              TimePoint deadline,
+                              std::uint32_t rank) {
+  auto& counts = CountsFor(service, model);
+  counts.waiting.insert(deadline);
+  counts.ranks.insert(rank);
   urgent_wait_.Signal();
 }
 
 void DemandTracker::EndWait(const std::string& service,
                             const ModelRef& model,
-                            TimePoint deadline) {
-  auto& waiting = CountsFor(service, model).waiting;
-  const auto it = waiting.find(deadline);
-  if (it != waiting.end()) {
-    waiting.erase(it);
+                            TimePoint deadline,
+                            std::uint32_t rank) {
+  auto& counts = CountsFor(service, model);
+  const auto it = counts.waiting.find(deadline);
+  if (it != counts.waiting.end()) {
+    counts.waiting.erase(it);
+    counts.ranks.erase(counts.ranks.find(rank));
   }
 }
 
@@ -57,6 +62,7 @@
     entry.arrivals = std::exchange(counts.arrivals, 0);
     entry.prompt_tokens = std::exchange(counts.prompt_tokens, 0);
     if (!counts.waiting.empty()) {
+      entry.rank = *counts.ranks.begin();
       const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
           *counts.waiting.begin() - now);
       entry.earliest_deadline_ms =
--- a/packages/fleet/demand_tracker.h
+++ b/packages/fleet/demand_tracker.h
@@ -26,13 +26,16 @@
   void OnArrival(const std::string& service, const ModelRef& model);
 
   /// Counts a request that waits for its model. Loading the model after
-  /// `deadline` no longer helps it. EndWait() takes the same deadline.
+  /// `deadline` no longer helps it; models are loaded by the lowest `rank` that
+  /// waits for them. EndWait() takes the same values.
   void BeginWait(const std::string& service,
                  const ModelRef& model,
-                 TimePoint deadline);
+                 TimePoint deadline,
+                 std::uint32_t rank);
   void EndWait(const std::string& service,
                const ModelRef& model,
-               TimePoint deadline);
+               TimePoint deadline,
+               std::uint32_t rank);
 
   /// A request was sent to an endpoint that has to read this many tokens of its
   /// prompt.
@@ -58,7 +61,8 @@
     std::uint32_t running = 0;
     std::uint32_t arrivals = 0;
     std::uint64_t prompt_tokens = 0;
-    std::multiset<TimePoint> waiting;  ///< Deadlines of the waiting requests.
+    std::multiset<TimePoint> waiting;    ///< Deadlines of the waiting requests.
+    std::multiset<std::uint32_t> ranks;  ///< Their ranks.
   };
 
   Counts& CountsFor(const std::string& service, const ModelRef& model) {
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -200,6 +200,11 @@
          !IsMarkedNotLoaded(record.id, model);
 }
 
+bool FleetView::CanRun(const std::string& id, const ModelRef& model) const {
+  const auto* record = directory_.Find(id);
+  return record != nullptr && HasLoaded(*record, model);
+}
+
 std::vector<EndpointCandidate> FleetView::Candidates(
     std::string_view service,
     const ModelRef& model,
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -117,6 +117,9 @@
       const ModelRef& model,
       const std::set<std::string>& excluded) const;
 
+  /// Returns whether an endpoint is listed and has loaded `model`.
+  bool CanRun(const std::string& id, const ModelRef& model) const;
+
   /// Removes the state of endpoints that are gone, and expired state.
   void Prune();
 
--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -49,6 +49,11 @@
 // not loaded at all.
 constexpr std::uint32_t kMinReplicasKept = 2;
 
+// In one of this many turns the models of later ranks are loaded first. A turn
+// lasts about as long as a load from disk.
+constexpr Duration kLoadTurn = std::chrono::milliseconds(1000);
+constexpr std::int64_t kLoadTurnsPerLaterRank = 10;
+
 // Plans the orders for one service. Each engine gets at most one order.
 class Planner {
  public:
@@ -94,6 +99,10 @@
          *other.earliest_deadline < *sum.earliest_deadline)) {
       sum.earliest_deadline = other.earliest_deadline;
     }
+    if (other.best_rank) {
+      sum.best_rank =
+          std::min(sum.best_rank.value_or(UINT32_MAX), *other.best_rank);
+    }
   }
 
   const ModelSpec* FindSpec(const std::string& model) const {
@@ -142,13 +151,22 @@
     });
   }
 
-  // Places models that requests wait for and no engine has. Models with a
-  // cached copy come first, by deadline, since each load takes about a second.
-  // The others share the weight store, and the model with the most waiting
-  // requests goes first.
+  // Returns the place of a model's rank in the order of loads. In a part of the
+  // time the later ranks come first, so that none starves.
+  std::int64_t RankOrder(const ModelDemand& demand) const {
+    const std::int64_t rank = demand.best_rank.value_or(0);
+    const auto turn = input_.now.time_since_epoch() / kLoadTurn;
+    return turn % kLoadTurnsPerLaterRank == 0 ? -rank : rank;
+  }
+
+  // Places models that requests wait for and no engine has, by rank. Models
+  // with a cached copy come first, by deadline, since each load takes about a
+  // second. The others share the weight store, and the model with the most
+  // waiting requests of a rank goes first.
   void PlaceMissing() {
-    std::vector<std::pair<TimePoint, std::string>> with_cached_copy;
     std::vector<std::tuple<std::int64_t, TimePoint, std::string>>
+        with_cached_copy;
+    std::vector<std::tuple<std::int64_t, std::int64_t, TimePoint, std::string>>
         without_cached_copy;
     for (const auto& [model, demand] : demand_by_model_) {
       if (demand.waiting == 0 || ReplicaCount(model) > 0 || !FindSpec(model)) {
@@ -156,18 +174,18 @@
       }
       const auto deadline = demand.earliest_deadline.value_or(input_.now);
       if (HasCachedCopy(model)) {
-        with_cached_copy.emplace_back(deadline, model);
+        with_cached_copy.emplace_back(RankOrder(demand), deadline, model);
       } else {
-        without_cached_copy.emplace_back(-std::int64_t{demand.waiting},
-                                         deadline, model);
+        without_cached_copy.emplace_back(
+            RankOrder(demand), -std::int64_t{demand.waiting}, deadline, model);
       }
     }
     std::ranges::sort(with_cached_copy);
-    for (const auto& [deadline, model] : with_cached_copy) {
+    for (const auto& [rank, deadline, model] : with_cached_copy) {
       PlaceMissingModel(model);
     }
     std::ranges::sort(without_cached_copy);
-    for (const auto& [waiting, deadline, model] : without_cached_copy) {
+    for (const auto& [rank, waiting, deadline, model] : without_cached_copy) {
       if (store_loads_ >= input_.store_loads_allowed ||
           !PlaceMissingModel(model)) {
         QueueForWeightStore(model);
--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -57,7 +57,9 @@
 void CrashWatch::EndRun() {
   if (!std::exchange(has_outcome_, true)) {
     deps_.crashes.EndRun(fingerprints_.request);
-    deps_.view.changed().Signal();
+    if (deps_.crashes.IsSuspected(fingerprints_)) {
+      deps_.view.changed().Signal();  // An equal request may wait for this run.
+    }
   }
 }
 
--- a/packages/forwarding/endpoint_chooser.cc
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -46,8 +46,9 @@
 
 std::optional<EndpointTarget> EndpointChooser::Choose() const {
   auto candidates = deps_.view.Candidates(service_, profile_.model, Excluded());
-  std::erase_if(candidates,
-                [this](const EndpointCandidate& it) { return IsFull(it); });
+  std::erase_if(candidates, [this](const EndpointCandidate& it) {
+    return IsFull(it) || IsTooSlow(it);
+  });
   const auto key = profile_.SharedPromptKey();
   const auto* chosen = SelectEndpoint(
       candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
@@ -60,9 +61,10 @@
 }
 
 bool EndpointChooser::IsFull(const EndpointCandidate& candidate) const {
-  if (candidate.in_flight >= kFullLoadFactor * candidate.record->slots) {
-    return true;
-  }
+  return candidate.in_flight >= kFullLoadFactor * candidate.record->slots;
+}
+
+bool EndpointChooser::IsTooSlow(const EndpointCandidate& candidate) const {
   const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
   return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
                            deadline_);
@@ -78,6 +80,12 @@
   return cached ? profile_.UnsharedPromptTokens() : profile_.prompt_tokens;
 }
 
+bool EndpointChooser::HasRoom() const {
+  const auto candidates = deps_.view.Candidates(service_, profile_.model, {});
+  return !std::ranges::all_of(
+      candidates, [this](const EndpointCandidate& it) { return IsFull(it); });
+}
+
 bool EndpointChooser::HasOther(const std::string& id) const {
   auto excluded = Excluded();
   excluded.insert(id);
--- a/packages/forwarding/endpoint_chooser.h
+++ b/packages/forwarding/endpoint_chooser.h
@@ -41,6 +41,10 @@
   /// Returns an endpoint that can take the request now; nothing if none can.
   std::optional<EndpointTarget> Choose() const;
 
+  /// Returns whether an endpoint has room for some request, if not for this
+  /// one.
+  bool HasRoom() const;
+
   /// Returns whether an endpoint other than `id` can take the request now.
   bool HasOther(const std::string& id) const;
 
@@ -52,6 +56,8 @@
   std::set<std::string> Excluded() const;
   /// Returns whether an endpoint gets no more requests now.
   bool IsFull(const EndpointCandidate& candidate) const;
+  /// Returns whether an endpoint would answer this request too late.
+  bool IsTooSlow(const EndpointCandidate& candidate) const;
   /// Returns the tokens of the prompt that an endpoint is expected to read.
   std::uint32_t PromptTokensAt(
       const EndpointCandidate& endpoint,
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -12,6 +12,7 @@
 #include "forwarding/request_times.h"
 #include "forwarding/service_times.h"
 #include "forwarding/upload_limit.h"
+#include "forwarding/waiting_lists.h"
 #include "http/http_responder.h"
 #include "registry/fleet_registry.h"
 
@@ -25,9 +26,6 @@
 constexpr milliseconds kDefaultTimeout{60000};
 // A timed-out request is answered this long before the client's deadline.
 constexpr milliseconds kResponseMargin{15};
-// Interval at which a waiting request checks for an endpoint whose backoff
-// ended.
-constexpr milliseconds kWaitInterval{50};
 // Maximum number of times that one request is sent, including to endpoints that
 // did not run it.
 constexpr std::uint32_t kMaxSends = 4;
@@ -52,6 +50,16 @@
   return !type || type->starts_with("text/event-stream");
 }
 
+// Returns the part of its customer's share that a request uses. Reading and
+// generating this many tokens keeps an endpoint about as busy as one more
+// request.
+double WaitingCost(const RequestProfile& profile) {
+  constexpr double kTokensPerRequest = 500;
+  const double tokens = static_cast<double>(profile.UnsharedPromptTokens()) +
+                        static_cast<double>(profile.max_output_tokens);
+  return 1 + tokens / kTokensPerRequest;
+}
+
 // Returns whether a status promises that the request did not run.
 bool PromisesNotRun(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -63,12 +71,14 @@
                                    SharedRetryBudgets& budgets,
                                    ServiceTimes& service_times,
                                    UploadLimit& uploads,
+                                   WaitingLists& waiting_lists,
                                    const HttpRequest& request,
                                    HttpResponder& responder)
     : deps_(deps),
       budgets_(budgets),
       service_times_(service_times),
       uploads_(uploads),
+      waiting_lists_(waiting_lists),
       request_(request),
       responder_(responder),
       client_(std::make_shared<ClientState>()),
@@ -207,21 +217,24 @@
   return true;
 }
 
+void ForwardedRequest::ClientState::Interrupt() const {
+  if (attempt != nullptr) {
+    attempt->Abort();
+  }
+  if (waiting != nullptr) {
+    waiting->changed.Signal();
+  }
+}
+
 void ForwardedRequest::End() {
   ended_ = true;
-  if (client_->attempt != nullptr) {
-    client_->attempt->Abort();
-  }
-  deps_.view.changed().Signal();
+  client_->Interrupt();
 }
 
 void ForwardedRequest::WatchClient() {
-  responder_.OnClientGone([client = client_, &view = deps_.view] {
+  responder_.OnClientGone([client = client_] {
     client->gone = true;
-    if (client->attempt != nullptr) {
-      client->attempt->Abort();
-    }
-    view.changed().Signal();
+    client->Interrupt();
   });
 }
 
@@ -239,55 +252,93 @@
   return LatestStart(arrived_at_, deadline_);
 }
 
-// Returns whether the model is estimated to be loaded only after the request
-// may still wait.
-bool ForwardedRequest::IsLoadTooLate() const {
-  const auto ready_at = deps_.view.ReadyAt(service_, profile_.model.model);
-  return ready_at && *ready_at > WaitDeadline();
-}
-
-bool ForwardedRequest::IsPauseTooLong() const {
-  const auto until = deps_.view.PausedUntil(service_, profile_.model);
-  return until && *until > WaitDeadline();
-}
-
-std::optional<EndpointTarget> ForwardedRequest::ChooseEndpoint() const {
-  return crash_watch_.MustWait() ? std::nullopt : chooser_->Choose();
+OfferResult ForwardedRequest::TakePlace(std::optional<EndpointTarget>& target) {
+  if (crash_watch_.MustWait()) {
+    return OfferResult::kSkipped;
+  }
+  target = chooser_->Choose();
+  if (target) {
+    deps_.view.BeginUse(target->id, target->prompt_tokens);
+    crash_watch_.BeginRun();
+    return OfferResult::kTaken;
+  }
+  return chooser_->HasRoom() ? OfferResult::kSkipped : OfferResult::kNoPlace;
 }
 
 std::optional<EndpointTarget> ForwardedRequest::AwaitEndpoint() {
-  auto target = ChooseEndpoint();
+  std::optional<EndpointTarget> target;
+  WaitingRequest waiting;
+  waiting.target = {service_, profile_.model};
+  waiting.entry.priority = Priority();
+  waiting.entry.customer = customer_ == nullptr ? "" : customer_->name;
+  // A request that comes back from an endpoint has paid for its turn.
+  waiting.entry.cost = sends_ == 0 ? WaitingCost(profile_) : 0;
+  waiting.entry.latest_start = WaitDeadline();
+  waiting.offer = [this, &target] { return TakePlace(target); };
+  waiting.has_place = [this] {
+    return !crash_watch_.MustWait() && chooser_->Choose().has_value();
+  };
+  waiting.must_end = [this] { return crash_watch_.IsQuarantined(); };
+  waiting.refusable = customer_ != nullptr && history_.runs == 0;
+  waiting_lists_.Enter(waiting);
+  if (!target) {
+    Await(waiting);
+  }
   if (target) {
+    // The attempt counts its run from here on.
+    crash_watch_.EndRun();
+    deps_.view.EndPrompt(target->id, target->prompt_tokens);
+    deps_.view.EndUse(target->id);
+  }
+  if (target && !IsClientGone()) {
     return target;
   }
-  const auto started_at = deps_.clock.Now();
-  const auto wait_deadline = WaitDeadline();
-  auto& changed = deps_.view.changed();
-  deps_.demand.BeginWait(service_, profile_.model, wait_deadline);
-  while (!target && !IsClientGone() && deps_.clock.Now() < wait_deadline &&
-         deps_.clock.Now() < LatestStartBeforeStop(deps_.stop_at()) &&
-         !crash_watch_.IsQuarantined()) {
-    const auto seen = changed.count();
-    target = ChooseEndpoint();
-    if (!target && (IsLoadTooLate() || IsPauseTooLong())) {
-      break;
-    }
-    if (!target) {
-      changed.WaitUntil(
-          seen, std::min(wait_deadline, deps_.clock.Now() + kWaitInterval));
-    }
+  if (target) {
+    waiting_lists_.OnPlaceFreed(service_, target->id);
   }
-  deps_.demand.EndWait(service_, profile_.model, wait_deadline);
+  EndWithoutEndpoint(waiting);
+  return std::nullopt;
+}
+
+void ForwardedRequest::Await(WaitingRequest& waiting) {
+  const auto started_at = deps_.clock.Now();
+  const auto wait_deadline = waiting.entry.latest_start;
+  // Without customers, models are loaded by deadline alone.
+  const auto rank = customer_ == nullptr ? 0 : Priority();
+  deps_.demand.BeginWait(service_, profile_.model, wait_deadline, rank);
+  client_->waiting = &waiting;
+  while (!waiting.ended && MayWait(wait_deadline)) {
+    waiting.changed.WaitUntil(waiting.changed.count(), wait_deadline);
+  }
+  client_->waiting = nullptr;
+  waiting_lists_.Leave(waiting);
+  deps_.demand.EndWait(service_, profile_.model, wait_deadline, rank);
   waited_ += deps_.clock.Now() - started_at;
+}
+
+bool ForwardedRequest::MayWait(TimePoint wait_deadline) {
+  const auto now = deps_.clock.Now();
+  return !IsClientGone() && now < wait_deadline &&
+         now < LatestStartBeforeStop(deps_.stop_at()) &&
+         !crash_watch_.IsQuarantined();
+}
+
+void ForwardedRequest::EndWithoutEndpoint(const WaitingRequest& waiting) {
   if (IsClientGone()) {
     log_.ClientGone("");
     responder_.Abort();
-    return std::nullopt;
-  }
-  if (!target && !RejectQuarantined()) {
+  } else if (waiting.too_long) {
+    RefuseTooLong(*waiting.too_long);
+  } else if (!RejectQuarantined()) {
     Abandon(/*timed_out=*/false);
   }
-  return target;
+}
+
+void ForwardedRequest::RefuseTooLong(const WaitTooLong& wait) {
+  log_.TurnTooLate(wait, Priority(), customer_->name);
+  const auto now = deps_.clock.Now();
+  Refuse(kUnavailable, "turn_too_late",
+         RetryAfterPause(now + wait.retry_after, now, RandomUnit()));
 }
 
 // ---- one attempt
@@ -334,7 +385,7 @@
     deps_.view.EndPrompt(target.id, target.prompt_tokens);
   }
   deps_.view.EndUse(target.id);
-  deps_.view.changed().Signal();
+  waiting_lists_.OnPlaceFreed(service_, target.id);
   client_->attempt = nullptr;
   return next;
 }
@@ -503,6 +554,7 @@
   deps_.view.EndPrompt(target.id, target.prompt_tokens);
   deps_.view.PromptSpeedOf(service_).Observe(profile_.UnsharedPromptTokens(),
                                              deps_.clock.Now() - sent_at_);
+  waiting_lists_.OnPlaceFreed(service_, target.id);
 }
 
 bool ForwardedRequest::ForwardEvents(const EndpointAttempt& attempt,
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -22,12 +22,16 @@
 
 namespace tanagerloom {
 
+enum class OfferResult;
 struct ConfigInForce;
 struct Customer;
+struct WaitTooLong;
+struct WaitingRequest;
 class ServiceTimes;
 class Upload;
 class UploadLimit;
 class HttpResponder;
+class WaitingLists;
 
 /// Routes a request, waits for an endpoint that can run it, sends it there and
 /// relays the response, or retries at another endpoint.
@@ -37,6 +41,7 @@
                    SharedRetryBudgets& budgets,
                    ServiceTimes& service_times,
                    UploadLimit& uploads,
+                   WaitingLists& waiting_lists,
                    const HttpRequest& request,
                    HttpResponder& responder);
   ~ForwardedRequest();
@@ -60,6 +65,10 @@
   struct ClientState {
     bool gone = false;
     EndpointAttempt* attempt = nullptr;
+    WaitingRequest* waiting = nullptr;
+
+    /// Ends what the request does now.
+    void Interrupt() const;
   };
 
   /// Chooses the route, service and deadline. Refuses the request and returns
@@ -86,17 +95,21 @@
   /// Aborts the attempt in flight when the client disconnects.
   void WatchClient();
 
-  /// Returns an endpoint that can take the request now.
-  std::optional<EndpointTarget> ChooseEndpoint() const;
   /// Waits for an endpoint. Returns nothing if the request was answered or
   /// aborted instead.
   std::optional<EndpointTarget> AwaitEndpoint();
+  /// Waits until the request has an endpoint or may no longer wait.
+  void Await(WaitingRequest& waiting);
+  /// Returns whether the request may wait now.
+  bool MayWait(TimePoint wait_deadline);
+  /// Chooses an endpoint that can take the request now, and counts its run so
+  /// that no other request gets the same place.
+  OfferResult TakePlace(std::optional<EndpointTarget>& target);
+  /// Answers a request that got no endpoint.
+  void EndWithoutEndpoint(const WaitingRequest& waiting);
+  void RefuseTooLong(const WaitTooLong& wait);
   /// Returns the time until which the request may wait for an endpoint.
   TimePoint WaitDeadline() const;
-  bool IsLoadTooLate() const;
-  /// Returns whether all endpoints want a pause that ends only after the
-  /// request may still wait.
-  bool IsPauseTooLong() const;
 
   /// Runs one attempt and counts it as in flight meanwhile.
   NextStep RunAttempt(const EndpointTarget& target);
@@ -150,6 +163,7 @@
   SharedRetryBudgets& budgets_;
   ServiceTimes& service_times_;
   UploadLimit& uploads_;
+  WaitingLists& waiting_lists_;
   const HttpRequest& request_;
   HttpResponder& responder_;
   const std::shared_ptr<ClientState> client_;
--- a/packages/forwarding/request_forwarder.cc
+++ b/packages/forwarding/request_forwarder.cc
@@ -15,12 +15,13 @@
 
 RequestForwarder::RequestForwarder(ForwardingDependencies deps)
     : deps_(std::move(deps)),
-      uploads_(deps_.buffers.max_bytes() / kUploadDivisor) {}
+      uploads_(deps_.buffers.max_bytes() / kUploadDivisor),
+      waiting_lists_(deps_.view, deps_.clock, deps_.stop_at) {}
 
 void RequestForwarder::Handle(const HttpRequest& request,
                               HttpResponder& responder) {
-  ForwardedRequest forwarded(deps_, budgets_, service_times_, uploads_, request,
-                             responder);
+  ForwardedRequest forwarded(deps_, budgets_, service_times_, uploads_,
+                             waiting_lists_, request, responder);
   requests_.insert(&forwarded);
   forwarded.Run();
   requests_.erase(&forwarded);
--- a/packages/forwarding/request_log.cc
+++ b/packages/forwarding/request_log.cc
@@ -5,6 +5,7 @@
 #include "base/event_log.h"
 #include "base/events.h"
 #include "forwarding/endpoint_attempt.h"
+#include "forwarding/waiting_list.h"
 
 namespace tanagerloom {
 
@@ -61,6 +62,20 @@
       {{"request", request_}, {"endpoint", endpoint}, {"age_ms", AgeMs()}});
 }
 
+void RequestLog::TurnTooLate(const WaitTooLong& wait,
+                             std::uint32_t priority,
+                             const std::string& customer) const {
+  log_.Record(events::kForwardTurnTooLate,
+              {{"request", request_},
+               {"priority", priority},
+               {"customer", customer},
+               {"ahead", wait.ahead},
+               {"place_interval_ms", ToMs(wait.place_interval)},
+               {"expected_wait_ms", ToMs(wait.expected_wait)},
+               {"retry_after_ms", ToMs(wait.retry_after)},
+               {"age_ms", AgeMs()}});
+}
+
 void RequestLog::Refused(int status,
                          std::string_view reason,
                          const RequestProgress& progress) const {
--- a/packages/forwarding/request_log.h
+++ b/packages/forwarding/request_log.h
@@ -12,6 +12,7 @@
 
 class EventLog;
 struct AttemptError;
+struct WaitTooLong;
 
 /// What became of a request so far.
 struct RequestProgress {
@@ -51,6 +52,10 @@
   void Resumed(const std::string& left, const std::string& after) const;
   /// The client disconnected; `endpoint` is empty if none ran the request.
   void ClientGone(const std::string& endpoint) const;
+  /// The request would wait too long in the order of its priority and customer.
+  void TurnTooLate(const WaitTooLong& wait,
+                   std::uint32_t priority,
+                   const std::string& customer) const;
   /// This node answered with a status of its own.
   void Refused(int status,
                std::string_view reason,
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -225,6 +225,36 @@
                                      models, ready)
                 .Union()};
   }
+  flatbuffers::Offset<wire::WaitingReport> PutReport(
+      const WaitingReport& report) const {
+    std::vector<flatbuffers::Offset<wire::WaitingClass>> classes;
+    classes.reserve(report.classes.size());
+    for (const auto& it : report.classes) {
+      const auto model = PutString(builder, it.model);
+      classes.push_back(
+          wire::CreateWaitingClass(builder, model, it.priority, it.waiting));
+    }
+    std::vector<flatbuffers::Offset<wire::CustomerShare>> shares;
+    shares.reserve(report.shares.size());
+    for (const auto& it : report.shares) {
+      const auto customer = PutString(builder, it.customer);
+      shares.push_back(wire::CreateCustomerShare(builder, customer, it.priority,
+                                                 it.waiting, it.served));
+    }
+    const auto service = PutString(builder, report.service);
+    const auto class_list = builder.CreateVector(classes);
+    const auto share_list = builder.CreateVector(shares);
+    return wire::CreateWaitingReport(builder, service, class_list, share_list);
+  }
+  Encoded operator()(const WaitingReport& body) const {
+    return {wire::Body::WaitingReport, PutReport(body).Union()};
+  }
+  Encoded operator()(const WaitingSummary& body) const {
+    const auto sum = PutReport(body.sum);
+    return {wire::Body::WaitingSummary,
+            wire::CreateWaitingSummary(builder, body.fence, body.number, sum)
+                .Union()};
+  }
   Encoded operator()(const LoadedModelsNotice& body) const {
     std::vector<flatbuffers::Offset<wire::LoadedModel>> models;
     models.reserve(body.models.size());
@@ -298,6 +328,35 @@
   return out;
 }
 
+Result<WaitingReport> DecodeWaitingReport(const wire::WaitingReport& body) {
+  WaitingReport out{ToString(body.service()), {}, {}};
+  if (body.classes() != nullptr) {
+    for (const auto* it : *body.classes()) {
+      out.classes.push_back(
+          {ToString(it->model()), it->priority(), it->waiting()});
+    }
+  }
+  if (body.shares() != nullptr) {
+    for (const auto* it : *body.shares()) {
+      if (!std::isfinite(it->served()) || it->served() < 0) {
+        return MakeError(ErrorKind::kInvalid, "invalid cost of a share");
+      }
+      out.shares.push_back({ToString(it->customer()), it->priority(),
+                            it->waiting(), it->served()});
+    }
+  }
+  return out;
+}
+
+Result<EnvelopeBody> DecodeWaitingSummary(const wire::WaitingSummary& body) {
+  if (body.sum() == nullptr) {
+    return MakeError(ErrorKind::kInvalid, "waiting summary without a sum");
+  }
+  BOOST_OUTCOME_TRY(sum, DecodeWaitingReport(*body.sum()));
+  return EnvelopeBody(
+      PeerMessage(WaitingSummary{body.fence(), body.number(), std::move(sum)}));
+}
+
 Result<EnvelopeBody> DecodeEndpointNotice(const wire::EndpointNotice& body) {
   if (body.condition() >
       static_cast<std::uint8_t>(EndpointCondition::kProbing)) {
@@ -437,6 +496,13 @@
     case wire::Body::ConfigRequest:
       return EnvelopeBody(PeerMessage(
           ConfigRequest{envelope.body_as_ConfigRequest()->known_version()}));
+    case wire::Body::WaitingReport: {
+      BOOST_OUTCOME_TRY(report,
+                        DecodeWaitingReport(*envelope.body_as_WaitingReport()));
+      return EnvelopeBody(PeerMessage(std::move(report)));
+    }
+    case wire::Body::WaitingSummary:
+      return DecodeWaitingSummary(*envelope.body_as_WaitingSummary());
     case wire::Body::EndpointNotice:
       return DecodeEndpointNotice(*envelope.body_as_EndpointNotice());
     case wire::Body::EndpointUse:
--- a/packages/node/event_metrics.cc
+++ b/packages/node/event_metrics.cc
@@ -41,6 +41,12 @@
     GetOrAddCounter(refusals_, "tanagerloom_refusals_total",
                     "Refused requests by the code of the refusal.", "code",
                     record.fields.value("code", ""))(1);
+  } else if (record.id.number == events::kForwardTurnTooLate.number) {
+    const auto priority = record.fields.value("priority", 0U);
+    GetOrAddCounter(late_turns_, "tanagerloom_refused_turns_total",
+                    "Requests refused because their turn would come too late, "
+                    "by priority.",
+                    "priority", std::to_string(priority))(1);
   } else if (record.id.number == events::kReplicaLoaded.number) {
     load_seconds_(record.fields.value("load_ms", 0.0) / kMillisecondsPerSecond);
   }
--- a/packages/node/event_metrics.h
+++ b/packages/node/event_metrics.h
@@ -33,6 +33,7 @@
   Metrics& metrics_;
   std::map<std::string, Metrics::Counter> events_;    ///< By event name.
   std::map<std::string, Metrics::Counter> refusals_;  ///< By refusal code.
+  std::map<std::string, Metrics::Counter> late_turns_;  ///< By priority.
   Metrics::Histogram load_seconds_;
 };
 
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -14,6 +14,7 @@
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/quota_gate.h"
 #include "forwarding/request_forwarder.h"
+#include "forwarding/waiting_exchange.h"
 #include "http/buffer_budget.h"
 #include "http/http_responder.h"
 #include "http/http_server.h"
@@ -83,6 +84,8 @@
 constexpr std::uint64_t kMaxOwnBodyBytes = 64UL * 1024;
 // Min interval between two reports of requests refused for lack of memory.
 constexpr milliseconds kMemoryReportInterval{5000};
+// The lowest priority that has a metric of its waiting requests.
+constexpr std::uint32_t kLastPriority = 9;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
@@ -183,6 +186,12 @@
                    settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
                    [this] { return stop_at; }, buffers, quotas}),
+        waiting_exchange(
+            {forwarder.waiting_lists(), peers, clock,
+             [this] { return HasCustomers(); },
+             [this] {
+               return WaitingCollector{lease.holder(), lease.fence()};
+             }}),
         client_server(
             Runtime::Get().io(),
             WithSocketLimits({}, settings.max_sockets),
@@ -211,6 +220,8 @@
   void BroadcastUseLoop();
   void AnnounceQuarantineLoop();
   void ReportMemoryLoop();
+  void WaitingExchangeLoop();
+  bool HasCustomers() const;
   bool IsReady() const;
   void AnswerReadiness(HttpResponder& responder);
   void AnswerControl(const HttpRequest& request, HttpResponder& responder);
@@ -235,6 +246,7 @@
   OrderLease lease;
   OrderCoordinator orders;
   RequestForwarder forwarder;
+  WaitingExchange waiting_exchange;
   HttpServer client_server;
   HttpServer readiness_server;
   HttpServer control_server;
@@ -285,6 +297,15 @@
       "tanagerloom_requests_in_progress",
       "Requests accepted and not yet answered.",
       [this] { return static_cast<double>(forwarder.requests_in_flight()); });
+  for (std::uint32_t priority = 0; priority <= kLastPriority; ++priority) {
+    metrics.AddGaugeReader(
+        "tanagerloom_requests_waiting",
+        "Requests that wait for an endpoint, by priority.",
+        [this, priority] {
+          return static_cast<double>(forwarder.waiting(priority));
+        },
+        {{"priority", std::to_string(priority)}});
+  }
   metrics.AddGaugeReader(
       "tanagerloom_endpoints", "Endpoints that the store lists.", [this] {
         return static_cast<double>(view.directory().records().size());
@@ -357,6 +378,7 @@
   CrashGuard& crashes;
   EndpointStatements& statements;
   QuotaGate& quotas;
+  WaitingExchange& waiting_exchange;
   std::string node;  ///< Id of the sender.
   std::string from;  ///< Its process, "NODE/INCARNATION".
 
@@ -375,6 +397,12 @@
   void operator()(const EndpointNotice& it) const { statements.OnNotice(it); }
   void operator()(const QuotaReport& it) const { quotas.OnReport(from, it); }
   void operator()(const QuotaGrant& it) const { quotas.OnGrant(from, it); }
+  void operator()(const WaitingReport& it) const {
+    waiting_exchange.OnReport(node, it);
+  }
+  void operator()(const WaitingSummary& it) const {
+    waiting_exchange.OnSummary(it);
+  }
   // Sent only by nodes that keep placement records, which a registered fleet
   // does not have.
   void operator()(const DemandAck&) const {}
@@ -387,7 +415,7 @@
 void FleetNode::Parts::OnPeerMessage(const std::string& from,
                                      const PeerMessage& message) {
   std::visit(MessageHandler{view, lease, orders, registry, crashes, statements,
-                            quotas, NodeIdOf(from), from},
+                            quotas, waiting_exchange, NodeIdOf(from), from},
              message);
 }
 
@@ -435,6 +463,18 @@
   }
 }
 
+bool FleetNode::Parts::HasCustomers() const {
+  return registry.config() != nullptr &&
+         !registry.config()->config.customers.empty();
+}
+
+void FleetNode::Parts::WaitingExchangeLoop() {
+  while (!stopped) {
+    clock.SleepFor(WaitingExchange::kInterval);
+    waiting_exchange.Exchange();
+  }
+}
+
 // ---- client limits, readiness and control listeners
 
 void FleetNode::Parts::ApplyClientLimits() {
@@ -538,6 +578,7 @@
   boost::fibers::fiber([&parts] { parts.quotas.Run(); }).detach();
   boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.ReportMemoryLoop(); }).detach();
+  boost::fibers::fiber([&parts] { parts.WaitingExchangeLoop(); }).detach();
   BOOST_OUTCOME_TRYV(parts.client_server.Listen(parts.settings.client_listen));
   parts.log.Record(events::kNodeStarted, {{"node", parts.settings.node_id},
                                           {"incarnation", parts.peers.self()}});
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -189,6 +189,45 @@
   std::vector<QuotaAllowance> allowances;
 };
 
+/// Requests that wait for a place at the endpoints of one target.
+struct WaitingClass {
+  std::string model;  ///< "MODEL" or "MODEL/ADAPTER"; empty without a model.
+  std::uint32_t priority = 0;
+  std::uint32_t waiting = 0;
+
+  bool operator==(const WaitingClass&) const = default;
+};
+
+/// What one customer waits for and used of a service, by priority.
+struct CustomerShare {
+  std::string customer;
+  std::uint32_t priority = 0;
+  std::uint32_t waiting = 0;
+  double served = 0;  ///< Cost of the requests sent since the last message.
+
+  bool operator==(const CustomerShare&) const = default;
+};
+
+/// What waits for and uses a service at the sender.
+struct WaitingReport {
+  std::string service;
+  std::vector<WaitingClass> classes;
+  std::vector<CustomerShare> shares;
+
+  bool operator==(const WaitingReport&) const = default;
+};
+
+/// The reports of all nodes about a service, summed up by the holder of the
+/// order lease. Lists only the first waiting class of each target. `fence` and
+/// then `number` order the summaries.
+struct WaitingSummary {
+  std::uint64_t fence = 0;
+  std::uint64_t number = 0;
+  WaitingReport sum;
+
+  bool operator==(const WaitingSummary&) const = default;
+};
+
 using PeerMessage = std::variant<Demand,
                                  DemandAck,
                                  RecordUpdate,
@@ -202,7 +241,9 @@
                                  LoadEstimate,
                                  ConfigRequest,
                                  QuotaReport,
-                                 QuotaGrant>;
+                                 QuotaGrant,
+                                 WaitingReport,
+                                 WaitingSummary>;
 
 }  // namespace tanagerloom
 
--- a/packages/routing/request_scheduler.cc
+++ b/packages/routing/request_scheduler.cc
@@ -140,11 +140,12 @@
                             Verdict::kNotRun, std::chrono::seconds(1)};
     return;
   }
-  const auto ahead = queue.fair_queue.CountAhead(entry.rank, entry.deferred);
   const auto id = ++next_id_;
+  const FairEntry fair_entry{id, entry.rank, entry.deferred,
+                             entry.operator_name, entry.deadline};
+  const auto ahead = queue.fair_queue.CountAhead(fair_entry);
   queue.entries[id] = &entry;
-  queue.fair_queue.Push(
-      {id, entry.rank, entry.deferred, entry.operator_name, entry.deadline});
+  queue.fair_queue.Push(fair_entry);
   ++waiting_;
   AssignWaiting(name, queue);
   if (entry.slot == nullptr) {
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -10,6 +10,7 @@
 
 #include "fleet/crash_suspects.h"
 #include "fleet/demand_table.h"
+#include "fleet/demand_tracker.h"
 #include "fleet/endpoint_health.h"
 #include "fleet/endpoint_record.h"
 #include "fleet/endpoint_selection.h"
@@ -19,6 +20,7 @@
 #include "fleet/store_concurrency.h"
 #include "forwarding/event_assembler.h"
 #include "forwarding/retry_policy.h"
+#include "runtime/manual_clock.h"
 
 namespace tanagerloom {
 namespace {
@@ -175,6 +177,29 @@
   EXPECT_EQ(speed.tokens_per_ms(), before);
 }
 
+// Guards against a model that is loaded late because the reports do not carry
+// the rank that waits for it, or carry that of a request that has ended.
+TEST(DemandTable, BestRankOfTheWaitingRequestsIsReported) {
+  ManualClock clock;
+  DemandTracker tracker(clock);
+  DemandTable table;
+  const auto rank = [&] {
+    for (const auto& it : tracker.TakeDemand()) {
+      table.Update("node", it, clock.Now());
+    }
+    return table.Read("s", clock.Now())[{"m", ""}].best_rank;
+  };
+  const auto deadline = clock.Now() + seconds(1);
+  tracker.BeginWait("s", {"m", ""}, deadline, 5);
+  EXPECT_EQ(rank(), 5U);
+  tracker.BeginWait("s", {"m", ""}, deadline, 2);
+  EXPECT_EQ(rank(), 2U);
+  tracker.EndWait("s", {"m", ""}, deadline, 2);
+  EXPECT_EQ(rank(), 5U);
+  tracker.EndWait("s", {"m", ""}, deadline, 5);
+  EXPECT_EQ(rank(), std::nullopt);
+}
+
 // Guards against demand for prompt tokens that is lost or never decays.
 TEST(DemandTable, PromptTokensAreSummedOverNodesAndDecay) {
   DemandTable table;
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -150,6 +150,34 @@
   EXPECT_EQ(plan.store_queue[1].ready_in, seconds(18));
 }
 
+// Guards against rare models of a low class that are loaded before those of a
+// high class because more requests wait for them or their deadlines are
+// earlier, and against a low class that never gets a load.
+TEST(PlanPlacement, MissingModelsAreLoadedByTheRankThatWaitsForThem) {
+  for (const bool cached : {true, false}) {
+    Fixture f;
+    f.KeepModels({"m1", "m2"});
+    f.input.store_loads_allowed = 1;
+    f.input.engines = {MakeEngine("a", {})};
+    if (cached) {
+      f.input.engines[0].cached_weights.on_disk = {"m1", "m2"};
+    }
+    auto& low = f.input.demand[{"m1", ""}] = WaitingDemand(9);
+    low.best_rank = 5;
+    low.earliest_deadline = kNow + seconds(2);
+    auto& high = f.input.demand[{"m2", ""}] = WaitingDemand(1);
+    high.best_rank = 1;
+    int low_first = 0;
+    for (int second = 0; second < 20; ++second) {
+      f.input.now = kNow + seconds(second);
+      const auto plan = PlanPlacement(f.input);
+      ASSERT_EQ(plan.orders.size(), 1U);
+      low_first += plan.orders[0].target.model == "m1" ? 1 : 0;
+    }
+    EXPECT_EQ(low_first, 2) << cached;
+  }
+}
+
 // Guards against replicas that are placed on one engine, whose slots fill up
 // while other engines are idle.
 TEST(PlanPlacement, ReplicasGoToTheEngineWithTheLeastLoad) {
--- a/tests/correctness/scheduling_choices_test.cc
+++ b/tests/correctness/scheduling_choices_test.cc
@@ -58,7 +58,7 @@
   for (int i = 0; i < 100; ++i) {
     deferred += *queue.Take(kAcceptAll) >= 1000 ? 1 : 0;
   }
-  EXPECT_EQ(deferred, 100 / static_cast<int>(FairQueue::kDeferredPeriod));
+  EXPECT_EQ(deferred, 100 / static_cast<int>(FairQueue::kLaterClassPeriod));
 }
 
 // Guards against one operator's backlog that delays another operator's few
--- a/tests/error/fuzz_test.cc
+++ b/tests/error/fuzz_test.cc
@@ -124,6 +124,7 @@
       EndpointUse{{"i-1", "i-2"}, {1, 2}, {3, 4}},
       LoadedModelsNotice{"i-1", 5, 2, 3, {{"m", {"a1"}}}},
       LoadEstimate{"s", 1, 2, {"m", "n"}, {10, 20}},
+      WaitingSummary{1, 2, {"s", {{"m", 1, 2}}, {{"c", 1, 2, 3.5}}}},
       ConfigUpdate{7, 0, kConfig}};
   Fuzz("messages of peers", [&] {
     Envelope envelope;
@@ -145,6 +146,10 @@
       RC_ASSERT(use->prompt_tokens.size() == use->endpoints.size());
     } else if (const auto* load = std::get_if<LoadEstimate>(message)) {
       RC_ASSERT(load->ready_in_ms.size() == load->models.size());
+    } else if (const auto* waiting = std::get_if<WaitingSummary>(message)) {
+      for (const auto& it : waiting->sum.shares) {
+        RC_ASSERT(it.served >= 0);
+      }
     }
   });
 }
