fleet: reported load, choice by expected time, pace of endpoints that start

Cause: the load that endpoints report was not read; a choice knew no speed; an endpoint that had just started or recovered got twice its slots at once from every node.

Change: the report is decoded once, aged, and in large fleets shared through a hub in each data centre. The choice stays power of two choices, by expected time where a service reports its load. An endpoint that starts, recovers, wakes up or refuses is paced: few nodes first, more as it answers. Nothing changes for endpoints that report no load.

correctness.config_docs found its files by a path that a compiler cache may have made relative; it gets the source folder from the build.

--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -128,6 +128,8 @@
                                             "endpoint_said_pause"};
 inline constexpr EventId kStatementInvalid{607, Severity::kWarning,
                                            "endpoint_statement_invalid"};
+inline constexpr EventId kEndpointPaceChanged{608, Severity::kInfo,
+                                              "endpoint_pace_changed"};
 inline constexpr EventId kLeaseTaken{610, Severity::kInfo, "lease_taken"};
 inline constexpr EventId kLeaseLost{611, Severity::kWarning, "lease_lost"};
 inline constexpr EventId kLeaseReleased{612, Severity::kInfo, "lease_released"};
--- a/packages/fleet/endpoint_health.h
+++ b/packages/fleet/endpoint_health.h
@@ -47,6 +47,9 @@
   /// active.
   bool AllowsRequests(TimePoint now) const { return now >= backoff_until_; }
 
+  /// Returns the end of the last backoff.
+  TimePoint backoff_until() const { return backoff_until_; }
+
   /// Returns the recent fraction of failed requests, from 0 to 1.
   double FailureRate(TimePoint now) const {
     const auto half_lives = std::chrono::duration<double>(now - observed_at_) /
--- a/packages/fleet/endpoint_selection.cc
+++ b/packages/fleet/endpoint_selection.cc
@@ -38,10 +38,18 @@
 // long prompts or more.
 constexpr double kSharedPromptRankCost = 10;
 
+// Work of the request itself, which a slow endpoint takes longer for even if it
+// is idle.
+constexpr double kOwnWorkCost = 8;
+
 double LoadCost(const EndpointCandidate& candidate) {
   const double slots = std::max<std::uint32_t>(1, candidate.record->slots);
-  return candidate.in_flight * kReferenceSlots / slots +
-         candidate.prompt_tokens / kTokensPerRequest;
+  const double work_ahead =
+      (candidate.in_flight + candidate.uncounted_in_flight) * kReferenceSlots /
+          slots +
+      candidate.prompt_tokens / kTokensPerRequest;
+  return work_ahead * candidate.slowness +
+         kOwnWorkCost * (candidate.slowness - 1);
 }
 
 // Cost of failures, cold start and distance.
--- a/packages/fleet/endpoint_selection.h
+++ b/packages/fleet/endpoint_selection.h
@@ -23,6 +23,14 @@
   bool same_data_centre = false;
   /// Prompt tokens that it has still to read, by the same counts.
   std::uint32_t prompt_tokens = 0;
+  /// Requests that the counts of the nodes lack, by the endpoint's reports.
+  double uncounted_in_flight = 0;
+  /// Time that work takes there now, relative to the usual time.
+  double slowness = 1;
+  /// Whether this node is to leave it to other nodes for now.
+  bool held_back = false;
+  /// Whether it may be used in spite of `held_back` if there is no other.
+  bool usable_alone = true;
 };
 
 /// The properties of a request that the selection uses.
@@ -38,9 +46,10 @@
 /// failures, cold starts and distance add to the cost. The counts of other
 /// nodes are some hundred milliseconds old, so that choosing the least loaded
 /// endpoint would overload it until the next counts arrive. Load is counted in
-/// work: requests, and prompt tokens to read. Requests that share a prompt go
-/// to one of the endpoints that have it cached unless its extra load costs more
-/// than processing the prompt again.
+/// work: requests, and prompt tokens to read. The work ahead, and that of the
+/// request itself, takes longer on a slow endpoint. Requests that share a
+/// prompt go to one of the endpoints that have it cached unless its extra load
+/// costs more than processing the prompt again.
 const EndpointCandidate* SelectEndpoint(
     std::span<const EndpointCandidate> candidates,
     const SelectionRequest& request);
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -4,10 +4,19 @@
 #include <tuple>
 #include <utility>
 
+#include "fleet/reported_load.h"
+
 namespace tanagerloom {
 
+namespace {
+
+// Network latency and the decoding step that makes the first event.
+constexpr Duration kFixedAnswerTime = std::chrono::milliseconds(10);
+
+}  // namespace
+
 FleetView::FleetView(std::string data_centre, const Clock& clock)
-    : data_centre_(std::move(data_centre)), clock_(clock) {}
+    : data_centre_(std::move(data_centre)), clock_(clock), observer_(clock) {}
 
 void FleetView::OnLoadedModels(const LoadedModelsNotice& notice) {
   auto& known = notices_[notice.endpoint];
@@ -101,6 +110,9 @@
     return false;
   }
   pause = {boot, until};
+  if (const auto* record = FindStart(id, boot)) {
+    observer_.OnPause(*record, until);
+  }
   changed_.Signal();
   return true;
 }
@@ -143,6 +155,55 @@
       }));
 }
 
+const EndpointRecord* FleetView::FindStart(const std::string& id,
+                                           std::uint64_t boot) const {
+  const auto* record = directory_.Find(id);
+  return record != nullptr && record->boot == boot ? record : nullptr;
+}
+
+void FleetView::OnReportedLoad(const std::string& id,
+                               std::uint64_t boot,
+                               const ReportedLoad& load) {
+  if (const auto* record = FindStart(id, boot)) {
+    observer_.OnReport(*record, load, OwnInFlight(id));
+  }
+}
+
+void FleetView::OnRefused(const std::string& id, std::uint64_t boot) {
+  if (const auto* record = FindStart(id, boot)) {
+    observer_.OnRefused(*record);
+  }
+}
+
+void FleetView::OnFirstEvent(const std::string& id,
+                             std::uint64_t boot,
+                             std::uint32_t prompt_tokens,
+                             Duration delay) {
+  const auto* record = FindStart(id, boot);
+  if (record == nullptr) {
+    return;
+  }
+  const std::chrono::duration<double, std::milli> reading(
+      prompt_tokens / prompt_speeds_[record->service].tokens_per_ms());
+  observer_.OnFirstEvent(
+      *record, delay,
+      kFixedAnswerTime + std::chrono::duration_cast<Duration>(reading));
+}
+
+void FleetView::OnSilent(const std::string& id, std::uint64_t boot) {
+  if (const auto* record = FindStart(id, boot)) {
+    observer_.OnSilent(*record);
+  }
+}
+
+void FleetView::OnUnreachable(const std::string& id, std::uint64_t boot) {
+  auto& health = health_[id];
+  health.OnUnreachable(clock_.Now());
+  if (const auto* record = FindStart(id, boot)) {
+    observer_.OnUnreachable(*record, health.backoff_until());
+  }
+}
+
 void FleetView::BeginUse(const std::string& id, std::uint32_t prompt_tokens) {
   auto& use = local_use_[id];
   ++use.requests;
@@ -174,6 +235,11 @@
   return use;
 }
 
+std::uint32_t FleetView::OwnInFlight(const std::string& id) const {
+  const auto it = local_use_.find(id);
+  return it == local_use_.end() ? 0 : it->second.requests;
+}
+
 FleetView::UseCount FleetView::InFlight(const std::string& id) const {
   const auto local = local_use_.find(id);
   auto n = local == local_use_.end() ? UseCount() : local->second;
@@ -232,6 +298,16 @@
   return out;
 }
 
+void FleetView::AddObservations(std::span<EndpointCandidate> candidates) {
+  for (auto& it : candidates) {
+    const auto own = OwnInFlight(it.record->id);
+    const auto known_others = peer_use_.empty()
+                                  ? std::nullopt
+                                  : std::optional<double>(it.in_flight - own);
+    observer_.Describe(it, own, known_others);
+  }
+}
+
 void FleetView::Prune() {
   const auto now = clock_.Now();
   const auto unknown = [this](const auto& it) {
@@ -239,6 +315,8 @@
   };
   std::erase_if(notices_, unknown);
   std::erase_if(health_, unknown);
+  observer_.Prune(
+      [this](std::string_view id) { return directory_.Find(id) == nullptr; });
   // An entry may lapse and come back within a pause.
   std::erase_if(pauses_,
                 [&](const auto& it) { return it.second.until <= now; });
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -7,12 +7,14 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "fleet/endpoint_directory.h"
 #include "fleet/endpoint_health.h"
+#include "fleet/endpoint_observer.h"
 #include "fleet/endpoint_selection.h"
 #include "fleet/model_ref.h"
 #include "fleet/prompt_speed.h"
@@ -22,6 +24,8 @@
 
 namespace tanagerloom {
 
+struct ReportedLoad;
+
 /// This node's view of the fleet, from the directory, notices of other nodes
 /// and its own requests.
 class FleetView {
@@ -103,8 +107,35 @@
   /// Requests of this node in flight, by endpoint.
   EndpointUse LocalUse() const;
 
+  /// Returns the number of this node's requests in flight at an endpoint.
+  std::uint32_t OwnInFlight(const std::string& id) const;
+
   EndpointHealth& Health(const std::string& id) { return health_[id]; }
 
+  /// What was learnt from the answers of endpoints.
+  EndpointObserver& observer() { return observer_; }
+
+  /// A start of an endpoint reported its load in a response.
+  void OnReportedLoad(const std::string& id,
+                      std::uint64_t boot,
+                      const ReportedLoad& load);
+
+  /// It refused a request because it was full.
+  void OnRefused(const std::string& id, std::uint64_t boot);
+
+  /// The first event of a request arrived `delay` after it was sent, for which
+  /// `prompt_tokens` were read.
+  void OnFirstEvent(const std::string& id,
+                    std::uint64_t boot,
+                    std::uint32_t prompt_tokens,
+                    Duration delay);
+
+  /// It left a request without an answer.
+  void OnSilent(const std::string& id, std::uint64_t boot);
+
+  /// It could not be reached, and gets no requests for a backoff.
+  void OnUnreachable(const std::string& id, std::uint64_t boot);
+
   /// The prompt speed of a service's engines, learnt from this node's requests.
   PromptSpeed& PromptSpeedOf(const std::string& service) {
     return prompt_speeds_[service];
@@ -120,6 +151,9 @@
   /// Returns whether an endpoint is listed and has loaded `model`.
   bool CanRun(const std::string& id, const ModelRef& model) const;
 
+  /// Adds to candidates what was learnt from the answers of endpoints.
+  void AddObservations(std::span<EndpointCandidate> candidates);
+
   /// Removes the state of endpoints that are gone, and expired state.
   void Prune();
 
@@ -145,6 +179,9 @@
     TimePoint until{};
   };
 
+  /// Returns the record of a start of an endpoint; null if it is unknown.
+  const EndpointRecord* FindStart(const std::string& id,
+                                  std::uint64_t boot) const;
   bool IsPaused(const EndpointRecord& record) const;
   /// Returns whether an endpoint has loaded `model` and has not just refused
   /// it.
@@ -172,6 +209,7 @@
   std::map<std::string, EndpointHealth, std::less<>> health_;
   std::map<std::string, Pause, std::less<>> pauses_;
   std::map<std::string, PromptSpeed> prompt_speeds_;
+  EndpointObserver observer_;
   std::map<std::pair<std::string, ModelRef>, TimePoint> not_loaded_until_;
 };
 
--- a/packages/forwarding/endpoint_chooser.cc
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "base/id.h"
 #include "fleet/endpoint_selection.h"
@@ -18,6 +19,23 @@
 // requests. They wait at this node instead, where they can still go to another
 // endpoint.
 constexpr double kFullLoadFactor = 2.0;
+
+// Returns whether an endpoint gets no more requests now.
+bool IsFull(const EndpointCandidate& candidate) {
+  return candidate.in_flight + candidate.uncounted_in_flight >=
+         kFullLoadFactor * candidate.record->slots;
+}
+
+// Removes the candidates that this node is to leave to other nodes for now. If
+// there are no others, those stay that may be used alone.
+void RemoveHeldBack(std::vector<EndpointCandidate>& candidates) {
+  const bool alone =
+      std::ranges::all_of(candidates, &EndpointCandidate::held_back);
+  std::erase_if(candidates, [alone](const EndpointCandidate& it) {
+    return alone ? !it.usable_alone : it.held_back;
+  });
+}
+
 }  // namespace
 
 EndpointChooser::EndpointChooser(const ForwardingDependencies& deps,
@@ -44,11 +62,19 @@
   return out;
 }
 
+std::vector<EndpointCandidate> EndpointChooser::WithRoom(
+    const std::set<std::string>& excluded) const {
+  auto out = deps_.view.Candidates(service_, profile_.model, excluded);
+  deps_.view.AddObservations(out);
+  std::erase_if(out, [](const EndpointCandidate& it) { return IsFull(it); });
+  RemoveHeldBack(out);
+  return out;
+}
+
 std::optional<EndpointTarget> EndpointChooser::Choose() const {
-  auto candidates = deps_.view.Candidates(service_, profile_.model, Excluded());
-  std::erase_if(candidates, [this](const EndpointCandidate& it) {
-    return IsFull(it) || IsTooSlow(it);
-  });
+  auto candidates = WithRoom(Excluded());
+  std::erase_if(candidates,
+                [this](const EndpointCandidate& it) { return IsTooSlow(it); });
   const auto key = profile_.SharedPromptKey();
   const auto* chosen = SelectEndpoint(
       candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
@@ -60,10 +86,6 @@
                         PromptTokensAt(*chosen, candidates)};
 }
 
-bool EndpointChooser::IsFull(const EndpointCandidate& candidate) const {
-  return candidate.in_flight >= kFullLoadFactor * candidate.record->slots;
-}
-
 bool EndpointChooser::IsTooSlow(const EndpointCandidate& candidate) const {
   const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
   return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
@@ -81,9 +103,7 @@
 }
 
 bool EndpointChooser::HasRoom() const {
-  const auto candidates = deps_.view.Candidates(service_, profile_.model, {});
-  return !std::ranges::all_of(
-      candidates, [this](const EndpointCandidate& it) { return IsFull(it); });
+  return !WithRoom({}).empty();
 }
 
 bool EndpointChooser::HasOther(const std::string& id) const {
--- a/packages/forwarding/endpoint_chooser.h
+++ b/packages/forwarding/endpoint_chooser.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "base/address.h"
 #include "runtime/clock.h"
@@ -54,8 +55,10 @@
  private:
   /// Returns the endpoints that get no attempt now after an earlier one.
   std::set<std::string> Excluded() const;
-  /// Returns whether an endpoint gets no more requests now.
-  bool IsFull(const EndpointCandidate& candidate) const;
+  /// Returns the endpoints that may get one more request now, as far as they
+  /// and other nodes are concerned.
+  std::vector<EndpointCandidate> WithRoom(
+      const std::set<std::string>& excluded) const;
   /// Returns whether an endpoint would answer this request too late.
   bool IsTooSlow(const EndpointCandidate& candidate) const;
   /// Returns the tokens of the prompt that an endpoint is expected to read.
--- a/packages/forwarding/endpoint_statements.cc
+++ b/packages/forwarding/endpoint_statements.cc
@@ -24,6 +24,12 @@
   if (traits.wrong_endpoint) {
     return;  // Another instance made the statements.
   }
+  if (traits.load) {
+    view_.OnReportedLoad(endpoint.id, endpoint.boot, *traits.load);
+  }
+  if (traits.is_full) {
+    view_.OnRefused(endpoint.id, endpoint.boot);
+  }
   if (!traits.invalid_statement.empty()) {
     log_.Record(events::kStatementInvalid,
                 {{"endpoint", endpoint.id},
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -490,6 +490,8 @@
     crash_watch_.OnWholeResponse();
     health.OnSuccess(deps_.clock.Now());
     service_times_.Observe(route_->name, deps_.clock.Now() - sent_at_);
+    deps_.view.OnFirstEvent(target.id, target.boot, target.prompt_tokens,
+                            deps_.clock.Now() - sent_at_);
   } else {
     health.OnFailure(deps_.clock.Now());
     fallback_response_ = response;
@@ -554,6 +556,8 @@
   deps_.view.EndPrompt(target.id, target.prompt_tokens);
   deps_.view.PromptSpeedOf(service_).Observe(profile_.UnsharedPromptTokens(),
                                              deps_.clock.Now() - sent_at_);
+  deps_.view.OnFirstEvent(target.id, target.boot, target.prompt_tokens,
+                          deps_.clock.Now() - sent_at_);
   waiting_lists_.OnPlaceFreed(service_, target.id);
 }
 
@@ -629,11 +633,13 @@
   if (ended_) {
     return Abandon(/*timed_out=*/true);
   }
-  auto& health = deps_.view.Health(target.id);
   if (error.failure == AttemptFailure::kUnreachable) {
-    health.OnUnreachable(now);
+    deps_.view.OnUnreachable(target.id, target.boot);
   } else {
-    health.OnFailure(now);
+    deps_.view.Health(target.id).OnFailure(now);
+  }
+  if (error.failure == AttemptFailure::kSilent) {
+    deps_.view.OnSilent(target.id, target.boot);
   }
   if (error.failure == AttemptFailure::kBroken) {
     crash_watch_.OnBroken(target);
--- a/packages/forwarding/request_protocol.h
+++ b/packages/forwarding/request_protocol.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "fleet/reported_load.h"
 #include "fleet/request_profile.h"
 #include "http/endpoint_statement.h"
 #include "http/http_message.h"
@@ -35,10 +36,14 @@
   bool from_endpoint = false;  ///< It carries the seal of an endpoint.
   /// The endpoint states that it did not run the request.
   bool not_run = false;
+  /// It did not run the request because it had no room for it.
+  bool is_full = false;
   /// Its body has a content encoding, so it is not the endpoint's own bytes.
   bool encoded = false;
   /// It is not the expected endpoint or lacks the model.
   bool wrong_endpoint = false;
+  /// The load that the endpoint reports; not set if it reports none.
+  std::optional<ReportedLoad> load;
   /// What the endpoint says of itself.
   EndpointStatement statement;
   /// Name and value of a header with an invalid statement; empty if none is.
--- a/packages/membership/envelope.cc
+++ b/packages/membership/envelope.cc
@@ -255,6 +255,19 @@
             wire::CreateWaitingSummary(builder, body.fence, body.number, sum)
                 .Union()};
   }
+  Encoded operator()(const SharedLoads& body) const {
+    std::vector<wire::SharedLoad> loads;
+    loads.reserve(body.loads.size());
+    for (const auto& it : body.loads) {
+      loads.emplace_back(it.endpoint_start, it.in_flight,
+                         it.slowness_hundredths, it.age_ms);
+    }
+    const auto list = builder.CreateVectorOfStructs(loads);
+    return {wire::Body::SharedLoads,
+            wire::CreateSharedLoads(builder,
+                                    static_cast<std::uint8_t>(body.stage), list)
+                .Union()};
+  }
   Encoded operator()(const LoadedModelsNotice& body) const {
     std::vector<flatbuffers::Offset<wire::LoadedModel>> models;
     models.reserve(body.models.size());
@@ -317,6 +330,21 @@
   return EnvelopeBody(PeerMessage(std::move(out)));
 }
 
+Result<EnvelopeBody> DecodeSharedLoads(const wire::SharedLoads& body) {
+  if (body.stage() > static_cast<std::uint8_t>(LoadSharingStage::kToMembers)) {
+    return MakeError(ErrorKind::kInvalid, "unknown stage of shared loads " +
+                                              std::to_string(body.stage()));
+  }
+  SharedLoads out{static_cast<LoadSharingStage>(body.stage()), {}};
+  if (body.loads() != nullptr) {
+    for (const auto* it : *body.loads()) {
+      out.loads.push_back({it->endpoint_start(), it->in_flight(),
+                           it->slowness_hundredths(), it->age_ms()});
+    }
+  }
+  return EnvelopeBody(PeerMessage(std::move(out)));
+}
+
 LoadedModelsNotice DecodeLoadedModels(const wire::LoadedModelsNotice& body) {
   LoadedModelsNotice out{
       ToString(body.endpoint()), body.boot(), body.fence(), body.number(), {}};
@@ -527,6 +555,8 @@
       return DecodeQuotaReport(*envelope.body_as_QuotaReport());
     case wire::Body::QuotaGrant:
       return DecodeQuotaGrant(*envelope.body_as_QuotaGrant());
+    case wire::Body::SharedLoads:
+      return DecodeSharedLoads(*envelope.body_as_SharedLoads());
     case wire::Body::HoldingsNotice:
       return EnvelopeBody(
           PeerMessage(DecodeLoadedModels(*envelope.body_as_HoldingsNotice())));
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -10,6 +10,7 @@
 #include "control/metrics.h"
 #include "fleet/demand_tracker.h"
 #include "fleet/fleet_view.h"
+#include "fleet/load_sharing.h"
 #include "forwarding/crash_guard.h"
 #include "forwarding/endpoint_statements.h"
 #include "forwarding/quota_gate.h"
@@ -19,6 +20,7 @@
 #include "http/http_responder.h"
 #include "http/http_server.h"
 #include "http/request_memory.h"
+#include "membership/event_rate_limiter.h"
 #include "membership/peer_counters.h"
 #include "membership/peer_service.h"
 #include "node/event_metrics.h"
@@ -161,6 +163,7 @@
         peers(Runtime::Get().io(), nodes, clock, log, PeerSettings(settings)),
         crashes(peers, clock, log),
         statements(view, peers, clock, log),
+        load_sharing(view, peers, clock, settings.data_centre),
         registry(ports.collections,
                  store_era,
                  peers,
@@ -211,6 +214,7 @@
               AnswerControl(request, responder);
             }) {}
 
+  void ObserveEndpoints();
   void AddMetrics();
   void OnStoreEraChanged();
   void AddMemoryMetrics();
@@ -218,6 +222,7 @@
   void OnPeerMessage(const std::string& from, const PeerMessage& message);
   void ApplyClientLimits();
   void BroadcastUseLoop();
+  void ShareLoadsLoop();
   void AnnounceQuarantineLoop();
   void ReportMemoryLoop();
   void WaitingExchangeLoop();
@@ -241,6 +246,7 @@
   PeerService peers;
   CrashGuard crashes;
   EndpointStatements statements;
+  LoadSharing load_sharing;
   FleetRegistry registry;
   QuotaGate quotas;
   OrderLease lease;
@@ -252,6 +258,7 @@
   HttpServer control_server;
   Metrics metrics;
   EventMetrics event_metrics{metrics};
+  EventRateLimiter pace_events;
   bool reported_ready = false;  ///< Last answer to a readiness check.
   bool stopping = false;
   /// Time at which requests in flight end because the node stops.
@@ -290,6 +297,30 @@
       [this] { return static_cast<double>(client_server.closed_at_limit()); });
 }
 
+void FleetNode::Parts::ObserveEndpoints() {
+  view.observer().SetNodes(settings.node_id,
+                           [this] { return peers.LiveIds().size(); });
+  view.observer().OnPaceChanged([this](const PaceChange& it) {
+    const auto suppressed = pace_events.TryPass(clock.Now());
+    if (suppressed) {
+      log.Record(events::kEndpointPaceChanged,
+                 {{"endpoint", it.endpoint},
+                  {"boot", it.boot},
+                  {"paced", it.paced},
+                  {"cause", PaceCauseName(it.cause)},
+                  {"suppressed", *suppressed}});
+    }
+  });
+  metrics.AddGaugeReader(
+      "tanagerloom_endpoints_paced",
+      "Endpoints that get few requests because they start or recover.",
+      [this] { return static_cast<double>(view.observer().PacedCount()); });
+  metrics.AddCounterReader(
+      "tanagerloom_endpoint_refusals_total",
+      "Requests that endpoints refused because they were full.",
+      [this] { return static_cast<double>(view.observer().refusals()); });
+}
+
 void FleetNode::Parts::AddMetrics() {
   log.SetObserver(
       [this](const EventRecord& record) { event_metrics.Observe(record); });
@@ -379,6 +410,7 @@
   EndpointStatements& statements;
   QuotaGate& quotas;
   WaitingExchange& waiting_exchange;
+  LoadSharing& load_sharing;
   std::string node;  ///< Id of the sender.
   std::string from;  ///< Its process, "NODE/INCARNATION".
 
@@ -394,6 +426,7 @@
     registry.OnConfigRequest(node, it);
   }
   void operator()(const CrashNotice& it) const { crashes.OnNotice(it); }
+  void operator()(const SharedLoads& it) const { load_sharing.OnLoads(it); }
   void operator()(const EndpointNotice& it) const { statements.OnNotice(it); }
   void operator()(const QuotaReport& it) const { quotas.OnReport(from, it); }
   void operator()(const QuotaGrant& it) const { quotas.OnGrant(from, it); }
@@ -414,9 +447,10 @@
 
 void FleetNode::Parts::OnPeerMessage(const std::string& from,
                                      const PeerMessage& message) {
-  std::visit(MessageHandler{view, lease, orders, registry, crashes, statements,
-                            quotas, waiting_exchange, NodeIdOf(from), from},
-             message);
+  std::visit(
+      MessageHandler{view, lease, orders, registry, crashes, statements, quotas,
+                     waiting_exchange, load_sharing, NodeIdOf(from), from},
+      message);
 }
 
 void FleetNode::Parts::BroadcastUseLoop() {
@@ -437,6 +471,12 @@
   }
 }
 
+void FleetNode::Parts::ShareLoadsLoop() {
+  while (!stopped) {
+    clock.SleepFor(load_sharing.Share());
+  }
+}
+
 void FleetNode::Parts::AnnounceQuarantineLoop() {
   while (!stopped) {
     // Beyond this number of nodes, each announces less often.
@@ -558,6 +598,7 @@
   parts.AddMetrics();
   parts.store_era.OnChanged([&parts] { parts.OnStoreEraChanged(); });
   parts.AddQuotaMetrics();
+  parts.ObserveEndpoints();
   parts.registry.OnConfigChanged([&parts] { parts.ApplyClientLimits(); });
   parts.peers.OnMessage(
       [&parts](const std::string& from, const PeerMessage& message) {
@@ -576,6 +617,7 @@
   parts.orders.Start();
   boost::fibers::fiber([&parts] { parts.BroadcastUseLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.quotas.Run(); }).detach();
+  boost::fibers::fiber([&parts] { parts.ShareLoadsLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.ReportMemoryLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.WaitingExchangeLoop(); }).detach();
--- a/packages/ports/peer_message.h
+++ b/packages/ports/peer_message.h
@@ -228,6 +228,30 @@
   bool operator==(const WaitingSummary&) const = default;
 };
 
+/// The load that one start of an endpoint reported.
+struct SharedLoad {
+  std::uint64_t endpoint_start = 0;  ///< Hash of the endpoint's id and boot.
+  std::uint32_t in_flight = 0;       ///< Running and waiting, of all nodes.
+  /// Time that work takes, in hundredths of the usual time; 0 if not reported.
+  std::uint32_t slowness_hundredths = 0;
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const SharedLoad&) const = default;
+};
+
+/// How far the loads of a message have come.
+enum class LoadSharingStage : std::uint8_t {
+  kToHub,        ///< From the node that got the reports.
+  kBetweenHubs,  ///< From the hub of another data centre.
+  kToMembers,    ///< From the hub of the receiver's data centre.
+};
+
+/// Loads that endpoints reported in responses.
+struct SharedLoads {
+  LoadSharingStage stage = LoadSharingStage::kToHub;
+  std::vector<SharedLoad> loads;
+};
+
 using PeerMessage = std::variant<Demand,
                                  DemandAck,
                                  RecordUpdate,
@@ -243,7 +267,8 @@
                                  QuotaReport,
                                  QuotaGrant,
                                  WaitingReport,
-                                 WaitingSummary>;
+                                 WaitingSummary,
+                                 SharedLoads>;
 
 }  // namespace tanagerloom
 
--- a/tests/correctness/config_docs_test.cc
+++ b/tests/correctness/config_docs_test.cc
@@ -14,8 +14,7 @@
 
 using nlohmann::json;
 
-const std::filesystem::path kRoot =
-    std::filesystem::path(__FILE__).parent_path() / "../..";
+const std::filesystem::path kRoot = TANAGERLOOM_SOURCE_DIR;
 
 std::string ReadFile(const std::filesystem::path& path) {
   std::ifstream in(path);
--- a/tests/correctness/platform_format_test.cc
+++ b/tests/correctness/platform_format_test.cc
@@ -294,6 +294,30 @@
       protocol.ReadResponse(200, {{"Content-Encoding", "gzip"}}).encoded);
 }
 
+// Guards against nonsense that is taken for a load, and against a load that is
+// read as another one.
+TEST(PlatformHeaders, ReportedLoadIsReadOrIgnoredAsAWhole) {
+  const platform::HeaderProtocol protocol;
+  const auto load = [&](const HttpHeaders& headers) {
+    return protocol.ReadResponse(200, headers).load;
+  };
+  EXPECT_EQ(load({{"Server-Load", "3,1,8"}}),
+            (ReportedLoad{3, 1, 8, std::nullopt}));
+  EXPECT_EQ(load({{"server-load", " 3, 1 ,8,250 "}}),
+            (ReportedLoad{3, 1, 8, 2.5}));
+  EXPECT_EQ(load({{"Server-Load", "3,1,8"}, {"Server-Load", "3,1,8"}}),
+            (ReportedLoad{3, 1, 8, std::nullopt}));
+  for (const char* nonsense :
+       {"", "3", "3,1", "3,1,0", "3,1,8,0", "3,1,8,100,1", "-3,1,8", "3,x,8",
+        "3,1,8,", "3,1,8,1e3", "3;1;8", "3.5,1,8", "99999999999,1,8",
+        "4000000,1,8", "3,1,8,99999999"}) {
+    EXPECT_EQ(load({{"Server-Load", nonsense}}), std::nullopt) << nonsense;
+  }
+  EXPECT_EQ(load({{"Server-Load", "3,1,8"}, {"Server-Load", "4,1,8"}}),
+            std::nullopt);
+  EXPECT_EQ(load({}), std::nullopt);
+}
+
 // Guards against a Retry-After rounded to whole seconds, and against a node's
 // own response that lacks the attempt's id.
 TEST(PlatformHeaders, OwnResponseHasTheAttemptIdAndRetryAfter) {
--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -251,6 +251,43 @@
   }
 }
 
+// Guards against a load that is not read from responses, whether they serve the
+// request or refuse it, and against a header that clients no longer get.
+TEST_F(EndpointStatementsTest, ReportedLoadIsReadAndStillForwarded) {
+  RemoveB();
+  AddToAnswersOfA("Server-Load", "16,8,16,300");
+  const auto answer = site.Send(site.Request("/read/x"));
+  EXPECT_EQ(answer.assume_value().headers.Find("Server-Load"), "16,8,16,300");
+  auto candidates = site.view.Candidates("s", {}, {});
+  site.view.AddObservations(candidates);
+  ASSERT_EQ(candidates.size(), 1U);
+  EXPECT_GT(candidates[0].uncounted_in_flight, 10);
+  EXPECT_GT(candidates[0].slowness, 2);
+  EXPECT_EQ(site.view.observer().refusals(), 0U);
+  site.a.serve = [](const HttpRequest&, HttpResponder& responder) {
+    (void)responder.Send(
+        {503, {{"Not-Executed", "1"}, {"Server-Load", "0,0,16,100"}}, ""});
+  };
+  (void)site.Send(site.Request("/read/x"));
+  EXPECT_GE(site.view.observer().refusals(), 1U);
+}
+
+// Guards against requests that are refused, or wait for other nodes, because
+// the only endpoint is paced.
+TEST_F(EndpointStatementsTest, PacedEndpointIsUsedIfThereIsNoOther) {
+  RemoveB();
+  AddToAnswersOfA("Server-Load", "0,0,16,100");
+  site.view.observer().SetNodes("n", [] { return std::size_t{1000}; });
+  EXPECT_EQ(site.Send(site.Request("/read/x")).assume_value().status, 200);
+  const auto boot = site.view.directory().Find("i-a")->boot;
+  EXPECT_TRUE(
+      site.view.OnPause("i-a", boot, site.clock.Now() + milliseconds(100)));
+  EXPECT_EQ(site.view.observer().PacedCount(), 1U);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(site.Send(site.Request("/read/x")).assume_value().status, 200);
+  }
+}
+
 // Guards against a notice of an earlier start that sets a new one aside, and
 // against a notice that brings an endpoint back.
 TEST_F(EndpointStatementsTest, NoticeHoldsForTheStartThatItNames) {
--- a/tests/error/fuzz_test.cc
+++ b/tests/error/fuzz_test.cc
@@ -125,6 +125,7 @@
       LoadedModelsNotice{"i-1", 5, 2, 3, {{"m", {"a1"}}}},
       LoadEstimate{"s", 1, 2, {"m", "n"}, {10, 20}},
       WaitingSummary{1, 2, {"s", {{"m", 1, 2}}, {{"c", 1, 2, 3.5}}}},
+      SharedLoads{LoadSharingStage::kToHub, {{77, 3, 150, 20}}},
       ConfigUpdate{7, 0, kConfig}};
   Fuzz("messages of peers", [&] {
     Envelope envelope;
@@ -150,6 +151,8 @@
       for (const auto& it : waiting->sum.shares) {
         RC_ASSERT(it.served >= 0);
       }
+    } else if (const auto* shared = std::get_if<SharedLoads>(message)) {
+      RC_ASSERT(shared->stage <= LoadSharingStage::kToMembers);
     }
   });
 }
