http, node: responses keep their part of the memory

Responses could fill the whole budget, so that clients that read long answers slowly would have kept all others from sending.

--- a/packages/forwarding/forwarding_dependencies.h
+++ b/packages/forwarding/forwarding_dependencies.h
@@ -47,7 +47,7 @@
   std::function<std::size_t()> live_nodes;
   /// Returns the time at which requests in flight end because the node stops.
   std::function<TimePoint()> stop_at;
-  /// Memory for requests and responses; forwarding counts the responses.
+  /// Memory for responses of endpoints.
   BufferBudget& buffers;
   QuotaGate& quotas;
 };
--- a/packages/forwarding/request_forwarder.cc
+++ b/packages/forwarding/request_forwarder.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-// One endpoint may hold this fraction of the memory for requests and responses
-// by reading slowly.
-constexpr std::size_t kUploadDivisor = 8;
+// One endpoint may hold this fraction of the memory for responses, or as much
+// of that for requests, by reading slowly.
+constexpr std::size_t kUploadDivisor = 4;
 
 }  // namespace
 
--- a/packages/http/buffer_budget.h
+++ b/packages/http/buffer_budget.h
@@ -15,9 +15,14 @@
   /// ones leave room for all others.
   static constexpr std::size_t kDefaultShareDivisor = 8;
 
+  /// The bytes also count toward `whole`, of which this budget is a part, if
+  /// there is one. It must outlive this budget.
   explicit BufferBudget(std::size_t max_bytes,
-                        std::size_t share_divisor = kDefaultShareDivisor)
-      : max_bytes_(max_bytes), max_share_bytes_(max_bytes / share_divisor) {}
+                        std::size_t share_divisor = kDefaultShareDivisor,
+                        BufferBudget* whole = nullptr)
+      : max_bytes_(max_bytes),
+        max_share_bytes_(max_bytes / share_divisor),
+        whole_(whole) {}
 
   std::size_t used_bytes() const { return used_bytes_; }
   std::size_t max_bytes() const { return max_bytes_; }
@@ -27,8 +32,22 @@
  private:
   friend class BufferShare;
 
+  /// Whether `more` bytes fit.
+  bool HasRoom(std::size_t more) const {
+    return used_bytes_ + more <= max_bytes_ &&
+           (whole_ == nullptr || whole_->HasRoom(more));
+  }
+  /// Replaces `old_bytes` of the used bytes by `new_bytes`.
+  void Replace(std::size_t old_bytes, std::size_t new_bytes) {
+    used_bytes_ = used_bytes_ - old_bytes + new_bytes;
+    if (whole_ != nullptr) {
+      whole_->Replace(old_bytes, new_bytes);
+    }
+  }
+
   std::size_t max_bytes_;
   std::size_t max_share_bytes_;
+  BufferBudget* whole_;
   std::size_t used_bytes_ = 0;
 };
 
@@ -36,7 +55,7 @@
 class BufferShare {
  public:
   explicit BufferShare(BufferBudget& budget) : budget_(budget) {}
-  ~BufferShare() { budget_.used_bytes_ -= bytes_; }
+  ~BufferShare() { Set(0); }
   BufferShare(const BufferShare&) = delete;
   BufferShare& operator=(const BufferShare&) = delete;
 
@@ -45,20 +64,18 @@
   /// Sets the size of the buffer, for a caller that has compared it with a
   /// limit of its own.
   void Set(std::size_t bytes) {
-    budget_.used_bytes_ += bytes - bytes_;
+    budget_.Replace(bytes_, bytes);
     bytes_ = bytes;
   }
 
   /// Sets the size of the buffer. Returns false, and changes nothing, if the
   /// buffer may not grow so far.
   bool Resize(std::size_t bytes) {
-    const auto others = budget_.used_bytes_ - bytes_;
     if (bytes > bytes_ && (bytes > budget_.max_share_bytes() ||
-                           others + bytes > budget_.max_bytes())) {
+                           !budget_.HasRoom(bytes - bytes_))) {
       return false;
     }
-    budget_.used_bytes_ = others + bytes;
-    bytes_ = bytes;
+    Set(bytes);
     return true;
   }
 
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -76,9 +76,9 @@
 // store and of engines, and for unread bytes in the kernel.
 constexpr std::uint64_t kBufferMemoryDivisor = 5;
 constexpr std::uint64_t kBufferMemoryParts = 2;
-// One response may use this fraction of that memory, so that several endless
-// ones leave room for all others.
-constexpr std::size_t kResponseShareDivisor = 16;
+// Fraction of that memory that responses may use, so that clients which read
+// slowly leave room for new requests.
+constexpr std::size_t kResponseMemoryDivisor = 2;
 // Fraction of the sockets that clients leave to the store, peers and engines.
 constexpr std::size_t kReservedSocketsDivisor = 8;
 // Limits of the listeners that only the platform and operators use.
@@ -152,9 +152,11 @@
         store_era(ports.store_era),
         view(settings.data_centre, clock),
         demand(clock),
-        buffers(
-            settings.memory_bytes / kBufferMemoryDivisor * kBufferMemoryParts,
-            kResponseShareDivisor),
+        memory(settings.memory_bytes / kBufferMemoryDivisor *
+               kBufferMemoryParts),
+        responses(memory.max_bytes() / kResponseMemoryDivisor,
+                  BufferBudget::kDefaultShareDivisor,
+                  &memory),
         nodes(ports.store,
               ports.collections,
               store_era,
@@ -188,7 +190,7 @@
                    crashes, statements, clock, log,
                    settings.bounds.retry_limits,
                    [this] { return peers.LiveIds().size(); },
-                   [this] { return stop_at; }, buffers, quotas}),
+                   [this] { return stop_at; }, responses, quotas}),
         waiting_exchange(
             {forwarder.waiting_lists(), peers, clock,
              [this] { return HasCustomers(); },
@@ -240,8 +242,9 @@
   SteadyClock clock;
   FleetView view;
   DemandTracker demand;
-  BufferBudget buffers;
-  RequestMemory request_memory{buffers};
+  BufferBudget memory;
+  BufferBudget responses;  ///< The part of the memory for responses.
+  RequestMemory request_memory{memory};
   NodeRegistry nodes;
   PeerService peers;
   CrashGuard crashes;
@@ -271,10 +274,14 @@
   metrics.AddGaugeReader(
       "tanagerloom_buffer_bytes",
       "Bytes of connections, requests and responses that are held.",
-      [this] { return static_cast<double>(buffers.used_bytes()); });
+      [this] { return static_cast<double>(memory.used_bytes()); });
   metrics.AddGaugeReader(
       "tanagerloom_buffer_max_bytes", "Limit on tanagerloom_buffer_bytes.",
-      [this] { return static_cast<double>(buffers.max_bytes()); });
+      [this] { return static_cast<double>(memory.max_bytes()); });
+  metrics.AddGaugeReader(
+      "tanagerloom_response_buffer_bytes",
+      "Bytes of endpoints' responses that are not yet forwarded.",
+      [this] { return static_cast<double>(responses.used_bytes()); });
   metrics.AddGaugeReader(
       "tanagerloom_requests_waiting_for_memory",
       "Requests whose client is held up until memory is free.",
@@ -497,8 +504,8 @@
       log.Record(events::kMemoryShort, {{"refused", refused},
                                         {"ended", ended},
                                         {"closed", closed},
-                                        {"used", buffers.used_bytes()},
-                                        {"max", buffers.max_bytes()}});
+                                        {"used", memory.used_bytes()},
+                                        {"max", memory.max_bytes()}});
     }
   }
 }
--- a/tests/correctness/request_memory_test.cc
+++ b/tests/correctness/request_memory_test.cc
@@ -60,6 +60,28 @@
   EXPECT_LE(budget.used_bytes(), kBudgetBytes * 6 / 8);
 }
 
+// Guards against clients that read long responses slowly and keep all others
+// from sending, and against responses that are not counted.
+TEST_F(Requests, ShortOnesHaveRoomBesideAllResponses) {
+  BufferBudget responses(kBudgetBytes / 2, 1, &budget);
+  BufferShare all(responses);
+  EXPECT_FALSE(all.Resize(kBudgetBytes / 2 + 1));
+  ASSERT_TRUE(all.Resize(kBudgetBytes / 2));
+  EXPECT_EQ(budget.used_bytes(), kBudgetBytes / 2);
+  EXPECT_EQ(memory.Grow(Add(), RequestMemory::kSmallRequestBytes, now),
+            MemoryDecision::kGranted);
+  EXPECT_EQ(memory.Grow(Add(), 3 * kMb, now), MemoryDecision::kWait);
+}
+
+// Guards against responses that exceed the memory which requests have filled.
+TEST_F(Requests, LeaveNoMoreThanTheRestForResponses) {
+  BufferBudget responses(kBudgetBytes / 2, 1, &budget);
+  ASSERT_EQ(memory.Grow(Add(), 9 * kMb, now), MemoryDecision::kGranted);
+  BufferShare all(responses);
+  EXPECT_FALSE(all.Resize(kBudgetBytes / 2));
+  EXPECT_TRUE(all.Resize(kBudgetBytes / 4));
+}
+
 // Guards against a request that arrived later and takes the memory that an
 // earlier one waits for.
 TEST_F(Requests, WaitInTheOrderOfTheirArrival) {
--- a/tests/error/slow_endpoint_test.cc
+++ b/tests/error/slow_endpoint_test.cc
@@ -25,6 +25,7 @@
   constexpr int kRequests = 6;
   std::vector<int> statuses(kRequests);
   std::vector<boost::fibers::fiber> clients;
+  clients.reserve(kRequests);
   for (auto& it : statuses) {
     clients.emplace_back([&] {
       auto request = site.Request("/book/x");
--- a/tests/integration/hostile_clients_test.cc
+++ b/tests/integration/hostile_clients_test.cc
@@ -61,7 +61,7 @@
 
 // Returns the bytes of a body as they are sent, with its end.
 std::string Encode(const Crowd& crowd) {
-  const std::string body(crowd.body_bytes, 'b');
+  std::string body(crowd.body_bytes, 'b');
   if (crowd.chunk_bytes == 0) {
     return body;
   }
