forwarding: a turn that comes too late is refused only before the first sending

The refusal promises that the request did not run; a request that was sent and comes back is left to the end of its wait. A test plays a customer whose backlog grows beyond its time beside one whose turn comes.

--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -279,7 +279,8 @@
     return !crash_watch_.MustWait() && chooser_->Choose().has_value();
   };
   waiting.must_end = [this] { return crash_watch_.IsQuarantined(); };
-  waiting.refusable = customer_ != nullptr && history_.runs == 0;
+  // The refusal states that the request did not run.
+  waiting.refusable = customer_ != nullptr && sends_ == 0;
   waiting_lists_.Enter(waiting);
   if (!target) {
     Await(waiting);
--- a/packages/node/event_metrics.h
+++ b/packages/node/event_metrics.h
@@ -31,8 +31,8 @@
       const std::string& value);
 
   Metrics& metrics_;
-  std::map<std::string, Metrics::Counter> events_;    ///< By event name.
-  std::map<std::string, Metrics::Counter> refusals_;  ///< By refusal code.
+  std::map<std::string, Metrics::Counter> events_;      ///< By event name.
+  std::map<std::string, Metrics::Counter> refusals_;    ///< By refusal code.
   std::map<std::string, Metrics::Counter> late_turns_;  ///< By priority.
   Metrics::Histogram load_seconds_;
 };
--- a/tests/error/waiting_order_test.cc
+++ b/tests/error/waiting_order_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/events.h"
 #include "tests/support/forwarding_site.h"
 
 namespace tanagerloom {
@@ -53,6 +54,20 @@
     }));
   }
 
+  // Puts a configuration with two customers in force.
+  void UseCustomers(int timeout_ms) {
+    auto config = ConfigJson();
+    config["version"] = 2;
+    config["routes"] = {RouteWithPriority("/low/", 5)};
+    config["routes"][0]["timeoutMs"] = timeout_ms;
+    config["tenants"] = {
+        {{"name", "hot"}, {"apiKeys", {kHotKey}}, {"priority", 3}},
+        {{"name", "quiet"}, {"apiKeys", {kQuietKey}}, {"priority", 3}}};
+    site_.store.Set("config", "main", config);
+    ASSERT_TRUE(WaitUntil(
+        [&] { return site_.registry.config()->config.version == 2; }));
+  }
+
   // Sends `n` requests, each on a fiber of its own.
   void SendMany(const std::string& path,
                 std::size_t n,
@@ -68,6 +83,9 @@
         }
         const auto answer = site_.Send(request);
         ++answered_;
+        if (answer && answer.assume_value().headers.Find("Retry-After")) {
+          ++retry_after_;
+        }
         served_ += answer && answer.assume_value().status == 200 ? 1 : 0;
       }).detach();
     }
@@ -90,6 +108,7 @@
   std::size_t freed_ = 0;          ///< Requests that the endpoints may answer.
   std::size_t answered_ = 0;
   std::size_t served_ = 0;
+  std::size_t retry_after_ = 0;  ///< Answers with a Retry-After.
   int last_id_ = 0;
 };
 
@@ -135,15 +154,7 @@
 // Guards against a customer whose backlog delays the few requests of another
 // one.
 TEST_F(WaitingOrder, CustomersGetEqualShares) {
-  auto config = ConfigJson();
-  config["version"] = 2;
-  config["routes"] = {RouteWithPriority("/low/", 5)};
-  config["tenants"] = {
-      {{"name", "hot"}, {"apiKeys", {kHotKey}}, {"priority", 3}},
-      {{"name", "quiet"}, {"apiKeys", {kQuietKey}}, {"priority", 3}}};
-  site_.store.Set("config", "main", config);
-  ASSERT_TRUE(
-      WaitUntil([&] { return site_.registry.config()->config.version == 2; }));
+  UseCustomers(8000);
   SendMany("/low/first", kRunning, kHotKey);
   ASSERT_TRUE(WaitUntil([&] { return sent_.size() == kRunning; }));
   SendMany("/low/hot", 18, kHotKey);
@@ -156,5 +167,40 @@
   EndAll(kRunning + 21);
 }
 
+// Guards against a request that waits for a turn that surely comes too late,
+// and against refusing a customer whose turn comes in time. The endpoints need
+// at least 0.8 s a request, so that places never free faster than expected.
+TEST_F(WaitingOrder, TurnThatComesTooLateIsRefusedAtOnce) {
+  constexpr std::size_t kWaiting = 250;
+  UseCustomers(4000);
+  site_.SetServe([this](const HttpRequest& request, HttpResponder& responder) {
+    sent_.push_back(request.target);
+    site_.clock.SleepFor(milliseconds(800));
+    (void)responder.Send(
+        {200, EndpointStandin::SealedHeaders(request), "done"});
+  });
+  const auto refused = [this] {
+    const auto events = site_.log.Since(0);
+    return std::ranges::find_if(events, [](const EventRecord& it) {
+             return it.id.number == events::kForwardTurnTooLate.number &&
+                    it.fields.value("customer", "") == "hot" &&
+                    it.fields.value("priority", 0) == 3;
+           }) != events.end();
+  };
+  SendMany("/low/hot", kRunning + kWaiting, kHotKey);
+  ASSERT_TRUE(WaitUntil([&] {
+    site_.clock.SleepFor(milliseconds(100));
+    SendMany("/low/hot", 1, kHotKey);
+    return refused();
+  }));
+  EXPECT_TRUE(WaitUntil([&] { return retry_after_ > 0; }));
+  SendMany("/low/quiet", 1, kQuietKey);
+  EXPECT_TRUE(WaitUntil(
+      [&] { return std::ranges::find(sent_, "/low/quiet") != sent_.end(); }));
+  // The others end by their deadlines.
+  EXPECT_TRUE(WaitUntil(
+      [&] { return answered_ == static_cast<std::size_t>(last_id_); }));
+}
+
 }  // namespace
 }  // namespace tanagerloom
