integration.fleet_soak: the store comes back from an older copy

A fiber of its own restores the store once or twice in a run, so that the other faults of a seed stay the same.

--- a/tests/integration/fleet_soak_test.cc
+++ b/tests/integration/fleet_soak_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/fiber/fiber.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -441,6 +442,34 @@
     }
   }
 
+  // Restores the store to a copy some seconds old, at intervals that leave time
+  // for orders. What the operator and the endpoints wrote since is written
+  // again soon; what the nodes wrote is lost. Draws its own random numbers, as
+  // InjectStatements does.
+  void RestoreStore(std::int64_t for_ms) {
+    std::mt19937_64 random(seed_);
+    const auto draw = [&](int below) {
+      return std::uniform_int_distribution<int>(0, below - 1)(random);
+    };
+    const auto end = observations_.start_ms + for_ms;
+    store_.era = 1;
+    while (NowMs() < end) {
+      SleepMs(2000 + draw(4000));
+      const auto copy = store_.MakeCopy();
+      SleepMs(500 + draw(3500));
+      LogFault("store restored");
+      store_.Restore(copy);
+      SleepMs(100 + draw(900));
+      store_.Set("config", "main", ConfigJson(config_version_));
+      for (auto* it : endpoints_) {
+        it->standin.Register();
+      }
+      const int left =
+          static_cast<int>(std::max<std::int64_t>(0, end - NowMs()));
+      SleepMs(std::min(left, 10000 + draw(10000)));
+    }
+  }
+
   void ChangeConfig(double) {
     LogFault("configuration " + std::to_string(++config_version_));
     store_.Set("config", "main", ConfigJson(config_version_));
@@ -560,8 +589,11 @@
       1000 * FromEnvironment("TANAGERLOOM_SOAK_SECONDS", kDefaultSeconds));
   boost::fibers::fiber statements(
       [this, duration_ms] { InjectStatements(duration_ms); });
+  boost::fibers::fiber restorations(
+      [this, duration_ms] { RestoreStore(duration_ms); });
   InjectFaults(duration_ms);
   statements.join();
+  restorations.join();
   stop_clients_ = true;
   for (auto& it : clients) {
     it.join();
