fleet: an overloaded quota coordinator recovers

The coordinator, on a VM with little processor time, fell behind; unanswered nodes reported every 20 ms, and its answers came too late to be taken.

Change: a node holds units for the next request of a customer. A report without an answer is repeated at doubled intervals. A coordinator that leaves reports unanswered for 500 ms is not chosen for 5 s.

--- a/packages/fleet/quota_share.cc
+++ b/packages/fleet/quota_share.cc
@@ -33,6 +33,15 @@
 constexpr double kHeldDemandS = 1;
 // Time constant of the measured demand.
 constexpr double kDemandTimeS = 1;
+// A node holds units for the next request of a customer for this time after the
+// last one. Otherwise each request of a customer that sends few to a node would
+// wait for a grant.
+constexpr double kNextRequestTimeS = 5;
+// Part of a node's equal share of the capacity that it may hold so.
+constexpr double kHeldPartOfShare = 0.5;
+// A report is repeated at the given interval, doubled for each report that was
+// not answered: the coordinator may be overloaded.
+constexpr std::uint32_t kMaxDoublings = 5;
 // Units beyond this multiple of what is needed are returned.
 constexpr double kReturnAbove = 1.5;
 // Demand below this is none.
@@ -80,6 +89,7 @@
 void QuotaShare::OnRequest(std::uint64_t customer, double cost) {
   if (auto* account = Find(customer)) {
     account->asked += cost;
+    account->last_cost = cost;
   }
 }
 
@@ -157,13 +167,18 @@
 }
 
 Duration QuotaShare::ReportInterval() const {
+  auto interval = RestInterval();
   if (n_waiting_ > 0) {
-    return kUrgentInterval;
+    interval = kUrgentInterval;
+  } else if (got_large_grant_ || preferred_ != coordinator_) {
+    interval = kBusyInterval;
   }
-  if (got_large_grant_ || preferred_ != coordinator_) {
-    return kBusyInterval;
-  }
-  return RestInterval();
+  return std::min(interval * (1 << std::min(n_unanswered_, kMaxDoublings)),
+                  RestInterval());
+}
+
+bool QuotaShare::IsUnanswered(TimePoint now) const {
+  return n_unanswered_ > 1 && now - unanswered_since_ >= kMaxSilence;
 }
 
 void QuotaShare::PreferCoordinator(const std::string& node, TimePoint now) {
@@ -177,20 +192,29 @@
     last_grant_ = 0;
     sent_.clear();
     withdrawal_.reset();
+    n_unanswered_ = 0;
   }
 }
 
 QuotaNeed QuotaShare::TakeNeed(std::uint64_t id,
                                Account& account,
                                double elapsed_s) {
+  account.idle_s = account.asked > 0 ? 0 : account.idle_s + elapsed_s;
   account.demand_per_s =
       account.demand_per_s * std::exp(-elapsed_s / kDemandTimeS) +
       std::exchange(account.asked, 0) / kDemandTimeS;
   if (account.demand_per_s < kMinDemandPerS) {
     account.demand_per_s = 0;
   }
+  const double next_request =
+      account.idle_s < kNextRequestTimeS
+          ? std::min(account.last_cost, kHeldPartOfShare *
+                                            account.limits.capacity /
+                                            static_cast<double>(node_count_))
+          : 0;
   const double target =
-      std::min(account.demand_per_s * kHeldDemandS, account.limits.max_held);
+      std::min(std::max(account.demand_per_s * kHeldDemandS, next_request),
+               account.limits.max_held);
   double returned = 0;
   if (account.waiting <= 0 && account.held > kReturnAbove * target) {
     returned = std::floor(account.held - target);
@@ -213,6 +237,9 @@
   }
   QuotaReport out;
   out.number = ++last_number_;
+  if (n_unanswered_++ == 0) {
+    unanswered_since_ = now;
+  }
   out.last_grant = last_grant_;
   const double elapsed_s =
       Seconds(std::min<Duration>(now - last_report_at_, std::chrono::hours(1)));
@@ -263,6 +290,7 @@
     return;
   }
   last_grant_ = grant.number;
+  n_unanswered_ = 0;
   if (withdrawal_ && grant.report >= *withdrawal_) {
     promised_until_ = now;
     return;
--- a/packages/fleet/quota_share.h
+++ b/packages/fleet/quota_share.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -84,6 +85,14 @@
   /// Returns the time until the next report, from the last one.
   Duration ReportInterval() const;
 
+  /// Silence of the coordinator after which another node should be it. It may
+  /// be overloaded and still be seen by its peers.
+  static constexpr Duration kMaxSilence = std::chrono::milliseconds(500);
+
+  /// Returns whether the coordinator has left reports without an answer for
+  /// kMaxSilence.
+  bool IsUnanswered(TimePoint now) const;
+
   /// Time of the last report.
   TimePoint last_report_at() const { return last_report_at_; }
 
@@ -91,9 +100,12 @@
   struct Account {
     QuotaLimits limits;
     double held = 0;
-    double pending = 0;  ///< Charged and not sent.
-    double waiting = 0;  ///< Costs of requests that wait for a grant.
-    double asked = 0;    ///< Costs of requests since the last report.
+    double pending = 0;    ///< Charged and not sent.
+    double waiting = 0;    ///< Costs of requests that wait for a grant.
+    double asked = 0;      ///< Costs of requests since the last report.
+    double last_cost = 0;  ///< Of the latest request.
+    /// Time without a request. No request is expected at first.
+    double idle_s = std::numeric_limits<double>::max();
     double demand_per_s = 0;
     TimePoint room_at{};
     TimePoint ask_at{};
@@ -113,6 +125,9 @@
   std::size_t node_count_ = 1;
   std::map<std::uint64_t, Account> accounts_;
   std::size_t n_waiting_ = 0;
+  /// Number of reports since the last answer, and the time of the first.
+  std::uint32_t n_unanswered_ = 0;
+  TimePoint unanswered_since_{};
   /// A grant since the last report was large.
   bool got_large_grant_ = false;
   TimePoint held_until_{};
--- a/packages/forwarding/quota_gate.cc
+++ b/packages/forwarding/quota_gate.cc
@@ -23,6 +23,8 @@
 // Delay after which a client may retry that no coordinator admitted: a new
 // coordinator gets its votes in about this time.
 constexpr milliseconds kRetryWithoutAnswer{600};
+// How long a node that left reports unanswered is not chosen as coordinator.
+constexpr std::chrono::seconds kAvoidTime{5};
 // Min delay of a refused client.
 constexpr milliseconds kMinRetryAfter{100};
 // A customer has room again if none of its requests was refused for this time.
@@ -189,9 +191,17 @@
   const auto n = peers_.Members().size();
   share_->SetNodeCount(n);
   pool_.SetNodeCount(n, now);
+  if (share_->IsUnanswered(now)) {
+    avoided_until_[share_->coordinator()] = now + kAvoidTime;
+  }
+  std::erase_if(avoided_until_,
+                [now](const auto& it) { return it.second <= now; });
   std::string best;
   std::uint64_t best_hash = 0;
   for (auto& it : peers_.LiveIds()) {
+    if (avoided_until_.contains(it)) {
+      continue;
+    }
     const auto hash = StableHash("quota/" + it);
     if (best.empty() || hash > best_hash) {
       best_hash = hash;
--- a/packages/forwarding/quota_gate.h
+++ b/packages/forwarding/quota_gate.h
@@ -119,6 +119,8 @@
   std::shared_ptr<QuotaShare> share_;
   QuotaPool pool_;
   QuotaCounts counts_;
+  /// Nodes that did not answer as coordinator.
+  std::map<std::string, TimePoint> avoided_until_;
   /// Customers whose requests are refused, and when one last was.
   std::map<std::string, TimePoint> exhausted_;
   EventFlag wake_;      ///< Signalled when a report is due earlier.
