--- a/tests/correctness/quota_test.cc
+++ b/tests/correctness/quota_test.cc
@@ -503,6 +503,46 @@
 
 // ---- in calm
 
+// Guards against nodes that keep an overloaded coordinator overloaded: its
+// answers came too late, and each node reported again every 20 ms.
+TEST(QuotaShareTest, ReportsWithoutAnAnswerBecomeRarer) {
+  QuotaShare share(At(0));
+  share.SetLimits(kTable);
+  share.PreferCoordinator("a", At(2000));
+  share.BeginWait(kCustomer, 10);
+  auto now = At(2000);
+  auto report = share.MakeReport(now);
+  auto interval = share.ReportInterval();
+  for (int i = 0; i < 3; ++i) {
+    now += share.ReportInterval();
+    EXPECT_FALSE(share.IsUnanswered(now));
+    report = share.MakeReport(now);
+    EXPECT_GT(share.ReportInterval(), interval);
+    interval = share.ReportInterval();
+  }
+  EXPECT_TRUE(share.IsUnanswered(At(2000) + QuotaShare::kMaxSilence));
+  share.OnGrant("a", "a/1", {1, report->number, false, {}}, now);
+  EXPECT_FALSE(share.IsUnanswered(At(2000) + QuotaShare::kMaxSilence));
+  EXPECT_LT(share.ReportInterval(), interval);
+}
+
+// Guards against a grant for each request of a customer that sends one now and
+// then: in a large fleet these are most requests.
+TEST(QuotaShareTest, UnitsForTheNextRequestAreHeld) {
+  QuotaShare share(At(0));
+  share.SetLimits(kTable);
+  share.PreferCoordinator("a", At(2000));
+  share.OnRequest(kCustomer, 5);
+  (void)share.MakeReport(At(2000));
+  const auto report = share.MakeReport(At(5000));
+  ASSERT_EQ(report->needs.size(), 1U);
+  EXPECT_GE(report->needs[0].wanted, 5);
+  for (int i = 6; i < 20; ++i) {
+    (void)share.MakeReport(At(i * 1000));
+  }
+  EXPECT_TRUE(share.MakeReport(At(20000))->needs.empty());
+}
+
 struct CalmCase {
   const char* name;
   CustomerQuota quota;
