forwarding, fleet, http: faults that a review of the new parts found

- A client that left before the head of the response got its quota charge back although the endpoint may run the request.
- Votes that were taken back did not clip what a quota coordinator can grant.
- A large request lost its part of a grant to small ones that came later.
- A customer served at other nodes for long had to wait at this one until all others had caught up.
- Requests that skip a place were offered again at each change, so that those behind the first 256 had no turn.
- An endpoint that no report tells of counted as full by the mean of others.
- An idle endpoint that may be used alone was left because another one with room was too slow for the request.
- A long body asked for memory twice; an idle connection was kept while a request was refused for its place; a connection stayed marked as stalled.
- An unload that was never sent stayed announced.

--- a/packages/decision/fair_shares.cc
+++ b/packages/decision/fair_shares.cc
@@ -37,7 +37,11 @@
                                    double cost) {
   auto& state = classes_[key];
   auto& time = state.customers[customer];
-  time = std::max(time, state.time) + cost;
+  // As for a turn here: a customer that did not wait meanwhile gets no credit
+  // for all that others were served elsewhere.
+  time = std::max(time, state.time);
+  state.time = time;
+  time += cost;
 }
 
 std::uint64_t FairShares::LastTurnOf(const ClassKey& key) const {
--- a/packages/fleet/load_reports.cc
+++ b/packages/fleet/load_reports.cc
@@ -12,6 +12,10 @@
 
 // Weight of a report in the averages of the service.
 constexpr double kMeanWeight = 0.05;
+// Max requests per slot that an endpoint is assumed to have by the mean of
+// others. It stays below what counts as full: an endpoint that gets no request
+// reports nothing.
+constexpr double kMaxAssumedPerSlot = 1.9;
 // Weight of a report in the slowness of its endpoint, which is noisy.
 constexpr double kSlownessWeight = 0.4;
 // An endpoint that says nothing of its speed is judged by its answers, which
@@ -111,8 +115,9 @@
   const double mean_weight =
       silence > kMeanHalfLife ? WeightAt(silence - kMeanHalfLife, kMeanHalfLife)
                               : 1;
-  out.others_in_flight =
-      known_others.value_or(mean_others_per_slot_ * mean_weight * slots);
+  out.others_in_flight = known_others.value_or(
+      std::min(mean_others_per_slot_ * mean_weight, kMaxAssumedPerSlot) *
+      slots);
   out.slowness = SlownessOf(state, now);
   if (state != nullptr && state->reported_at) {
     const double reported = state->others_per_slot * slots;
--- a/packages/fleet/quota_pool.cc
+++ b/packages/fleet/quota_pool.cc
@@ -222,7 +222,7 @@
   node.last_report = report.number;
   node.heard_at = now;
   TakeVote(node, report, now);
-  share_ = VoteShare(now);
+  Advance(now);
   TakeUnits(node, report, now);
   const bool is_self = node_id == self_;
   if (!is_self && unconfirmed_since_ && report.votes &&
--- a/packages/fleet/quota_share.cc
+++ b/packages/fleet/quota_share.cc
@@ -37,7 +37,8 @@
 // last one. Otherwise each request of a customer that sends few to a node would
 // wait for a grant.
 constexpr double kNextRequestTimeS = 5;
-// Part of a node's equal share of the capacity that it may hold so.
+// Part of a node's equal share of the capacity that may be held for the next
+// request.
 constexpr double kHeldPartOfShare = 0.5;
 // A report is repeated at the given interval, doubled for each report that was
 // not answered: the coordinator may be overloaded.
@@ -206,12 +207,12 @@
   if (account.demand_per_s < kMinDemandPerS) {
     account.demand_per_s = 0;
   }
-  const double next_request =
-      account.idle_s < kNextRequestTimeS
-          ? std::min(account.last_cost, kHeldPartOfShare *
-                                            account.limits.capacity /
-                                            static_cast<double>(node_count_))
-          : 0;
+  const double node_part = kHeldPartOfShare * account.limits.capacity /
+                           static_cast<double>(node_count_);
+  // Less than a whole request would serve none.
+  const bool holds_next =
+      account.idle_s < kNextRequestTimeS && account.last_cost <= node_part;
+  const double next_request = holds_next ? account.last_cost : 0;
   const double target =
       std::min(std::max(account.demand_per_s * kHeldDemandS, next_request),
                account.limits.max_held);
--- a/packages/forwarding/endpoint_chooser.cc
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -63,18 +63,21 @@
 }
 
 std::vector<EndpointCandidate> EndpointChooser::WithRoom(
-    const std::set<std::string>& excluded) const {
+    const std::set<std::string>& excluded,
+    const std::function<bool(const EndpointCandidate&)>& is_unsuitable) const {
   auto out = deps_.view.Candidates(service_, profile_.model, excluded);
   deps_.view.AddObservations(out);
-  std::erase_if(out, [](const EndpointCandidate& it) { return IsFull(it); });
+  std::erase_if(out, [&](const EndpointCandidate& it) {
+    return IsFull(it) || is_unsuitable(it);
+  });
   RemoveHeldBack(out);
   return out;
 }
 
 std::optional<EndpointTarget> EndpointChooser::Choose() const {
-  auto candidates = WithRoom(Excluded());
-  std::erase_if(candidates,
-                [this](const EndpointCandidate& it) { return IsTooSlow(it); });
+  auto candidates = WithRoom(Excluded(), [this](const EndpointCandidate& it) {
+    return IsTooSlow(it);
+  });
   const auto key = profile_.SharedPromptKey();
   const auto* chosen = SelectEndpoint(
       candidates, {key, profile_.SharedPromptTokens(), RandomU64()});
@@ -103,7 +106,7 @@
 }
 
 bool EndpointChooser::HasRoom() const {
-  return !WithRoom({}).empty();
+  return !WithRoom({}, [](const EndpointCandidate&) { return false; }).empty();
 }
 
 bool EndpointChooser::HasOther(const std::string& id) const {
--- a/packages/forwarding/endpoint_chooser.h
+++ b/packages/forwarding/endpoint_chooser.h
@@ -4,6 +4,7 @@
 #define FORWARDING_ENDPOINT_CHOOSER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -55,10 +56,11 @@
  private:
   /// Returns the endpoints that get no attempt now after an earlier one.
   std::set<std::string> Excluded() const;
-  /// Returns the endpoints that may get one more request now, as far as they
-  /// and other nodes are concerned.
+  /// Returns the endpoints that may get one more request now and are not
+  /// `excluded` nor `is_unsuitable` for it.
   std::vector<EndpointCandidate> WithRoom(
-      const std::set<std::string>& excluded) const;
+      const std::set<std::string>& excluded,
+      const std::function<bool(const EndpointCandidate&)>& is_unsuitable) const;
   /// Returns whether an endpoint would answer this request too late.
   bool IsTooSlow(const EndpointCandidate& candidate) const;
   /// Returns the tokens of the prompt that an endpoint is expected to read.
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -260,6 +260,7 @@
   if (target) {
     deps_.view.BeginUse(target->id, target->prompt_tokens);
     crash_watch_.BeginRun();
+    had_turn_ = true;
     return OfferResult::kTaken;
   }
   return chooser_->HasRoom() ? OfferResult::kSkipped : OfferResult::kNoPlace;
@@ -272,7 +273,7 @@
   waiting.entry.priority = Priority();
   waiting.entry.customer = customer_ == nullptr ? "" : customer_->name;
   // A request that comes back from an endpoint has paid for its turn.
-  waiting.entry.cost = sends_ == 0 ? WaitingCost(profile_) : 0;
+  waiting.entry.cost = had_turn_ ? 0 : WaitingCost(profile_);
   waiting.entry.latest_start = WaitDeadline();
   waiting.offer = [this, &target] { return TakePlace(target); };
   waiting.has_place = [this] {
@@ -366,6 +367,7 @@
   Upload upload(uploads_, target.id, request_.body.size());
   if (!upload.granted()) {
     chooser_->Exclude(target.id, deps_.clock.Now() + kExcludeNotRun);
+    waiting_lists_.OnPlaceFreed(service_, target.id);
     return NextStep::kRetry;
   }
   EndpointAttempt attempt(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
@@ -616,6 +618,11 @@
     const EndpointTarget& target,
     const AttemptError& error) {
   const auto now = deps_.clock.Now();
+  const bool already_counted = history_.last_verdict == Verdict::kRan;
+  history_.last_verdict = error.verdict;
+  if (error.verdict != Verdict::kNotRun && !already_counted) {
+    ++history_.runs;
+  }
   const bool aborted = error.failure == AttemptFailure::kAborted && !ended_;
   if (aborted || IsClientGone()) {
     log_.ClientGone(target.id);
@@ -626,11 +633,6 @@
     return NextStep::kDone;
   }
   log_.AttemptFailed(target.id, error);
-  const bool already_counted = history_.last_verdict == Verdict::kRan;
-  history_.last_verdict = error.verdict;
-  if (error.verdict != Verdict::kNotRun && !already_counted) {
-    ++history_.runs;
-  }
   if (ended_) {
     return Abandon(/*timed_out=*/true);
   }
--- a/packages/forwarding/forwarded_request.h
+++ b/packages/forwarding/forwarded_request.h
@@ -183,6 +183,7 @@
   bool ended_ = false;  ///< The node stops.
   RequestHistory history_;
   std::uint32_t sends_ = 0;  ///< Number of times the request was sent.
+  bool had_turn_ = false;    ///< Counted toward its customer's share.
   EventAssembler event_assembler_;
   bool forwarded_events_ = false;
   /// Error response of an endpoint, relayed if no retry succeeds.
--- a/packages/forwarding/quota_gate.cc
+++ b/packages/forwarding/quota_gate.cc
@@ -116,8 +116,13 @@
   share_->BeginWait(id, cost);
   wake_.Signal();
   bool charged = false;
-  while (!charged && !stopping_ && clock_.Now() < until &&
-         share_->MayAsk(id, clock_.SuspendAwareNow())) {
+  const auto may_wait = [&] {
+    // After a part of the units, the rest may come in time.
+    const auto now = clock_.SuspendAwareNow();
+    return share_->MayAsk(id, now) ||
+           share_->RoomAt(id) - now <= until - clock_.Now();
+  };
+  while (!charged && !stopping_ && clock_.Now() < until && may_wait()) {
     const auto seen = answered_.count();
     answered_.WaitUntil(seen, until);
     charged = share_->TryCharge(id, cost, clock_.SuspendAwareNow());
@@ -129,7 +134,6 @@
 QuotaRefused QuotaGate::Refuse(const Customer& customer, double cost) {
   const auto id = QuotaCustomerId(customer.name);
   const auto now = clock_.SuspendAwareNow();
-  RecordState(customer, /*exhausted=*/true);
   if (!share_->FitsLimit(id, cost)) {
     ++counts_.too_large;
     return {QuotaRefusal::kTooLarge, Spread(reserve_.window)};
@@ -140,6 +144,7 @@
     return {QuotaRefusal::kNoAnswer, Spread(kRetryWithoutAnswer)};
   }
   ++counts_.over_quota;
+  RecordState(customer, /*exhausted=*/true);
   return {QuotaRefusal::kOverQuota, Spread(room_at - now)};
 }
 
--- a/packages/forwarding/waiting_list.cc
+++ b/packages/forwarding/waiting_list.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Limit on the places that one Serve() offers. It bounds its time; the next
-// change or the timer continues.
-constexpr int kMaxOffers = 256;
+// Limit on the places that one Serve() offers. It bounds its time; the next one
+// goes on with the requests after these.
+constexpr int kMaxOffers = 32;
 
 FairEntry ToFairEntry(const WaitingEntry& entry) {
   return {entry.id,       entry.priority,     /*deferred=*/false,
@@ -73,6 +73,10 @@
       Remove(*taken);
     }
   }
+  stopped_early_ = progress && !no_place;
+  if (stopped_early_) {
+    return out;
+  }
   // Without a request that waits for nothing but a place, places free no slower
   // than they are wanted.
   if (no_place) {
@@ -126,6 +130,9 @@
 }
 
 void WaitingList::ReturnSkipped() {
+  if (stopped_early_) {
+    return;  // The requests after these have their turn first.
+  }
   for (const auto id : skipped_) {
     Push(entries_.at(id));
   }
--- a/packages/forwarding/waiting_list.h
+++ b/packages/forwarding/waiting_list.h
@@ -107,6 +107,8 @@
   FairQueue queue_;
   std::map<std::uint64_t, WaitingEntry> entries_;
   std::set<std::uint64_t> skipped_;
+  /// Whether the last Serve() ended at its limit on offers.
+  bool stopped_early_ = false;
   std::set<std::pair<TimePoint, std::uint64_t>> by_latest_start_;
   PlaceRate places_;
   std::size_t endpoints_ = 0;
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -102,6 +102,9 @@
   }
   /// Closes one connection for others that have no place.
   void CloseOne();
+  /// Closes the connection without a request for longest. Returns false if none
+  /// has been without one for long.
+  bool CloseIdle();
   void Serve(asio::ip::tcp::socket socket);
   /// Waits for the first byte of a request. Returns false if the connection
   /// ends or none arrives in time.
@@ -141,16 +144,22 @@
 }
 
 void HttpServer::State::CloseOne() {
+  if (!memory.EndStalled(std::chrono::steady_clock::now())) {
+    CloseIdle();
+  }
+}
+
+bool HttpServer::State::CloseIdle() {
   const auto now = std::chrono::steady_clock::now();
-  if (memory.EndStalled(now) || idle.empty() ||
-      now - idle.front()->idle_since < kMinIdleTime) {
-    return;
+  if (idle.empty() || now - idle.front()->idle_since < kMinIdleTime) {
+    return false;
   }
   auto* longest = idle.front();
   // Not chosen again while its read ends.
   longest->idle_since = now;
   idle.splice(idle.end(), idle, idle.begin());
   longest->stream.cancel();
+  return true;
 }
 
 void HttpServer::State::Serve(asio::ip::tcp::socket socket) {
@@ -216,7 +225,7 @@
 
 bool HttpServer::State::Handle(ServerConnection& connection,
                                ArrivedRequest arrived) {
-  if (connections + requests >= limits.max_sockets) {
+  if (connections + requests >= limits.max_sockets && !CloseIdle()) {
     Refuse(connection, {kServiceUnavailable,
                         "the node has too many connections", kRetryAfterLimit});
     return false;
--- a/packages/http/request_reader.cc
+++ b/packages/http/request_reader.cc
@@ -52,6 +52,7 @@
     parser_.header_limit(limits.max_header_bytes);
     parser_.body_limit(limits.max_body_bytes);
     parser_.eager(true);
+    connection_.ended_as_stalled = false;
     memory_.BeginRead(connection_.memory, Now());
   }
 
@@ -109,7 +110,8 @@
     }
     const auto announced =
         parser_.is_header_done() ? parser_.content_length().value_or(0) : 0;
-    return now + (announced > body_bytes() ? announced - body_bytes() : 0);
+    const auto rest = announced > body_bytes() ? announced - body_bytes() : 0;
+    return body_bytes() + connection_.buffer.size() + kLongReadBytes + rest;
   }
 
   /// Waits for memory to read on; the client is held up meanwhile. Returns a
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -252,6 +252,11 @@
 bool OrderCoordinator::Send(const OrderTask& order) {
   if (!deps_.lease.AwaitOrder(order.planned.engine)) {
     Fail(order, "the lease is not certain");
+    auto* entry =
+        StateOf(order.service).engine_table.Find(order.planned.engine);
+    if (entry != nullptr) {
+      AnnounceModels(*entry);  // An unload was announced before it was sent.
+    }
     return false;
   }
   auto* entry = FindEngine(order);
