--- a/tests/error/quota_admission_test.cc
+++ b/tests/error/quota_admission_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "fleet/customer.h"
+#include "http/http_connection.h"
 #include "tests/support/forwarding_site.h"
 
 namespace tanagerloom {
@@ -89,6 +90,42 @@
   EXPECT_EQ(site.quotas.counts().charged, 1200);
 }
 
+// Guards against clients that leave while an endpoint runs their request, and
+// so use an endpoint without using their quota.
+TEST_F(QuotaAdmission, RequestWhoseClientLeavesStaysCharged) {
+  constexpr double kRate = 200;
+  constexpr double kBurst = 400;
+  constexpr double kCost = 100;
+  const auto started_at = site.clock.Now();
+  Start(kRate, kBurst);
+  int arrived = 0;
+  site.SetServe([&](const HttpRequest&, HttpResponder& responder) {
+    ++arrived;
+    ASSERT_TRUE(WaitUntil([&] { return responder.client_gone(); }));
+  });
+  auto request = site.Request("/book/x");
+  request.headers.Add("Authorization", std::string("Token ") + kKey);
+  for (int i = 0; i < 20; ++i) {
+    HttpConnection connection(Runtime::Get().io(), site.address);
+    const auto now = site.clock.Now();
+    ASSERT_TRUE(connection.Connect(now + std::chrono::seconds(1)));
+    (void)connection.Send(request,
+                          {.deadline = now + std::chrono::milliseconds(40)});
+  }
+  const std::chrono::duration<double> elapsed = site.clock.Now() - started_at;
+  EXPECT_GE(arrived, 1);
+  EXPECT_LE(arrived * kCost, kBurst + kRate * elapsed.count());
+}
+
+// Guards against a count of tokens that no one can read and that costs nothing.
+TEST_F(QuotaAdmission, MalformedTokenCountsAsTheDefault) {
+  Start(1000, 1000);
+  for (const auto* it : {"x,y", "5000000000,5000000000", "-1,-1", "7"}) {
+    EXPECT_EQ(Send("/read/x", it).status, 200) << it;
+  }
+  EXPECT_EQ(site.quotas.counts().charged, 400);
+}
+
 // A request that is larger than the quota would wait in vain.
 TEST_F(QuotaAdmission, RequestLargerThanTheQuotaIsRefused) {
   Start(100, 100);
