--- a/testing/fleet_standin/endpoint_standin.cc
+++ b/testing/fleet_standin/endpoint_standin.cc
@@ -1,5 +1,9 @@
 #include "testing/fleet_standin/endpoint_standin.h"
 
+// Boost 1.74's Asio uses std::exchange without including its header.
+#include <utility>
+// Keep this after <utility>.
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <nlohmann/json.hpp>
@@ -9,6 +13,8 @@
 
 namespace tanagerloom {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr int kEventsPerStream = 4;
@@ -20,6 +26,20 @@
 
 }  // namespace
 
+// A socket that is bound to a port and does not listen, so that connections are
+// refused and no other process gets the port.
+struct EndpointStandin::HeldPort {
+  explicit HeldPort(const Address& address) : socket(Runtime::Get().io()) {
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(address.ip),
+                                        address.port);
+    socket.open(local.protocol());
+    socket.set_option(asio::socket_base::reuse_address(true));
+    socket.bind(local);
+  }
+
+  asio::ip::tcp::socket socket;
+};
+
 EndpointStandin::EndpointStandin(StoreStandin& store,
                                  std::string id,
                                  std::string service)
@@ -40,6 +60,8 @@
       server_(MakeServer()),
       address_(server_->Listen({"127.0.0.1", 0}).value()) {}
 
+EndpointStandin::~EndpointStandin() = default;
+
 std::unique_ptr<HttpServer> EndpointStandin::MakeServer() {
   return std::make_unique<HttpServer>(
       Runtime::Get().io(), HttpServerLimits{},
@@ -50,11 +72,13 @@
 
 void EndpointStandin::Crash() {
   server_->StopAccepting();
+  held_port_ = std::make_unique<HeldPort>(address_);
 }
 
 void EndpointStandin::Recover() {
   server_ = MakeServer();
   (void)server_->Listen(address_).value();
+  held_port_.reset();
 }
 
 HttpHeaders EndpointStandin::SealedHeaders(const HttpRequest& request) {
--- a/testing/fleet_standin/endpoint_standin.h
+++ b/testing/fleet_standin/endpoint_standin.h
@@ -41,6 +41,7 @@
 
   /// Starts to listen; the endpoint is not registered yet.
   EndpointStandin(StoreStandin& store, std::string id, std::string service);
+  ~EndpointStandin();
 
   /// Writes the endpoint's entry to the store. An executed order writes it
   /// again.
@@ -97,6 +98,8 @@
   static std::string StreamEvent(int id);
 
  private:
+  struct HeldPort;
+
   std::unique_ptr<HttpServer> MakeServer();
   void Handle(const HttpRequest& request, HttpResponder& responder);
   void SendReport(HttpResponder& responder) const;
@@ -122,6 +125,7 @@
   std::vector<ReceivedOrder> orders_;
   int refused_orders_ = 0;
   std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HeldPort> held_port_;  ///< During a simulated crash.
   Address address_;
 };
 
