tests: a suspended reader waits for what its server has sent

ResponseThatArrivedBeforeItsTimeoutWasNoticedIsRead failed for chunks once at a load of 36 on seven cores: the thread of the test's server had not sent all parts within the fixed time. The test now waits until they are sent; what it checks is the same.

--- a/tests/error/suspended_reader_test.cc
+++ b/tests/error/suspended_reader_test.cc
@@ -58,6 +58,14 @@
     return {"127.0.0.1", acceptor_.local_endpoint().port()};
   }
 
+  // Blocks the calling thread until `n` parts are sent, and so have arrived.
+  void BlockUntilSent(std::size_t n) const {
+    constexpr int kMaxChecks = 2000;
+    for (int i = 0; i < kMaxChecks && sent_ < n; ++i) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
  private:
   void Serve(const std::vector<std::string>& parts) {
     tcp::socket socket(io_);
@@ -67,6 +75,7 @@
     asio::read_until(socket, request, "\r\n\r\n", ec);
     for (const auto& it : parts) {
       asio::write(socket, asio::buffer(it), ec);
+      ++sent_;
       std::this_thread::sleep_for(kPieceDelay);
     }
     socket.shutdown(tcp::socket::shutdown_send, ec);
@@ -74,6 +83,7 @@
 
   asio::io_context io_;
   tcp::acceptor acceptor_;
+  std::atomic<std::size_t> sent_ = 0;  ///< Number of parts.
   std::thread thread_;
 };
 
@@ -128,13 +138,17 @@
 // process noticed that its deadline had passed.
 TEST_P(SuspendedReader, ResponseThatArrivedBeforeItsTimeoutWasNoticedIsRead) {
   ASSERT_TRUE(connection.Connect(clock.Now() + seconds(1)));
-  boost::fibers::fiber suspension(&Suspend);
+  boost::fibers::fiber suspension([this] {
+    Suspend();
+    server.BlockUntilSent(1);
+  });
   const auto deadline = clock.Now() + kSuspension / 2;
   const auto sent = Send(deadline);
   suspension.join();
   ASSERT_TRUE(sent) << sent.assume_error().error.message;
   // By then everything has arrived; the deadline does not move.
   Suspend();
+  server.BlockUntilSent(GetParam().parts.size());
   std::string body;
   while (true) {
     const auto n = connection.ReadSome(body, deadline);
