http, fleet: names and refusal codes that a review stumbled over

A 503 for lack of memory or connections has the documented code overloaded, not malformed_request. QuotaCharge and QuotaShare use one vocabulary.

--- a/packages/fleet/endpoint_pace.h
+++ b/packages/fleet/endpoint_pace.h
@@ -138,7 +138,7 @@
   double allowance_ = 0;
   double earned_ = 0;        ///< Requests of this node beyond its part.
   TimePoint grown_until_{};  ///< In the future while the growth stands still.
-  TimePoint from_{};
+  TimePoint from_{};         ///< No request is sent before.
   TimePoint cold_until_{};
   TimePoint halved_at_{};
   /// When the pace began or the endpoint was last in trouble.
--- a/packages/fleet/quota_share.cc
+++ b/packages/fleet/quota_share.cc
@@ -148,7 +148,7 @@
   }
 }
 
-bool QuotaShare::MayAsk(std::uint64_t customer, TimePoint now) const {
+bool QuotaShare::MayWaitForGrant(std::uint64_t customer, TimePoint now) const {
   const auto* account = Find(customer);
   return account != nullptr && now >= account->ask_at;
 }
--- a/packages/fleet/quota_share.h
+++ b/packages/fleet/quota_share.h
@@ -60,7 +60,7 @@
 
   /// Returns whether a request may wait for a grant; if not, the coordinator
   /// has just said that there is no room.
-  bool MayAsk(std::uint64_t customer, TimePoint now) const;
+  bool MayWaitForGrant(std::uint64_t customer, TimePoint now) const;
   /// Returns when the customer has room again, as the coordinator last said.
   TimePoint RoomAt(std::uint64_t customer) const;
 
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -380,7 +380,7 @@
   deps_.demand.OnPromptSent(service_, profile_.model, target.prompt_tokens);
   const auto next = Exchange(attempt, upload, target);
   if (history_.runs == 0) {
-    charge_.Unuse();
+    charge_.MarkNotRun();
   }
   crash_watch_.EndRun();
   deps_.demand.EndRun(service_, profile_.model);
@@ -406,7 +406,7 @@
     return NextStep::kRetry;
   }
   ++sends_;
-  charge_.Use();
+  charge_.MarkSent();
   log_.Sent(target.id, sends_);
   sent_at_ = deps_.clock.Now();
   progress_at_ = sent_at_;
--- a/packages/forwarding/quota_charge.cc
+++ b/packages/forwarding/quota_charge.cc
@@ -18,13 +18,13 @@
   return *this;
 }
 
-void QuotaCharge::Use() {
+void QuotaCharge::MarkSent() {
   if (share_ != nullptr && !std::exchange(used_, true)) {
     share_->OnSent(customer_, cost_);
   }
 }
 
-void QuotaCharge::Unuse() {
+void QuotaCharge::MarkNotRun() {
   if (share_ != nullptr && std::exchange(used_, false)) {
     share_->OnNotRun(customer_, cost_);
   }
--- a/packages/forwarding/quota_charge.h
+++ b/packages/forwarding/quota_charge.h
@@ -28,9 +28,9 @@
   QuotaCharge& operator=(QuotaCharge&& other) noexcept;
 
   /// The request is sent to an endpoint. Further attempts count no more.
-  void Use();
+  void MarkSent();
   /// No endpoint that the request was sent to has run it.
-  void Unuse();
+  void MarkNotRun();
 
  private:
   std::shared_ptr<QuotaShare> share_;
--- a/packages/forwarding/quota_gate.cc
+++ b/packages/forwarding/quota_gate.cc
@@ -110,7 +110,7 @@
 
 bool QuotaGate::AwaitGrant(std::uint64_t id, double cost) {
   const auto until = clock_.Now() + kMaxGrantWait;
-  if (!share_->MayAsk(id, clock_.SuspendAwareNow())) {
+  if (!share_->MayWaitForGrant(id, clock_.SuspendAwareNow())) {
     return false;
   }
   share_->BeginWait(id, cost);
@@ -119,7 +119,7 @@
   const auto may_wait = [&] {
     // After a part of the units, the rest may come in time.
     const auto now = clock_.SuspendAwareNow();
-    return share_->MayAsk(id, now) ||
+    return share_->MayWaitForGrant(id, now) ||
            share_->RoomAt(id) - now <= until - clock_.Now();
   };
   while (!charged && !stopping_ && clock_.Now() < until && may_wait()) {
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -43,6 +43,12 @@
 constexpr auto kRetryAfterLimit = std::chrono::seconds(1);
 constexpr int kServiceUnavailable = 503;
 
+// Returns the code of the refusal in its body.
+std::string_view CodeOf(const MalformedRequest& problem) {
+  return problem.status == kServiceUnavailable ? "overloaded"
+                                               : "malformed_request";
+}
+
 // Reads and discards what the client still sends, within limits. Closing a
 // connection with unread input resets it, and the client may lose the response.
 void DiscardInput(beast::tcp_stream& stream) {
@@ -258,8 +264,9 @@
         std::chrono::ceil<std::chrono::seconds>(problem.retry_after);
     message.set(bhttp::field::retry_after, std::to_string(seconds.count()));
   }
-  message.body() = R"({"error":{"code":"malformed_request","message":")" +
-                   problem.message + R"(","verdict":"not_run"}})";
+  message.body() = R"({"error":{"code":")" + std::string(CodeOf(problem)) +
+                   R"(","message":")" + problem.message +
+                   R"(","verdict":"not_run"}})";
   message.prepare_payload();
   stream.expires_after(limits.write_timeout);
   AwaitIo([&](auto done) { bhttp::async_write(stream, message, done); });
--- a/packages/http/malformed_request.h
+++ b/packages/http/malformed_request.h
@@ -14,7 +14,7 @@
 struct HttpRequest;
 struct HttpServerLimits;
 
-/// Why a request cannot be read, and the status that says so.
+/// Why a request cannot be read, or not now, and the status that says so.
 struct MalformedRequest {
   int status = 400;
   std::string message;
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -221,7 +221,7 @@
   std::map<std::string, TimePoint, std::less<>> last_order_at_;
   /// Engines for which the right to send an order was requested.
   EngineSet requested_;
-  /// Engines that may get orders under the stored lease; empty if it does not
+  /// Engines that may get orders under the stored lease; unset if it does not
   /// restrict them.
   std::optional<EngineSet> allowed_;
   /// What the lease that was written last names.
--- a/tests/correctness/quota_test.cc
+++ b/tests/correctness/quota_test.cc
@@ -111,7 +111,7 @@
       }
       node.charged.push_back({cost, now + wait});
     } else if (node.share->FitsLimit(kCustomer, cost) &&
-               node.share->MayAsk(kCustomer, now)) {
+               node.share->MayWaitForGrant(kCustomer, now)) {
       node.share->BeginWait(kCustomer, cost);
       node.waiting.push_back({cost, now + kMaxGrantWait});
     } else {
@@ -311,7 +311,8 @@
       const bool charged = node.share->TryCharge(kCustomer, it.cost, local);
       if (charged) {
         node.charged.push_back({it.cost, local});
-      } else if (local < it.until && node.share->MayAsk(kCustomer, local)) {
+      } else if (local < it.until &&
+                 node.share->MayWaitForGrant(kCustomer, local)) {
         return false;
       } else {
         ++refused;
