--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -23,6 +23,7 @@
     "passMs": 120, "retryAfterS": 0, "fenceChecked": False, "leaseMs": 3000,
     "thawSlackMs": 300, "ceilingWindowS": 5, "ceilingFactor": 1.1}
 VALUE_BYTES = 1048576
+MAX_SECONDS = 110       # of one run of a case
 
 _held = []
 
@@ -144,7 +145,6 @@
         self.era = None
         self.away = False        # no answer but 503, to everybody
         self.rejected = set()    # ports of the nodes that get 503
-        self.on_removal_sent = None
 
     # What the operator and the servers write.
 
@@ -239,10 +239,6 @@
                       if k == kind and r > since]
             left = until - time.monotonic()
             if events or left <= 0:
-                for it in events:
-                    if it["tombstone"] and self.on_removal_sent:
-                        self.on_removal_sent(
-                            port, it["object"]["metadata"]["name"])
                 return self.reply(200, {"events": events,
                                         "currentRev": self.revision})
             await asyncio.sleep(min(left, 0.01))
@@ -528,9 +524,17 @@
         raise SystemExit(2)
     record = Record(os.path.join(folder, "record.txt"))
     temporary = tempfile.mkdtemp(prefix="review-2-")
+
+    async def run():
+        # A stopped case ends the processes that it started.
+        task = asyncio.create_task(body(record, temporary))
+        for it in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(it, task.cancel)
+        return await asyncio.wait_for(task, MAX_SECONDS)
+
     try:
-        status = asyncio.run(asyncio.wait_for(body(record, temporary), 110))
-    except Exception as error:  # The case could not run.
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         record.line("the case could not run: %r" % error)
         status = 2
     finally:
@@ -540,33 +544,6 @@
     raise SystemExit(status)
 
 
-class Leaving:
-    """A server that leaves, and what its last requests say about the rule
-    DRAIN: the acknowledgement of each node is the moment at which the store
-    answered its call with the removal of the entry."""
-
-    def __init__(self, store, record, server):
-        self.store, self.record, self.server = store, record, server
-        self.acknowledged = {}      # time by the port of the node's store
-
-    async def remove_entry(self):
-        await self.store.remove("servers", self.server.id)
-        self.record.line("the entry of %s is removed; it goes on serving" %
-                         self.server.id)
-        self.store.on_removal_sent = self.note
-
-    def note(self, port, name):
-        if name == self.server.id and port not in self.acknowledged:
-            self.acknowledged[port] = self.record.now()
-            self.record.line("the store tells the node at its port %d that %s "
-                             "is gone" % (port, name))
-
-    def late_runs(self):
-        """Returns the runs later than drainMs after the last node was told."""
-        limit = max(self.acknowledged.values()) + BOUNDS["drainMs"] / 1000
-        return limit, [it for it in self.server.runs if it[0] > limit]
-
-
 async def traffic(record, nodes, counts, stop, method, path, name,
                   interval=0.05):
     """Sends requests to the nodes in turn until `stop`, and counts the answers
