--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -544,31 +545,87 @@
     raise SystemExit(status)
 
 
-async def traffic(record, nodes, counts, stop, method, path, name,
-                  interval=0.05):
-    """Sends requests to the nodes in turn until `stop`, and counts the answers
-    by status; 0 stands for a channel that ended without an answer."""
-    number = 0
-    tasks = set()
+class Bookings:
+    """Clients that send bookings, each on a channel of its own that it keeps.
+    Judges them by RULES.md, LOST: "At any time, a machine in touch passes a
+    request from a kept channel on to a sound server and closes that channel
+    without an answer, more than three times." """
 
-    async def one(node, attempt):
-        status, _ = await call(node.front, method, path,
-                               {"Attempt-Id": attempt, "Deadline-Ms": 1500},
-                               b"visit" if method == "POST" else b"",
-                               timeout=2)
-        counts[status] = counts.get(status, 0) + 1
-        if status != 200:
-            record.line("client got %d for %s from %s" % (status, attempt,
-                                                          node.name))
+    ALLOWED = 3
+    MAX_PAUSE_S = 0.1
+
+    def __init__(self, record, nodes, sound_servers, clients_per_node):
+        self.record, self.nodes = record, nodes
+        self.sound_servers = sound_servers
+        self.clients_per_node = clients_per_node
+        self.stopped = False
+        self.counts = {}        # answers by status
+        self.cut = []           # (node, attempt) without an answer
+        self.tasks = []
+
+    def start(self):
+        self.tasks = [
+            asyncio.create_task(self.client(node, "book-%s-%d" % (node.name, n)))
+            for node in self.nodes for n in range(self.clients_per_node)]
 
-    while not stop.is_set():
-        number += 1
-        task = asyncio.create_task(one(nodes[number % len(nodes)],
-                                       "%s-%d" % (name, number)))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(interval)
-    await asyncio.gather(*list(tasks))
+    async def stop(self):
+        self.stopped = True
+        await asyncio.gather(*self.tasks)
+
+    async def client(self, node, name):
+        number = 0
+        while not self.stopped:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1",
+                                                               node.front)
+            except OSError:
+                await asyncio.sleep(self.MAX_PAUSE_S)
+                continue
+            kept = False
+            try:
+                while not self.stopped:
+                    number += 1
+                    attempt = "%s-%d" % (name, number)
+                    close = await self.book(reader, writer, attempt)
+                    kept = True
+                    if close:
+                        break
+                    await asyncio.sleep(random.uniform(0, self.MAX_PAUSE_S))
+            except (OSError, asyncio.IncompleteReadError):
+                self.record.line("the channel of %s ends without an answer" %
+                                 attempt)
+                if kept:
+                    self.cut.append((node, attempt))
+            finally:
+                writer.close()
+
+    async def book(self, reader, writer, attempt):
+        writer.write(("POST /book/x HTTP/1.1\r\nHost: ficu95.example\r\n"
+                      "Attempt-Id: %s\r\nDeadline-Ms: 3000\r\n"
+                      "Content-Length: 5\r\n\r\nvisit" % attempt).encode())
+        await writer.drain()
+        line, headers, _ = await read_message(reader)
+        status = int(line.split(" ")[1])
+        self.counts[status] = self.counts.get(status, 0) + 1
+        if status != 200:
+            self.record.line("client got %d for %s" % (status, attempt))
+        return headers.get("connection", "").lower() == "close"
+
+    def breaks_lost(self):
+        """Records the lost bookings. Returns whether they break the rule."""
+        ran = {attempt for server in self.sound_servers
+               for _, attempt in server.runs}
+        self.record.line("bookings by status: %s" % self.counts)
+        broken = False
+        for node in self.nodes:
+            lost = [attempt for it, attempt in self.cut
+                    if it is node and attempt in ran]
+            self.record.line("%s passed %d bookings of kept channels on to a "
+                             "sound server and closed the channel without an "
+                             "answer; %d are allowed" %
+                             (node.name, len(lost), self.ALLOWED))
+            broken = broken or len(lost) > self.ALLOWED
+        return broken
 
 
 # RULES.md, Fault: "if on a tenth of the machines in use (two at least)
@@ -578,7 +635,7 @@
 
 
 def breaks_fault(record, nodes):
-    """Records how often the processes ended by themselves. Returns whether
+    """Records how often the processes ended by themselves, and returns whether
     that breaks the rule Fault."""
     for node in nodes:
         record.line("%s ended by itself %d times: %s" % (
@@ -593,7 +650,9 @@
         for text, count in said.items():
             record.line("%s said %d times: %s" % (node.name, count, text))
     often = [it for it in nodes if len(it.ends) >= MIN_FAULT_ENDS]
-    return len(often) >= max(MIN_FAULT_MACHINES, len(nodes) / 10)
+    broken = len(often) >= max(MIN_FAULT_MACHINES, len(nodes) / 10)
+    record.line("Fault: %s" % ("broken" if broken else "held"))
+    return broken
 
 
 def memory_mb(pid):
