--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,9 @@
 # One server of three spoils 2 in 100 of its answers.
 SPOILS_EVERY = 50
 FIELD_BYTES = 70000
-SECONDS = 85
+SECONDS = 60
+BOOKING_S = 0.4
+CLIENTS = 6     # that send bookings to each node
 
 
 class FaultyServer(fleet.Server):
@@ -44,14 +46,14 @@
     ports = [fleet.free_port() for _ in range(NODES)]
     nodes = [fleet.Node(folder, record, "front-%d" % (n + 1), ports[n])
              for n in range(NODES)]
-    servers = [FaultyServer(store, record, "i-desk-0", "bookdesk")] + [
-        fleet.Server(store, record, "i-desk-%d" % n, "bookdesk")
-        for n in range(1, SERVERS)]
+    servers = [FaultyServer(store, record, "i-desk-0", "bookdesk",
+                            work_s=BOOKING_S)] + [
+        fleet.Server(store, record, "i-desk-%d" % n, "bookdesk",
+                     work_s=BOOKING_S) for n in range(1, SERVERS)]
     server_ports = [fleet.free_port() for _ in servers]
     fleet.release_ports()
     keepers = []
-    stop = asyncio.Event()
-    booked, looked = {}, {}
+    bookings = fleet.Bookings(record, nodes, servers[1:], CLIENTS)
     try:
         for port in ports:
             await store.listen(port)
@@ -66,21 +68,17 @@
             await node.start()
         for node in nodes:
             if not await node.await_ready():
+                record.line("%s does not become ready" % node.name)
                 return 2
         keepers = [asyncio.create_task(it.keep_running()) for it in nodes]
         await asyncio.sleep(2)
-        tasks = [asyncio.create_task(it) for it in (
-            fleet.traffic(record, nodes, booked, stop, "POST", "/book/x",
-                          "book"),
-            fleet.traffic(record, nodes, looked, stop, "GET", "/stock/x",
-                          "look"))]
+        bookings.start()
         await asyncio.sleep(SECONDS)
-        stop.set()
-        await asyncio.gather(*tasks)
+        await bookings.stop()
         record.line("i-desk-0 spoilt %d of %d answers" %
                     (servers[0].spoilt, servers[0].answers))
-        record.line("bookings by status: %s, lookups: %s" % (booked, looked))
-        return 1 if fleet.breaks_fault(record, nodes) else 0
+        fleet.breaks_fault(record, nodes)
+        return 1 if bookings.breaks_lost() else 0
     finally:
         for it in keepers:
             it.cancel()
