Ends no node over a long trailer of an answer

Cause: Beast keeps the lengths of a field in 16 bits and throws std::length_error beyond. It adds trailers to the fields of the head without the head's limit. The exception is thrown in the handler of the socket's read, below a noexcept function of the scheduler, so the process ends.

Change: FieldParser checks the size of a field before the container gets it, and drops trailers, which nothing uses. They stay limited by the unparsed input of a connection. A request of the node's own with such a field fails as not run instead of throwing. Answers of the store, of engines and of services are read by the same code.

--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <optional>
 
+#include "http/field_parser.h"
+#include "http/field_size.h"
 #include "http/io_watchdog.h"
 #include "http/transfer_coding.h"
 #include "runtime/await.h"
@@ -37,6 +39,13 @@
   return status >= 100 && status < 200 && status != 101;
 }
 
+// Whether a message can hold all of these fields.
+bool FitsMessage(const HttpHeaders& headers) {
+  return std::ranges::all_of(headers.fields(), [](const HttpHeader& it) {
+    return FitsHeaderField(it.name.size(), it.value.size());
+  });
+}
+
 // Whether a status is one that an answer can have.
 bool IsFinal(unsigned status) {
   return status >= 200 && status < 600;
@@ -85,7 +94,7 @@
   /// stack of the fiber, whose pages would stay in memory for as long as its
   /// client is connected.
   std::unique_ptr<std::array<char, kReadBufferBytes>> chunk;
-  std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
+  std::optional<ResponseParser<bhttp::buffer_body>> parser;
 };
 
 bool HttpConnection::Impl::MayRead(TimePoint deadline) {
@@ -181,6 +190,10 @@
 HttpResult<void> HttpConnection::Send(const HttpRequest& request,
                                       std::string_view body,
                                       const HttpCallOptions& options) {
+  if (!FitsMessage(request.headers)) {
+    return Failure(bhttp::error::header_limit, "cannot send the request to",
+                   address_, Verdict::kNotRun);
+  }
   bhttp::request<bhttp::span_body<const char>> message;
   message.method_string(request.method);
   message.target(request.target);
