Ends no node over a long field of a request

Trailers were also merged into the header: an endpoint was shown a second Attempt-Id, or a Model, that the client had sent after the body.

Change: requests are parsed by FieldParser too.

--- a/packages/http/request_reader.cc
+++ b/packages/http/request_reader.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <optional>
 
+#include "http/field_parser.h"
 #include "http/http_server.h"
 #include "http/request_memory.h"
 #include "http/server_connection.h"
@@ -23,7 +24,7 @@
 
 namespace {
 
-using Parser = bhttp::request_parser<bhttp::string_body>;
+using Parser = RequestParser<bhttp::string_body>;
 
 // Bytes of one read: of most requests, which are short, and of long bodies.
 constexpr std::size_t kReadBytes = 8UL * 1024;
