Gives the order lease to large VMs first

Cause: nodes took the lease over in the order of their names, whatever their VM. The holder plans for the whole fleet, sends its orders and hears from all nodes, and goes on serving its clients; with 0.09 of a processor it has no time left to read a configuration.

Change: a node tells its processors in its entry of the list of nodes, and LeaseRank puts larger VMs first; names decide among equal ones as before, so that fleets of equal VMs behave as before. The list is looked at only once the lease has ended, in place of ten times a second.

--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -135,6 +135,7 @@
   vm.address = {settings.peer_listen.ip, 0};
   vm.peer_port = settings.peer_listen.port;
   vm.data_centre = settings.data_centre;
+  vm.processors = settings.processors;
   return vm;
 }
 
--- a/packages/node/fleet_settings.h
+++ b/packages/node/fleet_settings.h
@@ -47,6 +47,7 @@
   FleetBounds bounds;
   /// Memory of the VM, which the process must not exceed.
   std::uint64_t memory_bytes = 160ULL * 1024 * 1024;
+  double processors = 0;  ///< Of the VM, may be a part of one; 0 if unknown.
   /// Number of sockets that the process may open; 0 if it is not limited.
   std::size_t max_sockets = 0;
 };
--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 #include "base/event_log.h"
 #include "base/events.h"
+#include "ordering/lease_rank.h"
 #include "ports/peer_network.h"
 #include "ports/store_era.h"
 
@@ -16,11 +18,9 @@
 // Interval at which a node that does not hold the lease checks whether it
 // expired.
 constexpr auto kFollowInterval = std::chrono::milliseconds(100);
-// Delay between the takeover attempts of successive nodes, so that the store
+// Delay between the takeover attempts of successive ranks, so that the store
 // gets one call instead of one from each node.
 constexpr auto kRankDelay = std::chrono::milliseconds(200);
-// Nodes of higher rank use the delay of this rank.
-constexpr std::size_t kMaxRank = 5;
 // Min interval between two renewals while orders wait for one. Orders that are
 // requested meanwhile share a renewal.
 constexpr auto kMinRenewalInterval = std::chrono::milliseconds(50);
@@ -362,17 +362,20 @@
   return std::max({fence_, stored, first}) + 1;
 }
 
-Duration OrderLease::TakeoverTimeout() const {
-  auto live = peers_.LiveIds();
-  if (holder_ != peers_.node_id()) {
-    // Otherwise the holder was another VM of this node's name.
-    std::erase(live, holder_);
+Duration OrderLease::TakeoverDelay() const {
+  std::map<std::string, double, std::less<>> processors;
+  for (const auto& it : peers_.Members()) {
+    processors[it.vm.id] = it.vm.processors;
   }
-  const auto it = std::ranges::find(live, peers_.node_id());
-  const auto rank = std::min<std::size_t>(
-      static_cast<std::size_t>(it - live.begin()), kMaxRank);
-  return timing_.validity + kClockMargin +
-         kRankDelay * static_cast<Duration::rep>(rank);
+  std::vector<LeaseCandidate> candidates;
+  for (const auto& it : peers_.LiveIds()) {
+    // A holder of this node's name was another VM.
+    if (it != holder_ || it == peers_.node_id()) {
+      candidates.push_back({it, processors[it]});
+    }
+  }
+  const auto rank = LeaseRank(peers_.node_id(), candidates);
+  return kRankDelay * static_cast<Duration::rep>(rank);
 }
 
 void OrderLease::Follow() {
@@ -381,9 +384,13 @@
     return;
   }
   const auto now = clock_.SuspendAwareNow();
-  if (observed_ && now - observed_->observed_at < TakeoverTimeout()) {
-    SleepUnlessStopping(kFollowInterval);
-    return;
+  if (observed_) {
+    const auto ended_at =
+        observed_->observed_at + timing_.validity + kClockMargin;
+    if (now < ended_at || now < ended_at + TakeoverDelay()) {
+      SleepUnlessStopping(kFollowInterval);
+      return;
+    }
   }
   TryTake();
 }
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -179,9 +179,9 @@
   void BeginWrite(std::optional<EngineSet> engines);
   /// Returns whether a requested order waits for a renewal.
   bool HasUnnamedRequest() const;
-  /// Returns how long this node waits for a renewal before it tries to take
-  /// the lease; depends on its rank among the live nodes.
-  Duration TakeoverTimeout() const;
+  /// Returns how long after the end of the lease this node tries to take it;
+  /// depends on its rank among the live nodes.
+  Duration TakeoverDelay() const;
   /// Returns the lease of this node as the JSON to store.
   std::string SerializeLease(bool released) const;
   /// Announces the lease to all nodes.
--- a/packages/ports/vm_list.h
+++ b/packages/ports/vm_list.h
@@ -23,8 +23,9 @@
   std::uint16_t peer_port = 0;   ///< Port for other nodes; 0 unless a node.
   std::uint16_t admin_port = 0;  ///< Port of the admin API; 0 unless a node.
   std::string data_centre;
-  std::string pool;      ///< Pool of an endpoint; empty for a node.
-  bool leaving = false;  ///< The platform lists the VM as leaving.
+  double processors = 0;  ///< Of a node's VM, may be a part; 0 if unknown.
+  std::string pool;       ///< Pool of an endpoint; empty for a node.
+  bool leaving = false;   ///< The platform lists the VM as leaving.
 };
 
 /// Reads the platform's list of live and leaving VMs.
--- a/packages/registry/node_registry.cc
+++ b/packages/registry/node_registry.cc
@@ -25,7 +25,8 @@
 std::string NodeObjectValue(const Vm& vm) {
   return nlohmann::json({{"ip", vm.address.ip},
                          {"peer_port", vm.peer_port},
-                         {"data_centre", vm.data_centre}})
+                         {"data_centre", vm.data_centre},
+                         {"processors", vm.processors}})
       .dump();
 }
 
@@ -38,6 +39,7 @@
     vm.address.ip = json.at("ip").get<std::string>();
     vm.peer_port = json.at("peer_port").get<std::uint16_t>();
     vm.data_centre = json.value("data_centre", "");
+    vm.processors = json.value("processors", 0.0);
   } catch (const nlohmann::json::exception& error) {
     return MakeError(ErrorKind::kInvalid, error.what());
   }
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -269,6 +269,25 @@
   EXPECT_GT(test_bed.order_count, 60);
 }
 
+// Guards against a small VM that takes the lease while a larger one could: it
+// has no processor left for a new configuration and for its clients then.
+TEST(OrderLease, LargestLiveVmTakesOver) {
+  LeaseTestBed test_bed(5);
+  const std::map<std::string, double> processors = {
+      {"n0", 0.5}, {"n1", 0.09}, {"n2", 0.3}, {"n3", 0.09}, {"n4", 0.5}};
+  for (const auto& [id, share] : processors) {
+    test_bed.nodes.at(id)->peers.processors = share;
+  }
+  test_bed.RunFor(seconds(3));
+  for (const char* successor : {"n4", "n2"}) {
+    const auto killed = test_bed.last_holder;
+    test_bed.nodes.at(killed)->store.disconnected = true;
+    test_bed.nodes.erase(killed);
+    test_bed.RunFor(seconds(10));
+    EXPECT_EQ(test_bed.last_holder, successor) << "after " << killed;
+  }
+}
+
 // Guards against a fleet in which no engine gets orders for the whole handover
 // gap after the lease holder is killed, also those that it did not order.
 TEST(OrderLease, SuccessorOfAKilledHolderOrdersIdleEnginesAtOnce) {
--- a/tests/correctness/platform_format_test.cc
+++ b/tests/correctness/platform_format_test.cc
@@ -184,6 +184,7 @@
   EXPECT_EQ(settings.bounds.order_handover_gap, milliseconds(3000));
   EXPECT_EQ(settings.bounds.load_rate_window, milliseconds(5000));
   EXPECT_EQ(settings.bounds.retry_limits.slack, 56);
+  EXPECT_EQ(settings.processors, 0.25);
   EXPECT_EQ(settings.memory_bytes, 260U * 1024 * 1024);
   // 200 descriptors are for files.
   EXPECT_EQ(settings.max_sockets, 3900U);
--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -40,6 +40,8 @@
 
   /// Size in bytes of the configuration root that was broadcast last.
   std::size_t last_announced_bytes = 0;
+  /// Processors of the node's VM.
+  double processors = 0;
   /// Address at which the node's operator API listens.
   Address admin;
 
@@ -54,6 +56,7 @@
       Member member;
       member.vm.id = it.first;
       member.vm.data_centre = it.second->data_centre_;
+      member.vm.processors = it.second->processors;
       member.vm.address.ip = it.second->admin.ip;
       member.vm.admin_port = it.second->admin.port;
       member.reachable = reachable_from_here;
