Unloads withdrawn models before it loads others beside them

Cause: the size of a model that the configuration does not name was 0, so that its memory counted as free.

Evidence: the two tests WithdrawnModel... of correctness.placement_plan failed before the change and pass now.

Change: the size of a withdrawn model is unknown, so nothing is loaded on its engine before it is unloaded there, whatever the demand for it was.

--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -89,6 +89,10 @@
     double free_memory_mb = 0;
     double utilization = 0;
     std::int64_t sole_copies = 0;
+    /// Loaded models that the configuration no longer names. How much memory
+    /// they fill is not known any more, so that nothing is loaded beside them.
+    std::vector<std::string> withdrawn;
+    Duration withdrawn_unload_time{};
   };
 
   // A loaded model that may be evicted; sorted by the order of eviction.
@@ -106,6 +110,10 @@
     Duration ready_in{};
   };
 
+  static Duration UnloadTime(bool running) {
+    return running ? kRunningUnloadTime : kIdleUnloadTime;
+  }
+
   static void AddDemand(ModelDemand& sum, const ModelDemand& other) {
     sum.waiting += other.waiting;
     sum.running += other.running;
@@ -144,7 +152,8 @@
     return it == replica_counts_.end() ? 0 : it->second;
   }
 
-  // Memory of a model with room for all adapters that an engine may load.
+  // Memory of a model with room for all adapters that an engine may load; 0 if
+  // the configuration does not name it.
   double MemoryMb(const std::string& model) const {
     const auto* spec = FindSpec(model);
     if (spec == nullptr) {
@@ -180,8 +189,17 @@
   const EngineFacts& FactsOf(const EngineSnapshot& engine) {
     const auto [it, added] = facts_.try_emplace(&engine);
     if (added) {
-      it->second = {FreeMemoryMb(engine), Utilization(engine),
-                    CountSoleCopies(engine)};
+      auto& facts = it->second;
+      facts.free_memory_mb = FreeMemoryMb(engine);
+      facts.utilization = Utilization(engine);
+      facts.sole_copies = CountSoleCopies(engine);
+      for (const auto& [loaded, adapters] : engine.models) {
+        if (FindSpec(loaded) == nullptr) {
+          facts.withdrawn.push_back(loaded);
+          facts.withdrawn_unload_time +=
+              UnloadTime(DemandOf(loaded).running > 0);
+        }
+      }
     }
     return it->second;
   }
@@ -281,7 +299,7 @@
                          OrderAction::kUnload,
                          {best->victims.front(), ""},
                          CheckpointSource::kMemory,
-                         running ? kRunningUnloadTime : kIdleUnloadTime});
+                         UnloadTime(running)});
       return true;
     }
     if (best->source == CheckpointSource::kRemote) {
@@ -383,7 +401,8 @@
     auto& out = it->second;
     if (added) {
       for (const auto& [loaded, adapters] : engine.models) {
-        if (MayEvict(loaded, missing, protect_busy)) {
+        if (FindSpec(loaded) != nullptr &&
+            MayEvict(loaded, missing, protect_busy)) {
           const auto demand = DemandOf(loaded);
           out.push_back({demand.running > 0, demand.last_arrival_at, loaded});
         }
@@ -398,13 +417,16 @@
                      bool missing,
                      bool protect_busy,
                      LoadOption& option) {
-    double needed_mb = MemoryMb(model) - FactsOf(engine).free_memory_mb;
+    const auto& facts = FactsOf(engine);
+    option.victims = facts.withdrawn;
+    option.ready_in += facts.withdrawn_unload_time;
+    double needed_mb = MemoryMb(model) - facts.free_memory_mb;
     if (needed_mb <= 0) {
       return true;
     }
     for (const auto& it : VictimsOf(engine, missing, protect_busy)) {
       option.victims.push_back(it.model);
-      option.ready_in += it.running ? kRunningUnloadTime : kIdleUnloadTime;
+      option.ready_in += UnloadTime(it.running);
       needed_mb -= MemoryMb(it.model);
       if (needed_mb <= 0) {
         return true;
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -130,6 +130,45 @@
   EXPECT_EQ(plan.orders[0].target.model, "m1");
 }
 
+// Guards against a load into memory that a model still uses which the
+// configuration no longer names: its size is not known any more, and an engine
+// that is ordered to hold more than it has memory for crashes.
+TEST(PlanPlacement, WithdrawnModelsAreUnloadedBeforeALoad) {
+  Fixture f;
+  f.input.engines = {MakeEngine("a", {"m0", "m1", "m2"})};
+  f.input.engines[0].cached_weights.on_disk.insert("m3");
+  f.KeepModels({"m2", "m3"});
+  f.input.demand[{"m3", ""}] = WaitingDemand();
+  for (const char* withdrawn : {"m0", "m1"}) {
+    const auto plan = PlanPlacement(f.input);
+    ASSERT_EQ(plan.orders.size(), 1U);
+    EXPECT_EQ(plan.orders[0].action, OrderAction::kUnload);
+    EXPECT_EQ(plan.orders[0].target.model, withdrawn);
+    f.input.engines[0].models.erase(withdrawn);
+  }
+  const auto plan = PlanPlacement(f.input);
+  ASSERT_EQ(plan.orders.size(), 1U);
+  EXPECT_EQ(plan.orders[0].action, OrderAction::kLoad);
+  EXPECT_EQ(plan.orders[0].target.model, "m3");
+}
+
+// Guards against a withdrawn model that is kept because requests for it were
+// counted under the version that still named it.
+TEST(PlanPlacement, WithdrawnModelIsUnloadedAlthoughItWasBusy) {
+  Fixture f;
+  f.input.engines = {MakeEngine("a", {"m0"})};
+  f.input.engines[0].cached_weights.on_disk.insert("m3");
+  f.KeepModels({"m3"});
+  f.input.demand[{"m0", ""}].waiting = 1;
+  f.input.demand[{"m0", ""}].rate = 10;
+  f.input.demand[{"m0", ""}].concurrency = 30;
+  f.input.demand[{"m3", ""}] = WaitingDemand();
+  const auto plan = PlanPlacement(f.input);
+  ASSERT_EQ(plan.orders.size(), 1U);
+  EXPECT_EQ(plan.orders[0].action, OrderAction::kUnload);
+  EXPECT_EQ(plan.orders[0].target.model, "m0");
+}
+
 // Guards against more loads from the weight store than it serves at full speed,
 // and against queued models without a load estimate.
 TEST(PlanPlacement, ModelsWithoutACachedCopyQueueForTheWeightStore) {
