Gives the types of a fleet names of their own

On a build without optimisation all nodes ended with SIGSEGV at their first requests; callers of the release build have not met this.

Cause: EndpointCandidate, ModelDemand and ModelSpec were each defined twice in one namespace, for the project's own interface and for a registered fleet, with different members. The linker keeps one copy of the functions that the compiler generates for a type of this name, such as those of std::vector, for both. The release build has such common functions for ModelDemand and ModelSpec too.

Evidence: gdb on the unoptimised build, a vector with one candidate, of which only the first members are set and whose reader goes past the end; the symbols of the release build.

--- a/packages/fleet/demand_table.cc
+++ b/packages/fleet/demand_table.cc
@@ -50,9 +50,9 @@
   }
 }
 
-std::map<ModelRef, ModelDemand> DemandTable::Read(const std::string& service,
+std::map<ModelRef, FleetDemand> DemandTable::Read(const std::string& service,
                                                   TimePoint now) {
-  std::map<ModelRef, ModelDemand> out;
+  std::map<ModelRef, FleetDemand> out;
   auto& models = services_[service];
   for (auto it = models.begin(); it != models.end();) {
     auto& entry = it->second;
@@ -61,7 +61,7 @@
       continue;
     }
     Decay(entry, now);
-    ModelDemand demand;
+    FleetDemand demand;
     demand.rate = entry.arrivals / Seconds(kDecayTime);
     demand.concurrency = entry.concurrency;
     demand.prompt_tokens_per_s = entry.prompt_tokens / Seconds(kDecayTime);
--- a/packages/fleet/demand_table.h
+++ b/packages/fleet/demand_table.h
@@ -15,7 +15,7 @@
 namespace tanagerloom {
 
 /// Demand for one model or adapter, summed over all nodes.
-struct ModelDemand {
+struct FleetDemand {
   std::uint32_t waiting = 0;
   std::uint32_t running = 0;
   double rate = 0;         ///< Recent arrivals per second.
@@ -45,7 +45,7 @@
 
   /// Returns the current demand for the models of a service, and removes models
   /// whose retention time has passed.
-  std::map<ModelRef, ModelDemand> Read(const std::string& service,
+  std::map<ModelRef, FleetDemand> Read(const std::string& service,
                                        TimePoint now);
 
  private:
--- a/packages/fleet/endpoint_observer.cc
+++ b/packages/fleet/endpoint_observer.cc
@@ -123,7 +123,7 @@
   return it != reports_.end() && it->second.has_reports();
 }
 
-void EndpointObserver::Describe(EndpointCandidate& candidate,
+void EndpointObserver::Describe(SelectionCandidate& candidate,
                                 std::uint32_t own,
                                 std::optional<double> known_others) {
   const auto& record = *candidate.record;
--- a/packages/fleet/endpoint_observer.h
+++ b/packages/fleet/endpoint_observer.h
@@ -17,7 +17,7 @@
 
 namespace tanagerloom {
 
-struct EndpointCandidate;
+struct SelectionCandidate;
 struct EndpointRecord;
 struct ReportedLoad;
 
@@ -92,7 +92,7 @@
 
   /// Adds what was learnt to a candidate. `own` counts this node's requests in
   /// flight there; `known_others` those of other nodes, if they tell.
-  void Describe(EndpointCandidate& candidate,
+  void Describe(SelectionCandidate& candidate,
                 std::uint32_t own,
                 std::optional<double> known_others);
 
--- a/packages/fleet/endpoint_selection.cc
+++ b/packages/fleet/endpoint_selection.cc
@@ -42,7 +42,7 @@
 // is idle.
 constexpr double kOwnWorkCost = 8;
 
-double LoadCost(const EndpointCandidate& candidate) {
+double LoadCost(const SelectionCandidate& candidate) {
   const double slots = std::max<std::uint32_t>(1, candidate.record->slots);
   const double work_ahead =
       (candidate.in_flight + candidate.uncounted_in_flight) * kReferenceSlots /
@@ -53,7 +53,7 @@
 }
 
 // Cost of failures, cold start and distance.
-double LoadIndependentCost(const EndpointCandidate& candidate) {
+double LoadIndependentCost(const SelectionCandidate& candidate) {
   double cost = candidate.failure_rate * kFailureCost;
   if (candidate.record->cold_time_left.count() > 0) {
     cost += kColdCost;
@@ -64,19 +64,19 @@
   return cost;
 }
 
-double Cost(const EndpointCandidate& candidate) {
+double Cost(const SelectionCandidate& candidate) {
   return LoadCost(candidate) + LoadIndependentCost(candidate);
 }
 
 // Returns the candidates whose load-independent cost is at most kMaxCostGap
 // above the lowest one.
-std::vector<const EndpointCandidate*> WithinCostGap(
-    std::span<const EndpointCandidate> candidates) {
+std::vector<const SelectionCandidate*> WithinCostGap(
+    std::span<const SelectionCandidate> candidates) {
   double lowest = std::numeric_limits<double>::max();
   for (const auto& it : candidates) {
     lowest = std::min(lowest, LoadIndependentCost(it));
   }
-  std::vector<const EndpointCandidate*> out;
+  std::vector<const SelectionCandidate*> out;
   for (const auto& it : candidates) {
     if (LoadIndependentCost(it) <= lowest + kMaxCostGap) {
       out.push_back(&it);
@@ -86,8 +86,8 @@
 }
 
 // Returns the candidate of lower cost among two random ones.
-const EndpointCandidate* PowerOfTwoChoice(
-    const std::vector<const EndpointCandidate*>& candidates,
+const SelectionCandidate* PowerOfTwoChoice(
+    const std::vector<const SelectionCandidate*>& candidates,
     std::uint64_t seed) {
   const std::uint64_t n = candidates.size();
   if (n == 1) {
@@ -102,10 +102,10 @@
 
 // Returns the endpoint of lowest cost among those that have the shared prompt
 // cached. The order of preference decides unless the loads differ.
-const EndpointCandidate* SharedPromptChoice(
-    std::span<const EndpointCandidate> candidates,
+const SelectionCandidate* SharedPromptChoice(
+    std::span<const SelectionCandidate> candidates,
     std::string_view key) {
-  const EndpointCandidate* best = nullptr;
+  const SelectionCandidate* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   double rank_cost = 0;
   for (const auto* it : SharedPromptEndpoints(candidates, key)) {
@@ -121,10 +121,10 @@
 
 }  // namespace
 
-std::vector<const EndpointCandidate*> SharedPromptEndpoints(
-    std::span<const EndpointCandidate> candidates,
+std::vector<const SelectionCandidate*> SharedPromptEndpoints(
+    std::span<const SelectionCandidate> candidates,
     std::string_view key) {
-  std::vector<std::pair<std::uint64_t, const EndpointCandidate*>> by_hash;
+  std::vector<std::pair<std::uint64_t, const SelectionCandidate*>> by_hash;
   for (const auto& it : candidates) {
     StableHasher hasher;
     hasher.Add(it.record->id);
@@ -135,15 +135,15 @@
   const auto n = std::min(kSharedPromptEndpoints, by_hash.size());
   std::ranges::partial_sort(by_hash, by_hash.begin() + static_cast<int>(n),
                             std::greater<>());
-  std::vector<const EndpointCandidate*> out;
+  std::vector<const SelectionCandidate*> out;
   for (std::size_t i = 0; i < n; ++i) {
     out.push_back(by_hash[i].second);
   }
   return out;
 }
 
-const EndpointCandidate* SelectEndpoint(
-    std::span<const EndpointCandidate> candidates,
+const SelectionCandidate* SelectEndpoint(
+    std::span<const SelectionCandidate> candidates,
     const SelectionRequest& request) {
   if (candidates.empty()) {
     return nullptr;
--- a/packages/fleet/endpoint_selection.h
+++ b/packages/fleet/endpoint_selection.h
@@ -14,7 +14,7 @@
 struct EndpointRecord;
 
 /// One endpoint that can run a request.
-struct EndpointCandidate {
+struct SelectionCandidate {
   const EndpointRecord* record = nullptr;
   /// Requests of all nodes, by their latest counts.
   std::uint32_t in_flight = 0;
@@ -50,15 +50,15 @@
 /// request itself, takes longer on a slow endpoint. Requests that share a
 /// prompt go to one of the endpoints that have it cached unless its extra load
 /// costs more than processing the prompt again.
-const EndpointCandidate* SelectEndpoint(
-    std::span<const EndpointCandidate> candidates,
+const SelectionCandidate* SelectEndpoint(
+    std::span<const SelectionCandidate> candidates,
     const SelectionRequest& request);
 
 /// Returns the endpoints that are expected to have the shared prompt `key`
 /// cached, the most preferred one first: a few of the candidates, found by
 /// rendezvous hashing. All nodes that see the same candidates find the same.
-std::vector<const EndpointCandidate*> SharedPromptEndpoints(
-    std::span<const EndpointCandidate> candidates,
+std::vector<const SelectionCandidate*> SharedPromptEndpoints(
+    std::span<const SelectionCandidate> candidates,
     std::string_view key);
 
 }  // namespace tanagerloom
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -50,7 +50,7 @@
 };
 
 /// One model that the engines of a service can load.
-struct ModelSpec {
+struct FleetModel {
   std::string name;
   double weights_mb = 0;
   double adapter_mb = 0;
@@ -66,7 +66,7 @@
   std::uint32_t adapter_slots = 0;
   /// Rate limit of the weight store, over all engines.
   double store_loads_per_s = 0;
-  std::map<std::string, ModelSpec, std::less<>> models;
+  std::map<std::string, FleetModel, std::less<>> models;
 };
 
 /// One service.
@@ -120,8 +120,8 @@
     return nullptr;
   }
 
-  const ModelSpec* FindModel(std::string_view service,
-                             std::string_view model) const {
+  const FleetModel* FindModel(std::string_view service,
+                              std::string_view model) const {
     const auto* found = FindService(service);
     if (found == nullptr || !found->engine) {
       return nullptr;
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -271,21 +271,21 @@
   return record != nullptr && HasLoaded(*record, model);
 }
 
-std::vector<EndpointCandidate> FleetView::Candidates(
+std::vector<SelectionCandidate> FleetView::Candidates(
     std::string_view service,
     const ModelRef& model,
     const std::set<std::string>& excluded) const {
   const auto now = clock_.Now();
-  std::vector<EndpointCandidate> out;
+  std::vector<SelectionCandidate> out;
   for (const auto& [id, record] : directory_.records()) {
     if (record.service != service || record.draining || excluded.contains(id) ||
         IsPaused(record) || !HasLoaded(record, model)) {
       continue;
     }
     const auto use = InFlight(id);
-    EndpointCandidate candidate{&record, use.requests, 0,
-                                record.data_centre == data_centre_,
-                                use.prompt_tokens};
+    SelectionCandidate candidate{&record, use.requests, 0,
+                                 record.data_centre == data_centre_,
+                                 use.prompt_tokens};
     const auto health = health_.find(id);
     if (health != health_.end()) {
       if (!health->second.AllowsRequests(now)) {
@@ -298,7 +298,7 @@
   return out;
 }
 
-void FleetView::AddObservations(std::span<EndpointCandidate> candidates) {
+void FleetView::AddObservations(std::span<SelectionCandidate> candidates) {
   for (auto& it : candidates) {
     const auto own = OwnInFlight(it.record->id);
     const auto known_others = peer_use_.empty()
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -143,7 +143,7 @@
 
   /// Returns the endpoints of `service` that can take a request for `model`
   /// now, except those in `excluded`.
-  std::vector<EndpointCandidate> Candidates(
+  std::vector<SelectionCandidate> Candidates(
       std::string_view service,
       const ModelRef& model,
       const std::set<std::string>& excluded) const;
@@ -152,7 +152,7 @@
   bool CanRun(const std::string& id, const ModelRef& model) const;
 
   /// Adds to candidates what was learnt from the answers of endpoints.
-  void AddObservations(std::span<EndpointCandidate> candidates);
+  void AddObservations(std::span<SelectionCandidate> candidates);
 
   /// Removes the state of endpoints that are gone, and expired state.
   void Prune();
--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -114,7 +114,7 @@
     return running ? kRunningUnloadTime : kIdleUnloadTime;
   }
 
-  static void AddDemand(ModelDemand& sum, const ModelDemand& other) {
+  static void AddDemand(FleetDemand& sum, const FleetDemand& other) {
     sum.waiting += other.waiting;
     sum.running += other.running;
     sum.rate += other.rate;
@@ -132,17 +132,17 @@
     }
   }
 
-  const ModelSpec* FindSpec(const std::string& model) const {
+  const FleetModel* FindSpec(const std::string& model) const {
     const auto it = input_.spec->models.find(model);
     return it == input_.spec->models.end() ? nullptr : &it->second;
   }
 
-  ModelDemand DemandOf(const std::string& model) const {
+  FleetDemand DemandOf(const std::string& model) const {
     const auto it = demand_by_model_.find(model);
-    return it == demand_by_model_.end() ? ModelDemand() : it->second;
+    return it == demand_by_model_.end() ? FleetDemand() : it->second;
   }
 
-  std::uint32_t DesiredReplicasOf(const ModelDemand& demand) const {
+  std::uint32_t DesiredReplicasOf(const FleetDemand& demand) const {
     return DesiredReplicas(demand, input_.spec->slots,
                            input_.engine_prompt_tokens_per_s);
   }
@@ -206,7 +206,7 @@
 
   // Returns the place of a model's rank in the order of loads. In a part of the
   // time the later ranks come first, so that none starves.
-  std::int64_t RankOrder(const ModelDemand& demand) const {
+  std::int64_t RankOrder(const FleetDemand& demand) const {
     const std::int64_t rank = demand.best_rank.value_or(0);
     const auto turn = input_.now.time_since_epoch() / kLoadTurn;
     return turn % kLoadTurnsPerLaterRank == 0 ? -rank : rank;
@@ -541,7 +541,7 @@
   }
 
   const PlacementInput& input_;
-  std::map<std::string, ModelDemand> demand_by_model_;
+  std::map<std::string, FleetDemand> demand_by_model_;
   std::map<std::string, std::uint32_t> replica_counts_;
   /// Usable engines with a copy on disk, by model.
   std::map<std::string, std::uint32_t> disk_copies_;
@@ -558,7 +558,7 @@
 
 }  // namespace
 
-std::uint32_t DesiredReplicas(const ModelDemand& demand,
+std::uint32_t DesiredReplicas(const FleetDemand& demand,
                               std::uint32_t slots,
                               double engine_prompt_tokens_per_s) {
   const double reading =
@@ -587,7 +587,7 @@
                                                 : CheckpointSource::kRemote;
 }
 
-Duration LoadTime(const ModelSpec& model, CheckpointSource source) {
+Duration LoadTime(const FleetModel& model, CheckpointSource source) {
   switch (source) {
     case CheckpointSource::kMemory:
       return model.memory_load_time;
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -37,7 +37,7 @@
 struct PlacementInput {
   const EngineSpec* spec = nullptr;
   std::vector<EngineSnapshot> engines;
-  std::map<ModelRef, ModelDemand> demand;
+  std::map<ModelRef, FleetDemand> demand;
   TimePoint now{};
   /// Prompt tokens that one engine reads in a second if it does nothing else.
   double engine_prompt_tokens_per_s = 0;
@@ -82,7 +82,7 @@
 /// Returns the replicas that a model should have for its demand, on engines
 /// with `slots` slots that read `engine_prompt_tokens_per_s`; 0 if it is not
 /// busy. Few requests with long prompts fill an engine long before its slots.
-std::uint32_t DesiredReplicas(const ModelDemand& demand,
+std::uint32_t DesiredReplicas(const FleetDemand& demand,
                               std::uint32_t slots,
                               double engine_prompt_tokens_per_s);
 
@@ -92,7 +92,7 @@
                                const std::string& model);
 
 /// Returns the time to load `model` from `source`.
-Duration LoadTime(const ModelSpec& model, CheckpointSource source);
+Duration LoadTime(const FleetModel& model, CheckpointSource source);
 
 }  // namespace tanagerloom
 
--- a/packages/forwarding/endpoint_chooser.cc
+++ b/packages/forwarding/endpoint_chooser.cc
@@ -21,17 +21,17 @@
 constexpr double kFullLoadFactor = 2.0;
 
 // Returns whether an endpoint gets no more requests now.
-bool IsFull(const EndpointCandidate& candidate) {
+bool IsFull(const SelectionCandidate& candidate) {
   return candidate.in_flight + candidate.uncounted_in_flight >=
          kFullLoadFactor * candidate.record->slots;
 }
 
 // Removes the candidates that this node is to leave to other nodes for now. If
 // there are no others, those stay that may be used alone.
-void RemoveHeldBack(std::vector<EndpointCandidate>& candidates) {
+void RemoveHeldBack(std::vector<SelectionCandidate>& candidates) {
   const bool alone =
-      std::ranges::all_of(candidates, &EndpointCandidate::held_back);
-  std::erase_if(candidates, [alone](const EndpointCandidate& it) {
+      std::ranges::all_of(candidates, &SelectionCandidate::held_back);
+  std::erase_if(candidates, [alone](const SelectionCandidate& it) {
     return alone ? !it.usable_alone : it.held_back;
   });
 }
@@ -62,12 +62,12 @@
   return out;
 }
 
-std::vector<EndpointCandidate> EndpointChooser::WithRoom(
+std::vector<SelectionCandidate> EndpointChooser::WithRoom(
     const std::set<std::string>& excluded,
-    const std::function<bool(const EndpointCandidate&)>& is_unsuitable) const {
+    const std::function<bool(const SelectionCandidate&)>& is_unsuitable) const {
   auto out = deps_.view.Candidates(service_, profile_.model, excluded);
   deps_.view.AddObservations(out);
-  std::erase_if(out, [&](const EndpointCandidate& it) {
+  std::erase_if(out, [&](const SelectionCandidate& it) {
     return IsFull(it) || is_unsuitable(it);
   });
   RemoveHeldBack(out);
@@ -75,7 +75,7 @@
 }
 
 std::optional<EndpointTarget> EndpointChooser::Choose() const {
-  auto candidates = WithRoom(Excluded(), [this](const EndpointCandidate& it) {
+  auto candidates = WithRoom(Excluded(), [this](const SelectionCandidate& it) {
     return IsTooSlow(it);
   });
   const auto key = profile_.SharedPromptKey();
@@ -89,15 +89,15 @@
                         PromptTokensAt(*chosen, candidates)};
 }
 
-bool EndpointChooser::IsTooSlow(const EndpointCandidate& candidate) const {
+bool EndpointChooser::IsTooSlow(const SelectionCandidate& candidate) const {
   const double speed = deps_.view.PromptSpeedOf(service_).tokens_per_ms();
   return CannotStartInTime(candidate.prompt_tokens, speed, deps_.clock.Now(),
                            deadline_);
 }
 
 std::uint32_t EndpointChooser::PromptTokensAt(
-    const EndpointCandidate& endpoint,
-    std::span<const EndpointCandidate> candidates) const {
+    const SelectionCandidate& endpoint,
+    std::span<const SelectionCandidate> candidates) const {
   const auto cached_at =
       SharedPromptEndpoints(candidates, profile_.SharedPromptKey());
   const bool cached =
@@ -106,7 +106,7 @@
 }
 
 bool EndpointChooser::HasRoom() const {
-  return !WithRoom({}, [](const EndpointCandidate&) { return false; }).empty();
+  return !WithRoom({}, [](const SelectionCandidate&) { return false; }).empty();
 }
 
 bool EndpointChooser::HasOther(const std::string& id) const {
--- a/packages/forwarding/endpoint_chooser.h
+++ b/packages/forwarding/endpoint_chooser.h
@@ -17,7 +17,7 @@
 
 namespace tanagerloom {
 
-struct EndpointCandidate;
+struct SelectionCandidate;
 struct ForwardingDependencies;
 struct RequestProfile;
 
@@ -58,15 +58,16 @@
   std::set<std::string> Excluded() const;
   /// Returns the endpoints that may get one more request now and are not
   /// `excluded` nor `is_unsuitable` for it.
-  std::vector<EndpointCandidate> WithRoom(
+  std::vector<SelectionCandidate> WithRoom(
       const std::set<std::string>& excluded,
-      const std::function<bool(const EndpointCandidate&)>& is_unsuitable) const;
+      const std::function<bool(const SelectionCandidate&)>& is_unsuitable)
+      const;
   /// Returns whether an endpoint would answer this request too late.
-  bool IsTooSlow(const EndpointCandidate& candidate) const;
+  bool IsTooSlow(const SelectionCandidate& candidate) const;
   /// Returns the tokens of the prompt that an endpoint is expected to read.
   std::uint32_t PromptTokensAt(
-      const EndpointCandidate& endpoint,
-      std::span<const EndpointCandidate> candidates) const;
+      const SelectionCandidate& endpoint,
+      std::span<const SelectionCandidate> candidates) const;
 
   const ForwardingDependencies& deps_;
   const RequestProfile& profile_;
--- a/tests/correctness/endpoint_choice_test.cc
+++ b/tests/correctness/endpoint_choice_test.cc
@@ -170,7 +170,7 @@
       node.idle.pop_front();
       return out;
     }
-    std::vector<EndpointCandidate> candidates;
+    std::vector<SelectionCandidate> candidates;
     if (policy_ == Policy::kLeastReported || policy_ == Policy::kExpectedTime) {
       UpdateReports(n, now_ms);
     }
--- a/tests/correctness/endpoint_pace_test.cc
+++ b/tests/correctness/endpoint_pace_test.cc
@@ -282,14 +282,14 @@
     view.directory().Update(record, clock.Now());
   }
 
-  std::vector<EndpointCandidate> Candidates() {
+  std::vector<SelectionCandidate> Candidates() {
     auto out = view.Candidates("s", {}, {});
     view.AddObservations(out);
     return out;
   }
 
   // Returns the candidate with that id.
-  EndpointCandidate Candidate(const std::string& id) {
+  SelectionCandidate Candidate(const std::string& id) {
     for (const auto& it : Candidates()) {
       if (it.record->id == id) {
         return it;
--- a/tests/correctness/fleet_choices_test.cc
+++ b/tests/correctness/fleet_choices_test.cc
@@ -40,7 +40,7 @@
 // Returns the fraction of selections that each endpoint gets over 3000 random
 // numbers.
 std::map<std::string, double> SelectionFractions(
-    const std::vector<EndpointCandidate>& candidates) {
+    const std::vector<SelectionCandidate>& candidates) {
   constexpr int kChoices = 3000;
   std::mt19937_64 random(7);
   std::map<std::string, double> out;
@@ -74,7 +74,7 @@
   for (int i = 0; i < 8; ++i) {
     records.push_back(Endpoint("e" + std::to_string(i), 12));
   }
-  std::vector<EndpointCandidate> candidates;
+  std::vector<SelectionCandidate> candidates;
   for (const auto& it : records) {
     candidates.push_back({&it, 0, 0, true});
   }
@@ -93,8 +93,8 @@
 TEST(SelectEndpoint, FailingEndpointIsAvoided) {
   const auto good = Endpoint("good");
   const auto failing = Endpoint("grey");
-  const std::vector<EndpointCandidate> candidates = {{&good, 15, 0, true},
-                                                     {&failing, 0, 0.5, true}};
+  const std::vector<SelectionCandidate> candidates = {{&good, 15, 0, true},
+                                                      {&failing, 0, 0.5, true}};
   EXPECT_EQ(SelectEndpoint(candidates, {"", 0})->record->id, "good");
 }
 
@@ -103,8 +103,8 @@
 TEST(SelectEndpoint, SharedPromptsGoToOneEndpointUnlessItIsBusy) {
   const auto a = Endpoint("a");
   const auto b = Endpoint("b");
-  std::vector<EndpointCandidate> candidates = {{&a, 4, 0, true},
-                                               {&b, 4, 0, true}};
+  std::vector<SelectionCandidate> candidates = {{&a, 4, 0, true},
+                                                {&b, 4, 0, true}};
   const SelectionRequest request{"long prompt", 6000};
   const auto* preferred = SelectEndpoint(candidates, request);
   auto& busy = preferred == &candidates[0] ? candidates[0] : candidates[1];
@@ -132,7 +132,7 @@
   for (int i = 0; i < 12; ++i) {
     records.push_back(Endpoint("e" + std::to_string(i)));
   }
-  std::vector<EndpointCandidate> candidates;
+  std::vector<SelectionCandidate> candidates;
   for (const auto& it : records) {
     candidates.push_back({&it, 0, 0, true});
   }
--- a/tests/correctness/placement_plan_test.cc
+++ b/tests/correctness/placement_plan_test.cc
@@ -23,7 +23,7 @@
   spec.weights_mb = 200000;
   spec.adapter_slots = 8;
   for (int i = 0; i < models; ++i) {
-    ModelSpec model;
+    FleetModel model;
     model.name = "m" + std::to_string(i);
     model.weights_mb = 60000 + 1000 * (i % 10);
     model.adapter_mb = 50;
@@ -45,8 +45,8 @@
   return engine;
 }
 
-ModelDemand WaitingDemand(std::uint32_t n = 1) {
-  ModelDemand demand;
+FleetDemand WaitingDemand(std::uint32_t n = 1) {
+  FleetDemand demand;
   demand.waiting = n;
   demand.last_arrival_at = kNow;
   demand.earliest_deadline = kNow + seconds(10);
@@ -228,7 +228,7 @@
     it.cached_weights.on_disk = {"m0", "m1", "m2"};
   }
   f.input.engines[1].cached_weights.in_memory.insert("m0");
-  ModelDemand busy;
+  FleetDemand busy;
   busy.rate = 40;
   busy.concurrency = 14;
   busy.last_arrival_at = kNow;
@@ -271,7 +271,7 @@
 // Guards against a busy model that has only one replica, and against replicas
 // for which a model in use is evicted.
 TEST(PlanPlacement, BusyModelsGetReplicasByTheirConcurrency) {
-  ModelDemand demand;
+  FleetDemand demand;
   demand.rate = 1;
   EXPECT_EQ(DesiredReplicas(demand, 64, kReadingSpeed), 0U);
   demand.rate = 2;
@@ -302,7 +302,7 @@
 // Guards against a model whose few requests have prompts so long that one
 // engine can't read them, although most of its slots are free.
 TEST(PlanPlacement, LongPromptsNeedReplicasBeforeSlotsAreFull) {
-  ModelDemand demand;
+  FleetDemand demand;
   demand.rate = 4;
   demand.concurrency = 3;
   demand.prompt_tokens_per_s = 4 * 9000;  // 0.9 of what an engine reads.
@@ -378,7 +378,7 @@
       f.input.engines.push_back(engine);
     }
     for (int i = 0; i < 10; ++i) {
-      ModelDemand demand = WaitingDemand(random_below(3));
+      FleetDemand demand = WaitingDemand(random_below(3));
       demand.rate = random_below(30);
       demand.concurrency = random_below(40);
       demand.last_arrival_at = kNow - seconds(random_below(20));
--- a/tests/performance/placement_plan_test.cc
+++ b/tests/performance/placement_plan_test.cc
@@ -35,7 +35,7 @@
   spec.weights_mb = 220000;
   spec.adapter_slots = 8;
   for (int i = 0; i < models; ++i) {
-    ModelSpec model;
+    FleetModel model;
     model.name = ModelName(i);
     model.weights_mb = 72000;
     model.store_load_time = seconds(13);
