Keeps the ranks for the order lease after an outage of the store

Cause: a node waits for its rank from the last renewal that it heard. After an outage that is longer than the lease and all ranks, every node may try at once, and the first one to reach the store takes the lease, whatever its VM.

Change: a node whose last read of the lease failed, and that finds an ended lease when it reaches the store again, waits for its rank from then on.

--- a/packages/ordering/order_lease.cc
+++ b/packages/ordering/order_lease.cc
@@ -403,6 +403,7 @@
   const auto now = clock_.SuspendAwareNow();
   if (!stored) {
     if (stored.assume_error().kind != ErrorKind::kNotFound) {
+      store_lost_ = true;
       SleepUnlessStopping(kStoreRetryDelay);
       return;
     }
@@ -418,6 +419,7 @@
     return;
   }
   lease_read_ = true;
+  const bool was_lost = std::exchange(store_lost_, false);
   const auto& object = stored.assume_value();
   const auto lease = ParseLease(object.value);
   const auto fence = NextFence(lease.fence, object.version);
@@ -454,11 +456,19 @@
     changed_.Signal();
     return;
   }
-  if (now - observed_->observed_at >= timing_.validity + kClockMargin) {
-    Take(object.version, fence,
-         lease.named_engines ? AfterNamedEngines(*lease.named_engines)
-                             : AfterEndedLease());
+  const Duration age = now - observed_->observed_at;
+  if (age < timing_.validity + kClockMargin) {
+    return;
+  }
+  if (was_lost) {
+    // The store is back, and all nodes see at about the same time that the
+    // lease has ended: only the delay by rank remains.
+    observed_->observed_at = now - timing_.validity - kClockMargin;
+    return;
   }
+  Take(object.version, fence,
+       lease.named_engines ? AfterNamedEngines(*lease.named_engines)
+                           : AfterEndedLease());
 }
 
 void OrderLease::Take(std::uint64_t expected_version,
--- a/packages/ordering/order_lease.h
+++ b/packages/ordering/order_lease.h
@@ -231,6 +231,8 @@
   /// Last observed lease of another holder.
   std::optional<ObservedLease> observed_;
   bool lease_read_ = false;  ///< The stored lease was read at least once.
+  /// Whether the last read of the stored lease failed.
+  bool store_lost_ = false;
   EventFlag changed_;
 };
 
--- a/tests/correctness/order_lease_test.cc
+++ b/tests/correctness/order_lease_test.cc
@@ -288,6 +288,32 @@
   }
 }
 
+// Guards against a small VM that takes the lease because it is the first to
+// reach a store that was away for longer than the lease lasts.
+TEST(OrderLease, LargestLiveVmTakesOverAfterAnOutageOfTheStore) {
+  for (const auto outage : {2500, 4100, 4500, 6000, 7300}) {
+    LeaseTestBed test_bed(6);
+    for (const auto& [id, node] : test_bed.nodes) {
+      node->peers.processors = 0.09;
+    }
+    test_bed.nodes.at("n4")->peers.processors = 0.5;
+    test_bed.nodes.at("n5")->peers.processors = 0.5;
+    test_bed.RunFor(seconds(3));
+    const auto killed = test_bed.last_holder;
+    for (const auto& [id, node] : test_bed.nodes) {
+      node->store.disconnected = true;
+    }
+    test_bed.nodes.erase(killed);
+    test_bed.RunFor(milliseconds(outage));
+    for (const auto& [id, node] : test_bed.nodes) {
+      node->store.disconnected = false;
+    }
+    test_bed.RunFor(seconds(10));
+    EXPECT_EQ(test_bed.nodes.at(test_bed.last_holder)->peers.processors, 0.5)
+        << test_bed.last_holder << " after " << killed << ", " << outage;
+  }
+}
+
 // Guards against a fleet in which no engine gets orders for the whole handover
 // gap after the lease holder is killed, also those that it did not order.
 TEST(OrderLease, SuccessorOfAKilledHolderOrdersIdleEnginesAtOnce) {
