--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -123,7 +123,7 @@
         return item
 
     def check_in(self, server, entry):
-        """Writes the entry of a server. It changes when more than `seq` does."""
+        """Writes a server's entry. It changes when more than `seq` does."""
         known = self.get("servers", server)
         if known is None or {**known["spec"], "seq": 0} != {**entry, "seq": 0}:
             self.put("servers", server, entry)
@@ -237,9 +237,9 @@
 
 
 class Server:
-    """A plain server of a service. `handle` is a coroutine that gets the method,
-    the target, the fields, the body and the writer of a request that names this
-    server, and answers it."""
+    """A plain server of a service. `handle` is a coroutine that gets the
+    method, the target, the fields, the body and the writer of a request that
+    names this server, and answers it."""
 
     def __init__(self, record, name, zone, handle):
         self.record = record
@@ -465,6 +465,8 @@
     nodes = []
     code = EXIT_NOT_RUN
     loop = asyncio.new_event_loop()
+    # The nodes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     with tempfile.TemporaryDirectory() as scratch:
         try:
             if not os.path.exists(os.path.join(REPOSITORY, NODE_PROGRAM)):
@@ -472,7 +474,8 @@
             held = loop.run_until_complete(asyncio.wait_for(
                 case(record, scratch, nodes), limit_s))
             code = EXIT_HELD if held else EXIT_BROKEN
-        except (CaseNotRun, OSError, asyncio.TimeoutError) as error:
+        except (CaseNotRun, OSError, asyncio.TimeoutError,
+                SystemExit) as error:
             record.write("the case could not run: %r" % (error,))
         finally:
             for node in nodes:
