--- a/review/14/case.py
+++ b/review/14/case.py
@@ -13,21 +13,23 @@
 
 SERVICE = "bookdesk"
 SLOTS = 6
+OTHER_SERVERS = 5
+LONG_REQUESTS = 24
 HEARTBEAT_S = 1.2
 DRAIN_S = 2.0
 # Seconds from the beginning of the cut, which comes right before a check-in.
 LONG_REQUESTS_AT_S = 1.6
 LEAVES_AT_S = 2.0
 LAPSES_AT_S = 3 * HEARTBEAT_S - HEARTBEAT_S
-HEALS_AT_S = 5.5
+HEALS_AT_S = 5.0
 # It exits when new bookings have come for so long, or else at the end.
 EXITS_AFTER_S = 0.3
 ENDS_AT_S = 7.0
 # Work of a request at a server.
-LONG_WORK_S = 1.2
+LONG_WORK_S = 1.0
 SHORT_WORK_S = 0.5
 # Bookings each second, in the part that counts.
-RATE = 20
+RATE = 40
 
 
 class Case:
@@ -37,7 +39,8 @@
         self.nodes = nodes
         self.store = Store(record)
         self.leaving = Server(record, "i-leaving", "chaguanas", self.serve_x)
-        self.other = Server(record, "i-other", "chaguanas", self.serve_y)
+        self.others = [Server(record, "i-other-%d" % (i + 1), "chaguanas",
+                              self.serve_y) for i in range(OTHER_SERVERS)]
         self.x_leaves = False
         self.x_is_cut = False
         self.checked_in = asyncio.Event()
@@ -69,7 +72,7 @@
 
     async def serve_y(self, method, target, fields, body, writer):
         attempt = fields.get("attempt-id", "")
-        self.record.write("i-other runs %s %s" % (attempt, target))
+        self.record.write("another server runs %s %s" % (attempt, target))
         await asyncio.sleep(
             LONG_WORK_S if target.endswith("/long") else SHORT_WORK_S)
         writer.write(make_response(200, sealed(fields), b"booked"))
@@ -92,8 +95,8 @@
 
     async def check_in_y(self):
         while True:
-            self.store.check_in(self.other.name,
-                                self.other.entry(SERVICE, SLOTS))
+            for server in self.others:
+                self.store.check_in(server.name, server.entry(SERVICE, SLOTS))
             await asyncio.sleep(HEARTBEAT_S)
 
     # ---- the client
@@ -114,7 +117,8 @@
         store = self.store
         await store.start()
         await self.leaving.start()
-        await self.other.start()
+        for server in self.others:
+            await server.start()
         store.put("config", "main", configuration(
             7, [route("booking", "non_idempotent", SERVICE, 4000, 1)],
             [{"name": SERVICE, "healthPath": "/health", "maxConns": 110}]))
@@ -141,7 +145,7 @@
             self.x_is_cut = True
         await until(LONG_REQUESTS_AT_S)
         long_requests = [asyncio.create_task(self.book("long"))
-                         for _ in range(6)]
+                         for _ in range(LONG_REQUESTS)]
         await until(LEAVES_AT_S)
         self.record.write("i-leaving begins to leave")
         self.x_leaves = True
