Counts adapters that an engine lists as on their way

Cause: an order without an answer may have been accepted. The engine's report lists its adapter under `pending`, which was not read, while the number of accepted orders, in which it is counted, was taken over. So `expect` did not protect the next order, and the plan counted one adapter too few. Change: the report's pending loads are read. Result: correctness.order_coordinator (two tests, one after a change of the lease holder) and correctness.engine_report (two tests) fail on the untouched code and pass now; correctness.engine_table passes.

--- a/packages/ordering/engine_table.cc
+++ b/packages/ordering/engine_table.cc
@@ -30,6 +30,31 @@
 // notice over an older directory entry for longer than this.
 constexpr auto kNoticeRepeatInterval = std::chrono::milliseconds(1000);
 
+// Adds what a report says of one model or adapter.
+void AdoptReplica(TrackedEngine& entry,
+                  const EngineReplica& replica,
+                  TimePoint now) {
+  switch (replica.state) {
+    case EngineReplicaState::kLoaded: {
+      auto& adapters = entry.record.models[replica.model];
+      if (!replica.adapter.empty()) {
+        adapters.insert(replica.adapter);
+      }
+      return;
+    }
+    case EngineReplicaState::kLoading:
+      if (replica.adapter.empty()) {
+        entry.executing_unknown_order = true;
+      } else {
+        entry.loading_adapters[{replica.model, replica.adapter}] =
+            now + EngineTable::kAdapterLoadTime;
+      }
+      return;
+    case EngineReplicaState::kFailed:
+      return;
+  }
+}
+
 // Returns whether the directory entry contradicts the state here and may be
 // newer.
 bool RecordDisagrees(const TrackedEngine& entry,
@@ -94,14 +119,26 @@
   entry->record.models.clear();
   entry->loading_adapters.clear();
   for (const auto& it : state.entries) {
-    if (it.state != EngineReplicaState::kLoaded) {
-      continue;
-    }
-    auto& adapters = entry->record.models[it.model];
-    if (!it.adapter.empty()) {
-      adapters.insert(it.adapter);
+    AdoptReplica(*entry, it, now);
+  }
+}
+
+bool EngineTable::FinishAdapterLoads(TrackedEngine& entry, TimePoint now) {
+  const auto n = std::erase_if(entry.loading_adapters, [&](const auto& it) {
+    const auto& [ref, expected_end] = it;
+    const auto model = entry.record.models.find(ref.model);
+    // An unload of the model removes its adapters.
+    const bool loaded =
+        now >= expected_end && model != entry.record.models.end();
+    if (loaded) {
+      model->second.insert(ref.adapter);
     }
+    return now >= expected_end;
+  });
+  if (n > 0) {
+    entry.changed_at = now;
   }
+  return n > 0;
 }
 
 void EngineTable::OnUnreachable(TrackedEngine& entry, TimePoint now) {
--- a/packages/ordering/engine_table.h
+++ b/packages/ordering/engine_table.h
@@ -56,6 +56,9 @@
 /// than the last orders, so the engine's own report takes precedence.
 class EngineTable {
  public:
+  /// Time from the acceptance of an adapter load until the adapter is loaded.
+  static constexpr Duration kAdapterLoadTime = std::chrono::milliseconds(20);
+
   /// Removes all engines, as after taking the order lease.
   void Clear() {
     engines_.clear();
@@ -70,9 +73,15 @@
                                 std::string_view service,
                                 TimePoint now);
 
-  /// Replaces the state of an engine by its report.
+  /// Replaces the state of an engine by its report. What the report lists as on
+  /// its way takes its place at once, since an order without an answer may have
+  /// started it.
   void Adopt(const std::string& id, const EngineState& state, TimePoint now);
 
+  /// Takes the adapters whose load is expected to have ended as loaded. Returns
+  /// whether there were any.
+  static bool FinishAdapterLoads(TrackedEngine& entry, TimePoint now);
+
   /// A read of the engine's report failed. The engine gets no orders until a
   /// read succeeds, and after a second failure it counts as lost with its
   /// loaded models. Further reads follow with an exponential backoff.
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -37,8 +37,6 @@
 // Maximum lag of a report: one that still shows the state before the order
 // counts only this long after the order's expected end.
 constexpr auto kMaxReportLag = milliseconds(400);
-// Time from the acceptance of an adapter load until the adapter is loaded.
-constexpr auto kAdapterLoadTime = milliseconds(20);
 // No order is sent to an engine for this long after one failed.
 constexpr auto kBlockAfterRefusal = milliseconds(150);
 
@@ -326,7 +324,8 @@
         !state.assume_value().busy) {
       const auto& entries = state.assume_value().entries;
       const bool present = std::ranges::any_of(entries, [&](const auto& it) {
-        return it.model == planned.target.model && it.adapter.empty();
+        return it.state == EngineReplicaState::kLoaded &&
+               it.model == planned.target.model && it.adapter.empty();
       });
       if (present == (planned.action == OrderAction::kLoad)) {
         FinishModelOrder(order);
@@ -379,20 +378,20 @@
     AnnounceModels(*entry);
     return;
   }
-  const auto boot = entry->record.boot;
-  entry->loading_adapters[target] = deps_.clock.Now() + kAdapterLoadTime;
+  entry->loading_adapters[target] =
+      deps_.clock.Now() + EngineTable::kAdapterLoadTime;
   replan_.Signal();
-  deps_.clock.SleepFor(kAdapterLoadTime);
-  entry = StateOf(order.service).engine_table.Find(order.planned.engine);
-  if (entry == nullptr || entry->record.boot != boot ||
-      entry->loading_adapters.erase(target) == 0) {
-    return;
-  }
-  const auto model = entry->record.models.find(target.model);
-  if (model != entry->record.models.end()) {
-    model->second.insert(target.adapter);
-    entry->changed_at = deps_.clock.Now();
+  AwaitAdapterLoads(order.service, order.planned.engine);
+}
+
+void OrderCoordinator::AwaitAdapterLoads(const std::string& service,
+                                         const std::string& engine) {
+  deps_.clock.SleepFor(EngineTable::kAdapterLoadTime);
+  auto* entry = StateOf(service).engine_table.Find(engine);
+  if (entry != nullptr &&
+      EngineTable::FinishAdapterLoads(*entry, deps_.clock.Now())) {
     AnnounceModels(*entry);
+    replan_.Signal();
   }
 }
 
@@ -436,12 +435,16 @@
   deps_.log.Record(events::kEngineStateAdopted,
                    {{"engine", engine},
                     {"sequence", state.assume_value().sequence},
-                    {"busy", state.assume_value().busy}});
+                    {"busy", state.assume_value().busy},
+                    {"loading_adapters", entry->loading_adapters.size()}});
   if (state.assume_value().busy) {
     entry->blocked_until = now + kBlockAfterRefusal;
   }
   AnnounceModels(*entry);
   replan_.Signal();
+  if (!entry->loading_adapters.empty()) {
+    AwaitAdapterLoads(service, engine);
+  }
 }
 
 void OrderCoordinator::AnnounceLoadEstimates(
--- a/packages/ordering/order_coordinator.h
+++ b/packages/ordering/order_coordinator.h
@@ -99,6 +99,9 @@
   /// Updates the engine's state after an accepted adapter order, for a load
   /// once the adapter is loaded.
   void FinishAdapterOrder(const OrderTask& order);
+  /// Waits until the adapters on their way to an engine are loaded, and
+  /// announces them.
+  void AwaitAdapterLoads(const std::string& service, const std::string& engine);
   /// Ends a failed order and blocks its engine for a short time.
   void Fail(const OrderTask& order, const std::string& cause);
   /// Returns the engine of an order while the order is in flight there, else
