Keeps the slot of an adapter until its unload is done

Callers would see: streams that break off, since their engine is ordered to load more adapters than it has slots (LIMIT). Cause: an engine answers 202 to the unload of an adapter that requests use, and carries it out when they end. The adapter counted as gone at once, and the next load went out.

--- a/packages/fleet/placement_plan.cc
+++ b/packages/fleet/placement_plan.cc
@@ -476,7 +476,7 @@
   }
 
   static std::size_t AdapterCount(const EngineSnapshot& engine) {
-    std::size_t n = 0;
+    std::size_t n = engine.unloading_adapters.size();
     for (const auto& [model, adapters] : engine.models) {
       n += adapters.size();
     }
@@ -492,6 +492,7 @@
     for (const auto& it : input_.engines) {
       if (!it.usable || it.busy || reserved_engines_.contains(it.id) ||
           !it.models.contains(ref.model) ||
+          it.unloading_adapters.contains(ref) ||
           it.adapter_loads_in_flight >= kMaxConcurrentAdapterLoads) {
         continue;
       }
--- a/packages/fleet/placement_plan.h
+++ b/packages/fleet/placement_plan.h
@@ -31,6 +31,8 @@
   std::string loading_model;
   CachedWeights cached_weights;
   std::uint32_t adapter_loads_in_flight = 0;
+  /// Adapters that are no longer for use and still fill a slot.
+  std::set<ModelRef> unloading_adapters;
 };
 
 /// Input of PlanPlacement().
--- a/packages/ordering/engine_table.cc
+++ b/packages/ordering/engine_table.cc
@@ -26,6 +26,9 @@
 // outage of the store live engines register again within about two seconds; at
 // a start they follow each other more closely.
 constexpr auto kSettleTime = std::chrono::milliseconds(2500);
+// Interval at which the report of an engine is read that waits for requests to
+// end before it unloads an adapter.
+constexpr auto kUnloadCheckInterval = std::chrono::milliseconds(250);
 // Minimum interval between two equal notices of one engine. Nodes prefer a
 // notice over an older directory entry for longer than this.
 constexpr auto kNoticeRepeatInterval = std::chrono::milliseconds(1000);
@@ -55,6 +58,17 @@
   }
 }
 
+// Forgets the unloads that have ended, if the report is not older than them.
+// The other adapters are no longer for use although it lists them.
+void KeepUnloadingAdapters(TrackedEngine& entry, bool report_is_newest) {
+  std::erase_if(entry.unloading_adapters, [&](const ModelRef& it) {
+    const auto model = entry.record.models.find(it.model);
+    const bool listed = model != entry.record.models.end() &&
+                        model->second.erase(it.adapter) > 0;
+    return report_is_newest && !listed;
+  });
+}
+
 // Returns whether the directory entry contradicts the state here and may be
 // newer.
 bool RecordDisagrees(const TrackedEngine& entry,
@@ -94,8 +108,11 @@
       entry.record_mismatch =
           RecordDisagrees(entry, record, directory.ChangedAt(id));
     }
+    const bool awaits_unload =
+        !entry.unloading_adapters.empty() &&
+        now - entry.unloads_checked_at >= kUnloadCheckInterval;
     const bool needs_report = !entry.sequence || entry.record_mismatch ||
-                              entry.executing_unknown_order ||
+                              entry.executing_unknown_order || awaits_unload ||
                               entry.failed_reads > 0;
     if (needs_report && !entry.reading_report && now >= entry.blocked_until) {
       to_read.push_back(id);
@@ -111,6 +128,7 @@
   if (entry == nullptr) {
     return;
   }
+  const bool is_newest = !entry->sequence || state.sequence >= *entry->sequence;
   entry->sequence = state.sequence;
   entry->failed_reads = 0;
   entry->changed_at = now;
@@ -121,6 +139,24 @@
   for (const auto& it : state.entries) {
     AdoptReplica(*entry, it, now);
   }
+  entry->unloads_checked_at = now;
+  KeepUnloadingAdapters(*entry, is_newest);
+}
+
+void EngineTable::OnAdapterUnload(TrackedEngine& entry,
+                                  const ModelRef& adapter,
+                                  bool done,
+                                  TimePoint now) {
+  const auto model = entry.record.models.find(adapter.model);
+  if (model == entry.record.models.end()) {
+    return;  // It was unloaded with its adapters.
+  }
+  model->second.erase(adapter.adapter);
+  entry.changed_at = now;
+  if (!done) {
+    entry.unloading_adapters.insert(adapter);
+    entry.unloads_checked_at = now;
+  }
 }
 
 bool EngineTable::FinishAdapterLoads(TrackedEngine& entry, TimePoint now) {
@@ -208,6 +244,7 @@
     for (const auto& [ref, at] : entry.loading_adapters) {
       snapshot.models[ref.model].insert(ref.adapter);
     }
+    snapshot.unloading_adapters = entry.unloading_adapters;
     out.push_back(std::move(snapshot));
   }
   return out;
--- a/packages/ordering/engine_table.h
+++ b/packages/ordering/engine_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "fleet/endpoint_record.h"
@@ -45,6 +46,10 @@
   std::optional<InFlightOrder> order;
   /// Adapter loads in flight, with their expected end.
   std::map<ModelRef, TimePoint> loading_adapters;
+  /// Adapters whose unload waits for the requests that use them. They keep
+  /// their slots until a report no longer lists them.
+  std::set<ModelRef> unloading_adapters;
+  TimePoint unloads_checked_at{};  ///< Time of the last report since then.
   TimePoint blocked_until{};  ///< No order or report read starts before this.
   /// Notices created since the table was cleared.
   std::uint64_t notices_sent = 0;
@@ -82,6 +87,13 @@
   /// whether there were any.
   static bool FinishAdapterLoads(TrackedEngine& entry, TimePoint now);
 
+  /// The engine accepted to unload an adapter, which nodes must no longer use.
+  /// `done`: it has done so, else it waits for the requests that use it.
+  static void OnAdapterUnload(TrackedEngine& entry,
+                              const ModelRef& adapter,
+                              bool done,
+                              TimePoint now);
+
   /// A read of the engine's report failed. The engine gets no orders until a
   /// read succeeds, and after a second failure it counts as lost with its
   /// loaded models. Further reads follow with an exponential backoff.
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -194,8 +194,8 @@
 void OrderCoordinator::Execute(const OrderTask& order) {
   const auto& planned = order.planned;
   if (!planned.target.adapter.empty()) {
-    if (Send(order)) {
-      FinishAdapterOrder(order);
+    if (const auto accepted = Send(order)) {
+      FinishAdapterOrder(order, *accepted);
     }
   } else if (planned.action == OrderAction::kLoad &&
              planned.source == CheckpointSource::kRemote) {
@@ -215,7 +215,7 @@
   const auto fence = fence_;
   const auto started_at = deps_.clock.Now();
   const auto before = ++StateOf(order.service).store_loads_in_flight;
-  const bool loaded = Send(order) && FollowModelOrder(order);
+  const bool loaded = Send(order).has_value() && FollowModelOrder(order);
   if (fence != fence_) {
     return;  // The counts were reset meanwhile.
   }
@@ -247,7 +247,7 @@
   return out;
 }
 
-bool OrderCoordinator::Send(const OrderTask& order) {
+std::optional<OrderAccepted> OrderCoordinator::Send(const OrderTask& order) {
   if (!deps_.lease.AwaitOrder(order.planned.engine)) {
     Fail(order, "the lease is not certain");
     auto* entry =
@@ -255,12 +255,12 @@
     if (entry != nullptr) {
       AnnounceModels(*entry);  // An unload was announced before it was sent.
     }
-    return false;
+    return std::nullopt;
   }
   auto* entry = FindEngine(order);
   if (entry == nullptr) {
     deps_.lease.CancelRequest(order.planned.engine);
-    return false;
+    return std::nullopt;
   }
   const auto& planned = order.planned;
   const auto message = MakeOrder(planned, *entry);
@@ -279,17 +279,17 @@
   const auto answer = deps_.engines.Send(address, message);
   entry = FindEngine(order);
   if (entry == nullptr) {
-    return false;  // The engine left or restarted meanwhile.
+    return std::nullopt;  // The engine left or restarted meanwhile.
   }
   if (!answer) {
     Fail(order, answer.assume_error().message);
     ReadEngineState(order.service, planned.engine);
-    return false;
+    return std::nullopt;
   }
   if (const auto* refused = std::get_if<OrderRefused>(&answer.assume_value())) {
     Fail(order, refused->reason);
     ReadEngineState(order.service, planned.engine);
-    return false;
+    return std::nullopt;
   }
   const auto& accepted = std::get<OrderAccepted>(answer.assume_value());
   // An adapter without requests is unloaded at once, so the response reports it
@@ -300,7 +300,7 @@
   if (counted) {
     entry->sequence = message.expected_sequence.value_or(0) + 1;
   }
-  return true;
+  return accepted;
 }
 
 bool OrderCoordinator::FollowModelOrder(const OrderTask& order) {
@@ -364,20 +364,21 @@
   AnnounceModels(*entry);
 }
 
-void OrderCoordinator::FinishAdapterOrder(const OrderTask& order) {
+void OrderCoordinator::FinishAdapterOrder(const OrderTask& order,
+                                          const OrderAccepted& accepted) {
   auto* entry = FindEngine(order);
   const auto& target = order.planned.target;
   entry->order.reset();
-  const auto held = entry->record.models.find(target.model);
-  if (held == entry->record.models.end()) {
-    return;
-  }
-  entry->changed_at = deps_.clock.Now();
   if (order.planned.action == OrderAction::kUnload) {
-    held->second.erase(target.adapter);
+    EngineTable::OnAdapterUnload(*entry, target, accepted.already_done,
+                                 deps_.clock.Now());
     AnnounceModels(*entry);
     return;
   }
+  if (!entry->record.models.contains(target.model)) {
+    return;
+  }
+  entry->changed_at = deps_.clock.Now();
   entry->loading_adapters[target] =
       deps_.clock.Now() + EngineTable::kAdapterLoadTime;
   replan_.Signal();
@@ -436,7 +437,8 @@
                    {{"engine", engine},
                     {"sequence", state.assume_value().sequence},
                     {"busy", state.assume_value().busy},
-                    {"loading_adapters", entry->loading_adapters.size()}});
+                    {"loading_adapters", entry->loading_adapters.size()},
+                    {"unloading_adapters", entry->unloading_adapters.size()}});
   if (state.assume_value().busy) {
     entry->blocked_until = now + kBlockAfterRefusal;
   }
--- a/packages/ordering/order_coordinator.h
+++ b/packages/ordering/order_coordinator.h
@@ -6,6 +6,7 @@
 #define ORDERING_ORDER_COORDINATOR_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "fleet/demand_table.h"
@@ -86,8 +87,9 @@
   void StartOrder(const std::string& service, const PlannedOrder& planned);
   /// Sends the order and waits until it ends.
   void Execute(const OrderTask& order);
-  /// Sends the order; returns true if the engine accepted it.
-  bool Send(const OrderTask& order);
+  /// Sends the order; returns how the engine accepted it, or nothing if it did
+  /// not.
+  std::optional<OrderAccepted> Send(const OrderTask& order);
   /// Carries out a load from the weight store and updates the concurrency limit
   /// from its duration.
   void LoadFromStore(const OrderTask& order);
@@ -98,7 +100,8 @@
   void FinishModelOrder(const OrderTask& order);
   /// Updates the engine's state after an accepted adapter order, for a load
   /// once the adapter is loaded.
-  void FinishAdapterOrder(const OrderTask& order);
+  void FinishAdapterOrder(const OrderTask& order,
+                          const OrderAccepted& accepted);
   /// Waits until the adapters on their way to an engine are loaded, and
   /// announces them.
   void AwaitAdapterLoads(const std::string& service, const std::string& engine);
--- a/tests/correctness/order_coordinator_test.cc
+++ b/tests/correctness/order_coordinator_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "tests/support/ordering_site.h"
 
 namespace tanagerloom {
@@ -100,5 +102,110 @@
   EXPECT_TRUE(engine.Serves(Adapter(8)));
 }
 
+// Guards against one adapter more than an engine has slots: it accepted to
+// unload another one, but waits for the request that uses it.
+TEST_F(OrderCoordinatorTest, AdapterInUseKeepsItsSlotUntilItIsUnloaded) {
+  FillAllSlotsButOne();
+  LoadAdapter(8);
+  for (int i = 1; i <= static_cast<int>(kSlots); ++i) {
+    engine.BeginRun(Adapter(i));
+  }
+  site.waiting[Adapter(9)] = 1;
+  site.RunFor(seconds(3));
+  EXPECT_EQ(site.Overfilled(), "");
+  EXPECT_FALSE(engine.Serves(Adapter(9)));
+  for (int i = 1; i <= static_cast<int>(kSlots); ++i) {
+    engine.EndRun(Adapter(i));
+  }
+  EXPECT_TRUE(
+      site.RunUntil([&] { return engine.Serves(Adapter(9)); }, seconds(3)));
+  EXPECT_EQ(site.Overfilled(), "");
+}
+
+class OrderFaults : public testing::TestWithParam<std::uint32_t> {
+ protected:
+  static constexpr int kModels = 6;
+  static constexpr int kAdapters = 12;
+
+  static FakeEngineSpec Spec() {
+    FakeEngineSpec out = MakeSpec();
+    for (int i = 0; i < kModels; ++i) {
+      out.model_mb["m" + std::to_string(i)] = 60 + i;
+    }
+    return out;
+  }
+
+  int Below(int n) { return static_cast<int>(random() % n); }
+  bool Chance(int percent) { return Below(100) < percent; }
+  ModelRef RandomTarget() {
+    const auto model = "m" + std::to_string(Below(kModels));
+    return {model, Chance(70) ? "a" + std::to_string(Below(kAdapters)) : ""};
+  }
+
+  OrderFault RandomFault() {
+    const int n = Below(100);
+    return n < 12   ? OrderFault::kAnswerLost
+           : n < 24 ? OrderFault::kLate
+           : n < 28 ? OrderFault::kNotAccepted
+                    : OrderFault::kNone;
+  }
+
+  // Demand, requests, reports and engines change at random.
+  void Step() {
+    site.waiting[RandomTarget()] = Chance(60) ? 1 : 0;
+    if (!runs.empty() && Chance(50)) {
+      const auto it = runs.begin() + Below(static_cast<int>(runs.size()));
+      it->first->EndRun(it->second);
+      runs.erase(it);
+    }
+    for (const auto& engine : site.engines) {
+      engine->report_lag = milliseconds(Below(500));
+      const auto ref = RandomTarget();
+      if (Chance(50) && !ref.adapter.empty() && engine->Serves(ref)) {
+        engine->BeginRun(ref);
+        runs.emplace_back(engine.get(), ref);
+      }
+      if (restarts && Chance(1)) {
+        engine->Restart();
+      }
+    }
+    site.RunFor(milliseconds(20 + Below(200)));
+  }
+
+  std::mt19937 random{GetParam()};
+  bool restarts = false;
+  std::vector<std::pair<FakeEngine*, ModelRef>> runs;  ///< In progress.
+  OrderingSite& site = *new OrderingSite(Spec());
+};
+
+// Guards against orders for more than an engine has room for, whatever becomes
+// of orders and their answers, and when another node takes over.
+TEST_P(OrderFaults, NeverOrderMoreThanAnEngineHasRoomFor) {
+  restarts = GetParam() % 2 == 0;
+  for (int i = 0; i < 2; ++i) {
+    site.AddEngine({"m" + std::to_string(Below(kModels))});
+  }
+  site.control.fault = [this](const EngineOrder&) { return RandomFault(); };
+  site.control.late_delay = [this] {
+    return milliseconds(2000 + Below(10000));
+  };
+  site.AddNode("n0");
+  int started = 1;
+  for (int i = 0; i < 400 && site.Overfilled().empty(); ++i) {
+    Step();
+    if (Chance(1)) {
+      site.nodes.back()->Stop();
+      site.AddNode("n" + std::to_string(started++));
+    }
+  }
+  EXPECT_EQ(site.Overfilled(), "");
+  EXPECT_GT(site.control.sent.size(), 30U);
+  site.control.fault = [](const EngineOrder&) { return OrderFault::kNone; };
+  site.waiting.clear();
+  site.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OrderFaults, testing::Range(1U, 41U));
+
 }  // namespace
 }  // namespace tanagerloom
