Remembers that an endpoint leaves while it is not listed

Cause: the statement marked the endpoint's entry and was dropped if the entry had lapsed, with the notice to the peers. A late check-in then brought back an entry that says ready. Change: draining starts are kept by the endpoint's id, whatever is listed, and hold for entries of that start and of earlier ones. A statement of an earlier start replaces nothing. The memory of them drops the oldest, not those without an entry. 605 shows `listed`.

--- a/packages/fleet/endpoint_directory.cc
+++ b/packages/fleet/endpoint_directory.cc
@@ -1,5 +1,6 @@
 #include "fleet/endpoint_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -25,6 +26,9 @@
     return now - known.second.removed_at >= kRemovedMemory;
   });
   removed_[id] = {it->second.boot, it->second.entry_sequence, now};
+  if (it->second.draining) {
+    RememberDraining(id, it->second.boot, now);
+  }
   records_.erase(it);
   changed_at_.erase(id);
 }
@@ -43,22 +47,34 @@
 }
 
 void EndpointDirectory::RememberDraining(const std::string& id,
-                                         std::uint64_t boot) {
-  if (draining_boots_.size() >= kMaxRememberedDraining) {
-    std::erase_if(draining_boots_, [this](const auto& it) {
-      return !records_.contains(it.first);
-    });
+                                         std::uint64_t boot,
+                                         TimePoint now) {
+  auto& known = draining_starts_[id];
+  known = {std::max(known.boot, boot), now};
+  if (draining_starts_.size() > kMaxRememberedDraining) {
+    draining_starts_.erase(std::ranges::min_element(
+        draining_starts_, {},
+        [](const auto& it) { return it.second.noted_at; }));
   }
-  draining_boots_[id] = boot;
 }
 
-bool EndpointDirectory::OnLeaving(const std::string& id, std::uint64_t boot) {
-  const auto it = records_.find(id);
-  if (it == records_.end() || it->second.boot != boot || it->second.draining) {
+bool EndpointDirectory::IsDraining(std::string_view id,
+                                   std::uint64_t boot) const {
+  const auto it = draining_starts_.find(id);
+  return it != draining_starts_.end() && boot <= it->second.boot;
+}
+
+bool EndpointDirectory::OnLeaving(const std::string& id,
+                                  std::uint64_t boot,
+                                  TimePoint now) {
+  if (IsDraining(id, boot)) {
     return false;
   }
-  it->second.draining = true;
-  RememberDraining(id, boot);
+  RememberDraining(id, boot, now);
+  const auto it = records_.find(id);
+  if (it != records_.end() && it->second.boot <= boot) {
+    it->second.draining = true;
+  }
   return true;
 }
 
@@ -66,11 +82,10 @@
                                TimePoint now,
                                DirectoryChange& change) {
   removal_at_.erase(record.id);
-  const auto draining = draining_boots_.find(record.id);
-  if (draining != draining_boots_.end() && draining->second == record.boot) {
+  if (IsDraining(record.id, record.boot)) {
     record.draining = true;
   } else if (record.draining) {
-    RememberDraining(record.id, record.boot);
+    RememberDraining(record.id, record.boot, now);
   }
   const auto it = records_.find(record.id);
   if (it == records_.end()) {
--- a/packages/fleet/endpoint_directory.h
+++ b/packages/fleet/endpoint_directory.h
@@ -40,7 +40,7 @@
   /// How long the last entry of a removed endpoint is remembered. A list that
   /// comes back from a copy is older by less.
   static constexpr Duration kRemovedMemory = std::chrono::seconds(30);
-  /// Max number of draining endpoints that are remembered.
+  /// Max number of draining endpoints that are remembered, the latest ones.
   static constexpr std::size_t kMaxRememberedDraining = 4096;
 
   /// Replaces all entries by a complete list. Endpoints missing from it are
@@ -50,9 +50,9 @@
   /// Adds or updates one entry.
   DirectoryChange Update(EndpointRecord record, TimePoint now);
 
-  /// An endpoint itself says that this start of it leaves. Returns whether this
-  /// is news.
-  bool OnLeaving(const std::string& id, std::uint64_t boot);
+  /// An endpoint itself says that this start of it leaves, whether it is listed
+  /// or not. Returns whether this is news.
+  bool OnLeaving(const std::string& id, std::uint64_t boot, TimePoint now);
 
   /// Removes an entry that was deleted or no longer describes a usable
   /// endpoint. It is kept for the grace time after an outage unless it was
@@ -102,12 +102,23 @@
   /// Returns whether an entry is older than the last one of an endpoint that
   /// was removed before the list came back from an outage.
   bool IsOutdated(const EndpointRecord& record, TimePoint now) const;
-  /// Marks the start of an endpoint as draining, also in later entries.
-  void RememberDraining(const std::string& id, std::uint64_t boot);
+  /// A start of an endpoint that drains.
+  struct DrainingStart {
+    std::uint64_t boot = 0;
+    TimePoint noted_at{};
+  };
 
-  /// Starts of endpoints that drain, by id. Kept after the entry is gone: it
-  /// may come back and say that the endpoint is ready.
-  std::map<std::string, std::uint64_t, std::less<>> draining_boots_;
+  /// Marks the start of an endpoint as draining, also in later entries.
+  void RememberDraining(const std::string& id,
+                        std::uint64_t boot,
+                        TimePoint now);
+  /// Returns whether the start of an endpoint drains, or is older than one that
+  /// does.
+  bool IsDraining(std::string_view id, std::uint64_t boot) const;
+
+  /// The latest draining start of each endpoint, by id. Kept while it is not
+  /// listed: an entry may come back and say that the endpoint is ready.
+  std::map<std::string, DrainingStart, std::less<>> draining_starts_;
   /// Endpoints missing from the list, with the time at which they are removed.
   std::map<std::string, TimePoint, std::less<>> removal_at_;
   std::map<std::string, RemovedEndpoint, std::less<>> removed_;
--- a/packages/fleet/fleet_view.cc
+++ b/packages/fleet/fleet_view.cc
@@ -95,7 +95,7 @@
 }
 
 bool FleetView::OnLeaving(const std::string& id, std::uint64_t boot) {
-  const bool news = directory_.OnLeaving(id, boot);
+  const bool news = directory_.OnLeaving(id, boot, clock_.Now());
   if (news) {
     changed_.Signal();
   }
--- a/packages/forwarding/endpoint_statements.cc
+++ b/packages/forwarding/endpoint_statements.cc
@@ -37,9 +37,7 @@
                  {"header", traits.invalid_statement}});
   }
   if (traits.statement.leaving && view_.OnLeaving(endpoint.id, endpoint.boot)) {
-    log_.Record(events::kEndpointSaidLeaving, {{"endpoint", endpoint.id},
-                                               {"boot", endpoint.boot},
-                                               {"request", request}});
+    RecordLeaving(endpoint, request);
     peers_.Broadcast(EndpointNotice{
         endpoint.id, EndpointCondition::kLeaving,
         static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot});
@@ -60,10 +58,17 @@
 void EndpointStatements::OnNotice(const EndpointNotice& notice) {
   if (notice.condition == EndpointCondition::kLeaving && notice.boot != 0 &&
       view_.OnLeaving(notice.endpoint, notice.boot)) {
-    log_.Record(events::kEndpointSaidLeaving, {{"endpoint", notice.endpoint},
-                                               {"boot", notice.boot},
-                                               {"request", ""}});
+    RecordLeaving({notice.endpoint, notice.boot}, "");
   }
 }
 
+void EndpointStatements::RecordLeaving(const EndpointInstance& endpoint,
+                                       const std::string& request) {
+  log_.Record(events::kEndpointSaidLeaving,
+              {{"endpoint", endpoint.id},
+               {"boot", endpoint.boot},
+               {"listed", view_.directory().Find(endpoint.id) != nullptr},
+               {"request", request}});
+}
+
 }  // namespace tanagerloom
--- a/packages/forwarding/endpoint_statements.h
+++ b/packages/forwarding/endpoint_statements.h
@@ -41,6 +41,10 @@
   void OnNotice(const EndpointNotice& notice);
 
  private:
+  /// Logs that an endpoint leaves. `request` is empty if a peer learnt so.
+  void RecordLeaving(const EndpointInstance& endpoint,
+                     const std::string& request);
+
   FleetView& view_;
   PeerNetwork& peers_;
   const Clock& clock_;
--- a/tests/correctness/endpoint_directory_test.cc
+++ b/tests/correctness/endpoint_directory_test.cc
@@ -79,6 +79,67 @@
   EXPECT_EQ(directory.Remove("a", kStart).gone, std::vector<std::string>{"a"});
 }
 
+// Guards against requests to an endpoint that said it leaves while its entry
+// had lapsed: an entry that arrives later says that it is ready.
+TEST(EndpointDirectory, StatementOfAnUnlistedEndpointIsRemembered) {
+  EndpointDirectory directory;
+  directory.Update(Record("a", 1, 1), kStart);
+  directory.Remove("a", kStart);
+  EXPECT_TRUE(directory.OnLeaving("a", 1, kStart));
+  EXPECT_FALSE(directory.OnLeaving("a", 1, kStart));
+  const auto change = directory.Update(Record("a", 1, 2), kStart);
+  EXPECT_EQ(change.draining, std::vector<std::string>{"a"});
+  EXPECT_TRUE(directory.Find("a")->draining);
+  directory.Update(Record("a", 2, 1), kStart);
+  EXPECT_FALSE(directory.Find("a")->draining);
+}
+
+// Guards against requests to an endpoint that never was listed here, or only as
+// an earlier start, when a peer told that it leaves.
+TEST(EndpointDirectory, StatementOfALaterStartIsRemembered) {
+  EndpointDirectory directory;
+  directory.Update(Record("a", 1, 9), kStart);
+  EXPECT_TRUE(directory.OnLeaving("a", 2, kStart));
+  // The earlier start has ended, since there is a later one.
+  EXPECT_TRUE(directory.Find("a")->draining);
+  directory.Update(Record("a", 2, 1), kStart);
+  EXPECT_TRUE(directory.Find("a")->draining);
+  EXPECT_TRUE(directory.OnLeaving("b", 7, kStart));
+  directory.Update(Record("b", 7, 1), kStart);
+  EXPECT_TRUE(directory.Find("b")->draining);
+}
+
+// Guards against a late statement or entry of an earlier start that replaces
+// the knowledge about the current one.
+TEST(EndpointDirectory, StatementOfAnEarlierStartReplacesNothing) {
+  EndpointDirectory directory;
+  EXPECT_TRUE(directory.OnLeaving("a", 2, kStart));
+  EXPECT_FALSE(directory.OnLeaving("a", 1, kStart));
+  directory.Update(Record("a", 1, 9, /*draining=*/true), kStart);
+  directory.Update(Record("a", 2, 1), kStart);
+  EXPECT_TRUE(directory.Find("a")->draining);
+  directory.Update(Record("a", 3, 1), kStart);
+  EXPECT_FALSE(directory.OnLeaving("a", 2, kStart));
+  EXPECT_FALSE(directory.Find("a")->draining);
+}
+
+// Guards against a memory of draining endpoints that grows without a bound, and
+// against one that loses the latest of them.
+TEST(EndpointDirectory, LatestDrainingEndpointsAreRemembered) {
+  constexpr auto kMax = EndpointDirectory::kMaxRememberedDraining;
+  EndpointDirectory directory;
+  const auto id = [](std::size_t i) { return "e" + std::to_string(i); };
+  for (std::size_t i = 0; i <= kMax; ++i) {
+    directory.OnLeaving(id(i), 1, kStart + milliseconds(i));
+  }
+  directory.Update(Record(id(0), 1, 1), kStart);
+  directory.Update(Record(id(1), 1, 1), kStart);
+  directory.Update(Record(id(kMax), 1, 1), kStart);
+  EXPECT_FALSE(directory.Find(id(0))->draining);
+  EXPECT_TRUE(directory.Find(id(1))->draining);
+  EXPECT_TRUE(directory.Find(id(kMax))->draining);
+}
+
 // Guards against a late entry that makes a draining endpoint usable again or
 // restores the state of an earlier boot.
 TEST(EndpointDirectory, OlderEntryIsIgnoredExceptThatItDrains) {
--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -113,6 +113,38 @@
   EXPECT_EQ(RequestsAtA(20), 0U);
 }
 
+// Guards against requests to an endpoint that said it leaves while its entry
+// had lapsed, and whose entry comes back with a late check-in.
+TEST_F(EndpointStatementsTest, LeavingIsHeardWhileTheEntryHasLapsed) {
+  site.a.serve = [this](const HttpRequest& request, HttpResponder& responder) {
+    site.store.Erase("servers", "i-a");
+    EXPECT_TRUE(WaitUntil(
+        [&] { return site.view.directory().Find("i-a") == nullptr; }));
+    auto headers = EndpointStandin::SealedHeaders(request);
+    headers.Add("Server-Leaving", "1");
+    (void)responder.Send({200, headers, "the answer"});
+  };
+  SendUntilAIsReached();
+  site.a.Register();
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-a") != nullptr; }));
+  EXPECT_EQ(RequestsAtA(20), 0U);
+}
+
+// Guards against a notice of a peer that is dropped because the entry of its
+// endpoint has lapsed at this node.
+TEST_F(EndpointStatementsTest, NoticeIsHeardWhileTheEntryHasLapsed) {
+  const auto boot = site.view.directory().Find("i-a")->boot;
+  site.store.Erase("servers", "i-a");
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-a") == nullptr; }));
+  site.statements.OnNotice({"i-a", EndpointCondition::kLeaving, 60000, boot});
+  site.a.Register();
+  ASSERT_TRUE(
+      WaitUntil([&] { return site.view.directory().Find("i-a") != nullptr; }));
+  EXPECT_EQ(RequestsAtA(20), 0U);
+}
+
 // Guards against setting a restarted endpoint aside for what its earlier start
 // said.
 TEST_F(EndpointStatementsTest, NewStartOfAnEndpointIsNotLeaving) {
