Holds back entries that are not newer than a removal

The store had come back from a copy that still lists it. Cause: only an entry with a lower sequence than the last one before the removal was kept out, and only in the grace time after an outage. The copy's entry is that very one. Change: such an entry is held back at any time. One that outlives a silence of three check-in intervals (`heartbeatMs`), after which the entry of an endpoint that has gone is removed, is listed: check-ins of a live endpoint don't change an entry that came back.

--- a/packages/fleet/endpoint_directory.cc
+++ b/packages/fleet/endpoint_directory.cc
@@ -6,6 +6,14 @@
 
 namespace tanagerloom {
 
+namespace {
+
+// Time that the removal of a silent endpoint's entry takes beyond the max
+// silence, until this node has read it.
+constexpr auto kRemovalLag = std::chrono::milliseconds(1500);
+
+}  // namespace
+
 bool EndpointDirectory::IsInGrace(TimePoint now) const {
   return list_unavailable_ ||
          (available_at_ && now < *available_at_ + kReregistrationGrace);
@@ -14,6 +22,10 @@
 void EndpointDirectory::OnListAvailable(TimePoint now) {
   if (std::exchange(list_unavailable_, false)) {
     available_at_ = now;
+    // Removals during the outage were not seen.
+    for (auto& [id, entry] : held_back_) {
+      entry.since = now;
+    }
   }
 }
 
@@ -36,14 +48,15 @@
 bool EndpointDirectory::IsOutdated(const EndpointRecord& record,
                                    TimePoint now) const {
   const auto it = removed_.find(record.id);
-  if (it == removed_.end() || !IsInGrace(now) ||
-      now - it->second.removed_at >= kRemovedMemory) {
+  if (it == removed_.end() || now - it->second.removed_at >= kRemovedMemory) {
     return false;
   }
   const auto& last = it->second;
+  // A live endpoint writes a higher sequence; an entry without one says
+  // nothing.
   return record.boot < last.boot ||
-         (record.boot == last.boot &&
-          record.entry_sequence < last.entry_sequence);
+         (record.boot == last.boot && record.entry_sequence > 0 &&
+          record.entry_sequence <= last.entry_sequence);
 }
 
 void EndpointDirectory::RememberDraining(const std::string& id,
@@ -89,15 +102,15 @@
   }
   const auto it = records_.find(record.id);
   if (it == records_.end()) {
-    if (IsOutdated(record, now)) {
+    if (!IsOutdated(record, now)) {
+      List(std::move(record), now, change);
       return;
     }
-    change.listed.push_back(record.id);
-    if (record.draining) {
-      change.draining.push_back(record.id);
+    auto& held_back = held_back_.try_emplace(record.id).first->second;
+    if (held_back.since == TimePoint{}) {
+      held_back.since = now;
     }
-    changed_at_[record.id] = now;
-    records_.emplace(record.id, std::move(record));
+    held_back.record = std::move(record);
     return;
   }
   auto& known = it->second;
@@ -124,6 +137,18 @@
   known = std::move(record);
 }
 
+void EndpointDirectory::List(EndpointRecord record,
+                             TimePoint now,
+                             DirectoryChange& change) {
+  held_back_.erase(record.id);
+  change.listed.push_back(record.id);
+  if (record.draining) {
+    change.draining.push_back(record.id);
+  }
+  changed_at_[record.id] = now;
+  records_.emplace(record.id, std::move(record));
+}
+
 DirectoryChange EndpointDirectory::Replace(std::vector<EndpointRecord> records,
                                            TimePoint now) {
   DirectoryChange change;
@@ -132,6 +157,8 @@
     present.insert(it.id);
     Insert(std::move(it), now, change);
   }
+  std::erase_if(held_back_,
+                [&](const auto& it) { return !present.contains(it.first); });
   std::vector<std::string> missing;
   for (const auto& [id, record] : records_) {
     if (!present.contains(id)) {
@@ -156,6 +183,7 @@
 DirectoryChange EndpointDirectory::Remove(const std::string& id,
                                           TimePoint now) {
   DirectoryChange change;
+  held_back_.erase(id);
   const auto it = records_.find(id);
   if (it == records_.end()) {
     return change;
@@ -185,6 +213,14 @@
     change.gone.push_back(it->first);
     it = removal_at_.erase(it);
   }
+  for (auto it = held_back_.begin(); it != held_back_.end();) {
+    if (now - it->second.since < max_silence_ + kRemovalLag) {
+      ++it;
+      continue;
+    }
+    auto record = std::move((it++)->second.record);
+    List(std::move(record), now, change);
+  }
   return change;
 }
 
--- a/packages/fleet/endpoint_directory.h
+++ b/packages/fleet/endpoint_directory.h
@@ -38,11 +38,14 @@
   static constexpr Duration kReregistrationGrace =
       std::chrono::milliseconds(1800);
   /// How long the last entry of a removed endpoint is remembered. A list that
-  /// comes back from a copy is older by less.
+  /// comes back from a copy is older by less, and a late entry arrives sooner.
   static constexpr Duration kRemovedMemory = std::chrono::seconds(30);
   /// Max number of draining endpoints that are remembered, the latest ones.
   static constexpr std::size_t kMaxRememberedDraining = 4096;
 
+  /// Sets after how long a silence of an endpoint its entry is removed.
+  void SetMaxSilence(Duration max_silence) { max_silence_ = max_silence; }
+
   /// Replaces all entries by a complete list. Endpoints missing from it are
   /// removed, or kept for the grace time after an outage.
   DirectoryChange Replace(std::vector<EndpointRecord> records, TimePoint now);
@@ -65,7 +68,8 @@
   /// The list can be read again; starts the grace time after an outage.
   void OnListAvailable(TimePoint now);
 
-  /// Removes the endpoints whose grace time has passed.
+  /// Removes the endpoints whose grace time has passed, and lists those whose
+  /// entry was held back and outlived a silence.
   DirectoryChange Expire(TimePoint now);
 
   /// Returns an endpoint by id; null if it is unknown.
@@ -99,9 +103,11 @@
 
   /// Removes a listed endpoint and remembers its last entry.
   void Erase(const std::string& id, TimePoint now);
-  /// Returns whether an entry is older than the last one of an endpoint that
-  /// was removed before the list came back from an outage.
+  /// Returns whether an entry is not newer than the last one of an endpoint
+  /// that was removed. It came back with a copy of the list, or arrived late.
   bool IsOutdated(const EndpointRecord& record, TimePoint now) const;
+  /// Adds an endpoint that is not listed.
+  void List(EndpointRecord record, TimePoint now, DirectoryChange& change);
   /// A start of an endpoint that drains.
   struct DrainingStart {
     std::uint64_t boot = 0;
@@ -122,6 +128,15 @@
   /// Endpoints missing from the list, with the time at which they are removed.
   std::map<std::string, TimePoint, std::less<>> removal_at_;
   std::map<std::string, RemovedEndpoint, std::less<>> removed_;
+  /// An outdated entry, and since when it is there.
+  struct HeldBackEntry {
+    EndpointRecord record;
+    TimePoint since{};
+  };
+  /// Outdated entries by id. That of an endpoint which has gone is removed
+  /// after the max silence; one that stays belongs to a live endpoint.
+  std::map<std::string, HeldBackEntry, std::less<>> held_back_;
+  Duration max_silence_ = std::chrono::milliseconds(3600);
   bool list_unavailable_ = false;
   std::optional<TimePoint> available_at_;
 };
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -78,8 +78,8 @@
   /// The endpoint refused a request because it has not loaded the model.
   void OnModelNotLoaded(const std::string& id, const ModelRef& model);
 
-  /// An endpoint says that this start of it leaves, whether it is listed or not.
-  /// Returns whether this is news.
+  /// An endpoint says that this start of it leaves, whether it is listed or
+  /// not. Returns whether this is news.
   bool OnLeaving(const std::string& id, std::uint64_t boot);
 
   /// An endpoint wants no requests of this node until `until`. Returns whether
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -603,6 +603,8 @@
 
 Result<void> FleetNode::Start() {
   auto& parts = *parts_;
+  parts.view.directory().SetMaxSilence(
+      parts.settings.bounds.max_endpoint_silence);
   parts.AddMetrics();
   parts.store_era.OnChanged([&parts] { parts.OnStoreEraChanged(); });
   parts.AddQuotaMetrics();
@@ -637,6 +639,7 @@
 
 void FleetNode::ReloadSettings(const FleetSettings& settings) {
   parts_->settings.bounds = settings.bounds;
+  parts_->view.directory().SetMaxSilence(settings.bounds.max_endpoint_silence);
   parts_->log.Record(events::kSettingsReloaded,
                      {{"grace_ms", settings.bounds.shutdown_grace.count()}});
 }
--- a/packages/node/fleet_settings.h
+++ b/packages/node/fleet_settings.h
@@ -16,6 +16,8 @@
 struct FleetBounds {
   /// Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds shutdown_grace{8000};
+  /// Silence of an endpoint after which the platform removes its entry.
+  std::chrono::milliseconds max_endpoint_silence{3600};
   /// Max time until all nodes know that an endpoint drains.
   std::chrono::milliseconds max_drain_delay{2000};
   /// Max time until a new configuration is in force at all nodes.
--- a/tests/correctness/endpoint_directory_test.cc
+++ b/tests/correctness/endpoint_directory_test.cc
@@ -70,6 +70,66 @@
   EXPECT_NE(directory.Find("a"), nullptr);
 }
 
+// Guards against requests to an endpoint that has gone, and whose last entry
+// comes back with an older copy of the list, or late.
+TEST(EndpointDirectory, LastEntryOfARemovedEndpointDoesNotBringItBack) {
+  EndpointDirectory directory;
+  directory.Replace({Record("a", 2, 5), Record("b", 1, 1)}, kStart);
+  directory.Remove("a", kStart);
+  const auto back_at = kStart + std::chrono::seconds(2);
+  directory.Update(Record("a", 2, 5), back_at);
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  directory.OnListUnavailable();
+  directory.OnListAvailable(back_at);
+  directory.Replace({Record("a", 2, 5), Record("b", 1, 1)}, back_at);
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  directory.Remove("a", back_at + std::chrono::seconds(3));
+  EXPECT_TRUE(directory.Expire(back_at + std::chrono::seconds(9)).empty());
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  // A live endpoint writes a higher sequence.
+  directory.Update(Record("a", 2, 6), back_at + std::chrono::seconds(9));
+  EXPECT_NE(directory.Find("a"), nullptr);
+}
+
+// Guards against a live endpoint that is never used again: its check-ins do not
+// change the entry that came back with a copy of the list.
+TEST(EndpointDirectory, LastEntryThatOutlivesASilenceIsListed) {
+  EndpointDirectory directory;
+  directory.Update(Record("a", 2, 5), kStart);
+  directory.Remove("a", kStart);
+  directory.Update(Record("a", 2, 5), kStart + milliseconds(1000));
+  EXPECT_TRUE(directory.Expire(kStart + milliseconds(4500)).empty());
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  const auto change = directory.Expire(kStart + milliseconds(6500));
+  EXPECT_EQ(change.listed, std::vector<std::string>{"a"});
+  EXPECT_NE(directory.Find("a"), nullptr);
+}
+
+// Guards against a removal during an outage of the list that is not seen: the
+// time for which an entry is there counts from the end of the outage.
+TEST(EndpointDirectory, HeldBackEntryIsNotListedForTheTimeOfAnOutage) {
+  EndpointDirectory directory;
+  directory.Update(Record("a", 2, 5), kStart);
+  directory.Remove("a", kStart);
+  directory.Update(Record("a", 2, 5), kStart + milliseconds(1000));
+  directory.OnListUnavailable();
+  EXPECT_TRUE(directory.Expire(kStart + milliseconds(9000)).empty());
+  directory.OnListAvailable(kStart + milliseconds(9000));
+  EXPECT_TRUE(directory.Expire(kStart + milliseconds(9100)).empty());
+  directory.Remove("a", kStart + milliseconds(9200));
+  EXPECT_TRUE(directory.Expire(kStart + milliseconds(20000)).empty());
+}
+
+// Guards against an endpoint that is kept out because its entries have no
+// sequence.
+TEST(EndpointDirectory, EntryWithoutASequenceComesBackAtOnce) {
+  EndpointDirectory directory;
+  directory.Update(Record("a", 2, 0), kStart);
+  directory.Remove("a", kStart);
+  directory.Update(Record("a", 2, 0), kStart + milliseconds(1000));
+  EXPECT_NE(directory.Find("a"), nullptr);
+}
+
 // Guards against a grace period for an endpoint that had announced that it
 // drains.
 TEST(EndpointDirectory, DrainingEndpointGetsNoGracePeriod) {
