Reads from an engine's answers to its orderer that it leaves

Callers would see: waits and refusals, since models are loaded on an engine that said already that it leaves. Cause: an endpoint says in all its answers that it leaves, but answers to orders and reports were read for status and models only. Change: both are read for the statement, and a report for its `state`; it is handled as one in an answer to a client. Result: correctness.engine_report and correctness.order_coordinator, one new test each, written with the change, pass with all others of both.

--- a/packages/forwarding/endpoint_statements.cc
+++ b/packages/forwarding/endpoint_statements.cc
@@ -36,11 +36,8 @@
                  {"request", request},
                  {"header", traits.invalid_statement}});
   }
-  if (traits.statement.leaving && view_.OnLeaving(endpoint.id, endpoint.boot)) {
-    RecordLeaving(endpoint, request);
-    peers_.Broadcast(EndpointNotice{
-        endpoint.id, EndpointCondition::kLeaving,
-        static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot});
+  if (traits.statement.leaving) {
+    OnLeaving(endpoint, request);
   }
   if (traits.statement.pause &&
       view_.OnPause(endpoint.id, endpoint.boot,
@@ -55,6 +52,17 @@
   }
 }
 
+void EndpointStatements::OnLeaving(const EndpointInstance& endpoint,
+                                   const std::string& request) {
+  if (!view_.OnLeaving(endpoint.id, endpoint.boot)) {
+    return;
+  }
+  RecordLeaving(endpoint, request);
+  peers_.Broadcast(EndpointNotice{
+      endpoint.id, EndpointCondition::kLeaving,
+      static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot});
+}
+
 void EndpointStatements::OnNotice(const EndpointNotice& notice) {
   if (notice.condition == EndpointCondition::kLeaving && notice.boot != 0 &&
       view_.OnLeaving(notice.endpoint, notice.boot)) {
--- a/packages/forwarding/endpoint_statements.h
+++ b/packages/forwarding/endpoint_statements.h
@@ -37,6 +37,10 @@
                   const ResponseTraits& traits,
                   const std::string& request);
 
+  /// An endpoint says that it leaves, in its response to the request with id
+  /// `request`, or in one of an engine to this node itself (empty).
+  void OnLeaving(const EndpointInstance& endpoint, const std::string& request);
+
   /// A peer learnt from an endpoint that it leaves.
   void OnNotice(const EndpointNotice& notice);
 
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -184,9 +184,11 @@
               std::string(kOrderLeaseKey),
               settings.peer_listen.ip,
               LeaseTimingFor(settings.bounds)),
-        orders(
-            {lease, ports.engines, peers, registry, view, demand, clock, log},
-            settings.bounds.load_rate_window),
+        orders({lease, ports.engines, peers, registry, view, demand, clock, log,
+                [this](const std::string& engine, std::uint64_t boot) {
+                  statements.OnLeaving({engine, boot}, "");
+                }},
+               settings.bounds.load_rate_window),
         forwarder({Runtime::Get().io(), registry, view, demand, ports.protocol,
                    crashes, statements, clock, log,
                    settings.bounds.retry_limits,
--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -265,6 +265,7 @@
   const auto& planned = order.planned;
   const auto message = MakeOrder(planned, *entry);
   const Address address = entry->record.address;
+  const auto boot = entry->record.boot;
   deps_.lease.RecordOrder(planned.engine);
   deps_.log.Record(
       events::kEngineOrderSent,
@@ -277,6 +278,10 @@
         std::chrono::duration_cast<milliseconds>(planned.expected_duration)
             .count()}});
   const auto answer = deps_.engines.Send(address, message);
+  if (answer && std::visit([](const auto& it) { return it.leaving; },
+                           answer.assume_value())) {
+    deps_.on_leaving(planned.engine, boot);
+  }
   entry = FindEngine(order);
   if (entry == nullptr) {
     return std::nullopt;  // The engine left or restarted meanwhile.
@@ -316,7 +321,7 @@
       return false;  // The engine left or restarted.
     }
     const auto sequence = entry->sequence.value_or(0);
-    const auto state = deps_.engines.ReadState(entry->record.address);
+    const auto state = ReadReport(*entry);
     if (FindEngine(order) == nullptr) {
       return false;
     }
@@ -407,6 +412,17 @@
   }
 }
 
+// The engine may be removed from its table while its report is read.
+Result<EngineState> OrderCoordinator::ReadReport(const TrackedEngine& engine) {
+  const auto id = engine.record.id;
+  const auto boot = engine.record.boot;
+  auto state = deps_.engines.ReadState(engine.record.address);
+  if (state && state.assume_value().leaving) {
+    deps_.on_leaving(id, boot);
+  }
+  return state;
+}
+
 void OrderCoordinator::ReadEngineState(const std::string& service,
                                        const std::string& engine) {
   auto* entry = StateOf(service).engine_table.Find(engine);
@@ -416,7 +432,7 @@
   entry->reading_report = true;
   const auto boot = entry->record.boot;
   const auto sequence = entry->sequence;
-  const auto state = deps_.engines.ReadState(entry->record.address);
+  const auto state = ReadReport(*entry);
   entry = StateOf(service).engine_table.Find(engine);
   if (entry == nullptr || entry->record.boot != boot) {
     return;
--- a/packages/ordering/order_coordinator.h
+++ b/packages/ordering/order_coordinator.h
@@ -5,6 +5,8 @@
 #ifndef ORDERING_ORDER_COORDINATOR_H_
 #define ORDERING_ORDER_COORDINATOR_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +38,8 @@
   DemandTracker& demand;
   Clock& clock;
   EventLog& log;
+  /// Called when a start of an engine says in an answer that it leaves.
+  std::function<void(const std::string& engine, std::uint64_t boot)> on_leaving;
 };
 
 /// Sends orders to engines while this node holds the order lease; otherwise
@@ -110,6 +114,8 @@
   /// Returns the engine of an order while the order is in flight there, else
   /// null.
   TrackedEngine* FindEngine(const OrderTask& order);
+  /// Reads the engine's report, and reports it if the engine leaves.
+  Result<EngineState> ReadReport(const TrackedEngine& engine);
   /// Reads the engine's report and adopts it, unless an order was sent
   /// meanwhile.
   void ReadEngineState(const std::string& service, const std::string& engine);
--- a/packages/ports/engine_control.h
+++ b/packages/ports/engine_control.h
@@ -53,6 +53,7 @@
   std::string boot;  ///< The engine's current boot.
   /// Whether the engine was already in the state that the order asks for.
   bool already_done = false;
+  bool leaving = false;  ///< The engine drains.
 };
 
 /// The engine refused the order, which has no effect.
@@ -60,6 +61,7 @@
   std::string reason;  ///< "old_fence", "leaving", "no_memory", "busy",
                        ///< "other_endpoint" or "invalid".
   std::uint64_t highest_fence = 0;  ///< Highest fencing token it has seen.
+  bool leaving = false;             ///< The engine drains.
 };
 
 using OrderAnswer = std::variant<OrderAccepted, OrderRefused>;
--- a/tests/correctness/engine_report_test.cc
+++ b/tests/correctness/engine_report_test.cc
@@ -18,10 +18,12 @@
 // Serves one report. Leaked with its server, whose fibers run until the process
 // ends.
 struct ReportingEngine {
+  int status = 200;
   std::string body;
+  HttpHeaders headers;
   HttpServer server{Runtime::Get().io(), HttpServerLimits{},
                     [this](const HttpRequest&, HttpResponder& responder) {
-                      (void)responder.Send(JsonResponse(200, body));
+                      (void)responder.Send({status, headers, body});
                     }};
   Address address = server.Listen({"127.0.0.1", 0}).value();
 };
@@ -68,5 +70,28 @@
   EXPECT_TRUE(Read(R"({"seq":8,"models":[],"pending":null})"));
 }
 
+// Guards against orders to an engine that says in its answers to the node that
+// orders it that it leaves.
+TEST_F(EngineReport, AnswersSayThatTheEngineLeaves) {
+  const std::string report = R"({"seq":8,"models":[]})";
+  EXPECT_FALSE(Read(report).assume_value().leaving);
+  EXPECT_TRUE(Read(R"({"seq":8,"models":[],"state":"draining"})")
+                  .assume_value()
+                  .leaving);
+  EXPECT_FALSE(
+      Read(R"({"seq":8,"models":[],"state":"ready"})").assume_value().leaving);
+  engine.headers.Add("Server-Leaving", "1");
+  EXPECT_TRUE(Read(report).assume_value().leaving);
+  const auto leaving = [&](int status) {
+    engine.status = status;
+    return std::visit([](const auto& it) { return it.leaving; },
+                      engines.Send(engine.address, {}).assume_value());
+  };
+  EXPECT_TRUE(leaving(202));
+  EXPECT_TRUE(leaving(409));
+  // Another engine that has the address now says nothing of this one.
+  EXPECT_FALSE(leaving(421));
+}
+
 }  // namespace
 }  // namespace tanagerloom
--- a/tests/correctness/order_coordinator_test.cc
+++ b/tests/correctness/order_coordinator_test.cc
@@ -122,6 +122,20 @@
   EXPECT_EQ(site.Overfilled(), "");
 }
 
+// Guards against orders to an engine that says in its answers to orders and in
+// its reports that it leaves, before its entry says so.
+TEST_F(OrderCoordinatorTest, EngineThatSaysItLeavesGetsNoOrders) {
+  FillAllSlotsButOne();
+  engine.leaving = true;
+  RequestAndAwaitOrder(8);
+  site.RunFor(milliseconds(100));
+  EXPECT_TRUE(site.nodes[0]->view.directory().Find("e1")->draining);
+  const auto sent = site.control.sent.size();
+  site.waiting[Adapter(9)] = 1;
+  site.RunFor(seconds(2));
+  EXPECT_EQ(site.control.sent.size(), sent);
+}
+
 class OrderFaults : public testing::TestWithParam<std::uint32_t> {
  protected:
   static constexpr int kModels = 6;
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -39,6 +39,7 @@
   Duration adapter_load_time = std::chrono::milliseconds(9);
   /// How far the next reports lag behind.
   Duration report_lag = std::chrono::milliseconds(300);
+  bool leaving = false;    ///< Said in all answers.
   std::string overfilled;  ///< What was too much; empty if nothing was.
 
   const std::string& id() const { return id_; }
@@ -89,6 +90,13 @@
            (ref.adapter.empty() || it->second.contains(ref.adapter));
   }
 
+  /// Carries out an order, and says in the answer whether the engine leaves.
+  OrderAnswer Answer(const EngineOrder& order) {
+    auto out = Take(order);
+    std::visit([this](auto& it) { it.leaving = leaving; }, out);
+    return out;
+  }
+
   OrderAnswer Take(const EngineOrder& order) {
     if (!order.endpoint.empty() && order.endpoint != id_) {
       return OrderRefused{"other_endpoint", 0};
@@ -116,7 +124,9 @@
         out = &state;
       }
     }
-    return *out;
+    auto report = *out;
+    report.leaving = leaving;
+    return report;
   }
 
   std::size_t AdapterCount() const {
@@ -303,7 +313,7 @@
     clock_.SleepFor(kRoundTrip);
     switch (fault(order)) {
       case OrderFault::kNone:
-        return engine->Take(order);
+        return engine->Answer(order);
       case OrderFault::kAnswerLost:
         (void)engine->Take(order);
         break;
--- a/tests/support/ordering_site.h
+++ b/tests/support/ordering_site.h
@@ -50,7 +50,10 @@
                  platform::MakeRegistryFormat(),
                  {}),
         lease(store, era, peers, clock, log, "leases/orders", id, {}),
-        orders({lease, engines, peers, registry, view, demand, clock, log},
+        orders({lease, engines, peers, registry, view, demand, clock, log,
+                [this](const std::string& engine, std::uint64_t boot) {
+                  view.OnLeaving(engine, boot);
+                }},
                std::chrono::seconds(5)) {
     peers.OnMessage([this](const std::string&, const PeerMessage& message) {
       if (const auto* it = std::get_if<LeaseNotice>(&message)) {
