Tells peers that return which endpoints said that they leave

Callers would see: requests that are cut off, since a node that was cut off, suspended or not yet started at the moment of the notice sends them to an endpoint that leaves. Cause: a statement was broadcast once, to the peers that were reachable then. Change: a node keeps what it heard for 60 s and tells each process of a peer that starts or becomes reachable again. Nothing is sent while all peers stay. Result: ReturnedPeerIsToldWhichEndpointsLeave, written with the change, and the 17 others of error.endpoint_statements pass.

--- a/packages/forwarding/endpoint_statements.cc
+++ b/packages/forwarding/endpoint_statements.cc
@@ -1,6 +1,7 @@
 #include "forwarding/endpoint_statements.h"
 
 #include <chrono>
+#include <utility>
 
 #include "base/event_log.h"
 #include "base/events.h"
@@ -16,6 +17,11 @@
 // surely says so.
 constexpr std::chrono::milliseconds kNoticeValidity{60000};
 
+EndpointNotice MakeNotice(const EndpointInstance& endpoint) {
+  return {endpoint.id, EndpointCondition::kLeaving,
+          static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot};
+}
+
 }  // namespace
 
 void EndpointStatements::OnResponse(const EndpointInstance& endpoint,
@@ -58,9 +64,40 @@
     return;
   }
   RecordLeaving(endpoint, request);
-  peers_.Broadcast(EndpointNotice{
-      endpoint.id, EndpointCondition::kLeaving,
-      static_cast<std::uint64_t>(kNoticeValidity.count()), endpoint.boot});
+  auto& heard = heard_leaving_[endpoint.id];
+  heard = {endpoint.boot, clock_.Now() + kNoticeValidity, ReachablePeers()};
+  peers_.Broadcast(MakeNotice(endpoint));
+}
+
+std::set<std::string> EndpointStatements::ReachablePeers() const {
+  std::set<std::string> out;
+  for (const auto& it : peers_.Members()) {
+    if (it.reachable && it.vm.id != peers_.node_id()) {
+      out.insert(it.vm.id + "/" + it.incarnation);
+    }
+  }
+  return out;
+}
+
+void EndpointStatements::TellReturnedPeers() {
+  std::erase_if(heard_leaving_, [now = clock_.Now()](const auto& it) {
+    return it.second.valid_until <= now;
+  });
+  if (heard_leaving_.empty()) {
+    return;
+  }
+  const auto reachable = ReachablePeers();
+  for (auto& [id, heard] : heard_leaving_) {
+    std::set<std::string> told;
+    for (const auto& it : reachable) {
+      const auto node = it.substr(0, it.find('/'));
+      if (heard.told.contains(it) ||
+          peers_.Send(node, MakeNotice({id, heard.boot}))) {
+        told.insert(it);
+      }
+    }
+    heard.told = std::move(told);
+  }
 }
 
 void EndpointStatements::OnNotice(const EndpointNotice& notice) {
--- a/packages/forwarding/endpoint_statements.h
+++ b/packages/forwarding/endpoint_statements.h
@@ -4,11 +4,14 @@
 #define FORWARDING_ENDPOINT_STATEMENTS_H_
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 
+#include "runtime/clock.h"
+
 namespace tanagerloom {
 
-class Clock;
 class EventLog;
 class FleetView;
 class PeerNetwork;
@@ -41,10 +44,23 @@
   /// `request`, or in one of an engine to this node itself (empty).
   void OnLeaving(const EndpointInstance& endpoint, const std::string& request);
 
+  /// Tells peers that have started, or become reachable again, which endpoints
+  /// said to this node that they leave. Call it at intervals.
+  void TellReturnedPeers();
+
   /// A peer learnt from an endpoint that it leaves.
   void OnNotice(const EndpointNotice& notice);
 
  private:
+  /// An endpoint that said to this node that it leaves.
+  struct HeardLeaving {
+    std::uint64_t boot = 0;
+    TimePoint valid_until{};
+    std::set<std::string> told;  ///< Processes of peers that know it.
+  };
+
+  /// The processes of reachable peers, "NODE/INCARNATION".
+  std::set<std::string> ReachablePeers() const;
   /// Logs that an endpoint leaves. `request` is empty if a peer learnt so.
   void RecordLeaving(const EndpointInstance& endpoint,
                      const std::string& request);
@@ -53,6 +69,7 @@
   PeerNetwork& peers_;
   const Clock& clock_;
   EventLog& log_;
+  std::map<std::string, HeardLeaving> heard_leaving_;  ///< By id.
 };
 
 }  // namespace tanagerloom
--- a/packages/node/fleet_node.cc
+++ b/packages/node/fleet_node.cc
@@ -50,6 +50,8 @@
 // Interval at which a node announces again which requests are refused because
 // they crash endpoints.
 constexpr milliseconds kQuarantineInterval{1000};
+// Interval at which a node looks for peers that have started or returned.
+constexpr milliseconds kReturnedPeersInterval{500};
 // Max number of nodes that broadcast at these intervals. With more nodes each
 // broadcasts less often, so that the rate at which a node receives is constant.
 constexpr std::size_t kMaxNodesAtFullRate = 8;
@@ -229,6 +231,7 @@
   void BroadcastUseLoop();
   void ShareLoadsLoop();
   void AnnounceQuarantineLoop();
+  void TellReturnedPeersLoop();
   void ReportMemoryLoop();
   void WaitingExchangeLoop();
   bool HasCustomers() const;
@@ -496,6 +499,13 @@
   }
 }
 
+void FleetNode::Parts::TellReturnedPeersLoop() {
+  while (!stopped) {
+    clock.SleepFor(kReturnedPeersInterval);
+    statements.TellReturnedPeers();
+  }
+}
+
 void FleetNode::Parts::ReportMemoryLoop() {
   std::uint64_t reported = 0;
   while (!stopped) {
@@ -631,6 +641,7 @@
   boost::fibers::fiber([&parts] { parts.quotas.Run(); }).detach();
   boost::fibers::fiber([&parts] { parts.ShareLoadsLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.AnnounceQuarantineLoop(); }).detach();
+  boost::fibers::fiber([&parts] { parts.TellReturnedPeersLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.ReportMemoryLoop(); }).detach();
   boost::fibers::fiber([&parts] { parts.WaitingExchangeLoop(); }).detach();
   BOOST_OUTCOME_TRYV(parts.client_server.Listen(parts.settings.client_listen));
--- a/tests/error/endpoint_statements_test.cc
+++ b/tests/error/endpoint_statements_test.cc
@@ -145,6 +145,38 @@
   EXPECT_EQ(RequestsAtA(20), 0U);
 }
 
+// Guards against a peer that never learns that an endpoint leaves, because it
+// was cut off, or not yet started, when the endpoint said so.
+TEST_F(EndpointStatementsTest, ReturnedPeerIsToldWhichEndpointsLeave) {
+  FakePeers peer(site.cluster, "peer", "z");
+  std::vector<EndpointNotice> heard;
+  peer.OnMessage([&](const std::string&, const PeerMessage& message) {
+    if (const auto* it = std::get_if<EndpointNotice>(&message)) {
+      heard.push_back(*it);
+    }
+  });
+  bool cut = true;
+  site.cluster.deliver = [&](const std::string&, const std::string&) {
+    return !cut;
+  };
+  AddToAnswersOfA("Server-Leaving", "1");
+  SendUntilAIsReached();
+  site.statements.TellReturnedPeers();
+  EXPECT_EQ(heard.size(), 0U);
+  cut = false;
+  site.statements.TellReturnedPeers();
+  site.statements.TellReturnedPeers();
+  ASSERT_EQ(heard.size(), 1U);
+  EXPECT_EQ(heard[0].endpoint, "i-a");
+  EXPECT_EQ(heard[0].condition, EndpointCondition::kLeaving);
+  EXPECT_EQ(heard[0].boot, site.a.started_ms());
+  cut = true;
+  site.statements.TellReturnedPeers();
+  cut = false;
+  site.statements.TellReturnedPeers();
+  EXPECT_EQ(heard.size(), 2U);
+}
+
 // Guards against setting a restarted endpoint aside for what its earlier start
 // said.
 TEST_F(EndpointStatementsTest, NewStartOfAnEndpointIsNotLeaving) {
