Sends a TRACE request with a body on as it came

Cause: the HTTP library's prepare_payload() throws for TRACE with a body, and nothing catches exceptions on a request's fiber. Change: the length of a body is stated without that function.

--- a/packages/http/http_connection.cc
+++ b/packages/http/http_connection.cc
@@ -65,6 +65,21 @@
       verdict};
 }
 
+// States the length of the body. message::prepare_payload() throws for methods
+// whose requests should have none, but a request is sent on as it came.
+void SetBodyLength(bhttp::request<bhttp::span_body<const char>>& message,
+                   std::size_t size) {
+  const auto method = message.method();
+  const bool needs_length = method == bhttp::verb::options ||
+                            method == bhttp::verb::put ||
+                            method == bhttp::verb::post;
+  if (size > 0 || needs_length) {
+    message.content_length(size);
+  } else {
+    message.chunked(false);
+  }
+}
+
 }  // namespace
 
 struct HttpConnection::Impl {
@@ -205,7 +220,7 @@
     message.insert(it.name, it.value);
   }
   message.body() = {body.data(), body.size()};
-  message.prepare_payload();
+  SetBodyLength(message, body.size());
   // After a suspension of the process, the connect and the deadline complete at
   // the same time. Without this check the request would be written although its
   // deadline has passed.
--- a/tests/error/forwarding_test.cc
+++ b/tests/error/forwarding_test.cc
@@ -38,6 +38,20 @@
   EXPECT_EQ(seen[0].headers.Find("Host"), "h.example");
 }
 
+// Guards against a process that ends, since its HTTP library throws for TRACE
+// with a body.
+TEST_F(Forwarding, TraceRequestWithABodyPassesUnchanged) {
+  auto request = site.Request("/read/x");
+  request.method = "TRACE";
+  request.body = "abc";
+  EXPECT_EQ(site.Send(request).assume_value().status, 200);
+  const auto& arrived =
+      (site.a.requests().empty() ? site.b : site.a).requests();
+  ASSERT_EQ(arrived.size(), 1U);
+  EXPECT_EQ(arrived[0].method, "TRACE");
+  EXPECT_EQ(arrived[0].body, "abc");
+}
+
 // Guards against a 404 before the configuration is known, and against a 503 for
 // an unknown route once it is known.
 TEST_F(Forwarding, UnknownRouteGives404AndMissingConfigurationGives503) {
