Counts crashes under requests whose client has left

Cause: a request whose client has left ended before anybody asked what became of its endpoint; a connection that broke at that moment was only logged. Change: such a connection is probed like any other.

--- a/packages/forwarding/crash_guard.cc
+++ b/packages/forwarding/crash_guard.cc
@@ -25,6 +25,9 @@
 // Crashes closer together count once for a part that many requests share:
 // several endpoints can fail together for another reason.
 constexpr milliseconds kSameCrash{100};
+// How long, and how many, requests are remembered whose clients left.
+constexpr std::chrono::seconds kAbandonedMemory{60};
+constexpr std::size_t kMaxAbandoned = 1024;
 
 }  // namespace
 
@@ -190,6 +193,19 @@
   }
 }
 
+bool CrashGuard::OnAbandonedRun(const RequestFingerprints& fingerprints) {
+  const auto now = clock_.Now();
+  auto& abandoned_at = abandoned_[fingerprints.request];
+  const bool again =
+      abandoned_at != TimePoint{} && now - abandoned_at < kAbandonedMemory;
+  abandoned_at = now;
+  if (abandoned_.size() > kMaxAbandoned) {
+    abandoned_.erase(std::ranges::min_element(
+        abandoned_, {}, [](const auto& it) { return it.second; }));
+  }
+  return again || IsSuspected(fingerprints);
+}
+
 // ---- runs without a crash
 
 void CrashGuard::RecordReset(const CrashSuspects& table,
--- a/packages/forwarding/crash_guard.h
+++ b/packages/forwarding/crash_guard.h
@@ -69,6 +69,11 @@
   /// Returns whether a crash was counted for the request.
   bool IsSuspected(const RequestFingerprints& fingerprints) const;
 
+  /// The client of a run left before the run had an outcome. Returns whether
+  /// the request is suspected or such a run of an equal one was seen before, so
+  /// that its outcome matters.
+  bool OnAbandonedRun(const RequestFingerprints& fingerprints);
+
   /// Counts a crash for the request that ran at the endpoint.
   void OnCrash(const EndpointCrash& crash);
 
@@ -115,6 +120,8 @@
   CrashSuspects prompt_parts_;
   /// Numbers of runs at this node without an outcome, by request.
   std::map<std::uint64_t, std::size_t> runs_;
+  /// When the client of a run left last, by request.
+  std::map<std::uint64_t, TimePoint> abandoned_;
   std::size_t next_announced_ = 0;  ///< Of the list of refused requests.
 };
 
--- a/packages/forwarding/crash_watch.cc
+++ b/packages/forwarding/crash_watch.cc
@@ -1,5 +1,6 @@
 #include "forwarding/crash_watch.h"
 
+#include <boost/fiber/fiber.hpp>
 #include <chrono>
 #include <utility>
 
@@ -18,13 +19,25 @@
 // within this time.
 constexpr std::chrono::milliseconds kCrashProbeTimeout{300};
 
-void RecordNotCounted(EventLog& log,
-                      const std::string& request,
-                      const std::string& endpoint,
-                      std::string_view reason) {
-  log.Record(
-      events::kCrashNotCounted,
-      {{"request", request}, {"endpoint", endpoint}, {"reason", reason}});
+// Time that a run without a client gets to crash its endpoint, before the
+// endpoint is probed.
+constexpr std::chrono::milliseconds kAbandonedRunTime{300};
+
+// Counts a crash if the endpoint of a run whose connection ended refuses
+// connections.
+void CountIfCrashed(const ForwardingDependencies& deps,
+                    const EndpointCrash& crash,
+                    const Address& address) {
+  EndpointAttempt probe(deps.io, deps.protocol, deps.clock, deps.buffers,
+                        address);
+  if (probe.Connect(deps.clock.Now() + kCrashProbeTimeout)) {
+    deps.log.Record(events::kCrashNotCounted,
+                    {{"request", crash.request},
+                     {"endpoint", crash.endpoint},
+                     {"reason", "endpoint_reachable"}});
+  } else {
+    deps.crashes.OnCrash(crash);
+  }
 }
 
 }  // namespace
@@ -83,18 +96,22 @@
 }
 
 void CrashWatch::OnBroken(const EndpointTarget& target) {
-  EndpointAttempt probe(deps_.io, deps_.protocol, deps_.clock, deps_.buffers,
-                        target.address);
-  if (probe.Connect(deps_.clock.Now() + kCrashProbeTimeout)) {
-    RecordNotCounted(deps_.log, request_, target.id, "endpoint_reachable");
-  } else {
-    deps_.crashes.OnCrash(
-        {request_, target.id, fingerprints_, answering_, target.boot});
+  CountIfCrashed(deps_, MakeCrash(target), target.address);
+}
+
+void CrashWatch::OnAbandoned(const EndpointTarget& target) const {
+  if (!deps_.crashes.OnAbandonedRun(fingerprints_)) {
+    return;
   }
+  boost::fibers::fiber([&deps = deps_, crash = MakeCrash(target),
+                        address = target.address] {
+    deps.clock.SleepFor(kAbandonedRunTime);
+    CountIfCrashed(deps, crash, address);
+  }).detach();
 }
 
-void CrashWatch::OnBrokenWithClientGone(const EndpointTarget& target) const {
-  RecordNotCounted(deps_.log, request_, target.id, "client_gone");
+EndpointCrash CrashWatch::MakeCrash(const EndpointTarget& target) const {
+  return {request_, target.id, fingerprints_, answering_, target.boot};
 }
 
 }  // namespace tanagerloom
--- a/packages/forwarding/crash_watch.h
+++ b/packages/forwarding/crash_watch.h
@@ -47,10 +47,14 @@
   /// that broke with it, may be retried depends on the count.
   void OnBroken(const EndpointTarget& target);
 
-  /// The connection to the endpoint broke as the client left.
-  void OnBrokenWithClientGone(const EndpointTarget& target) const;
+  /// The client left before the run had an outcome, and the connection to the
+  /// endpoint was closed. If equal requests come again, connects to the
+  /// endpoint once more some time later and counts a crash if that fails.
+  void OnAbandoned(const EndpointTarget& target) const;
 
  private:
+  EndpointCrash MakeCrash(const EndpointTarget& target) const;
+
   const ForwardingDependencies& deps_;
   const std::string request_;
   const RequestFingerprints fingerprints_;
--- a/packages/forwarding/forwarded_request.cc
+++ b/packages/forwarding/forwarded_request.cc
@@ -637,10 +637,12 @@
   const bool aborted = error.failure == AttemptFailure::kAborted && !ended_;
   if (aborted || IsClientGone()) {
     log_.ClientGone(target.id);
+    responder_.Abort();
     if (error.failure == AttemptFailure::kBroken) {
-      crash_watch_.OnBrokenWithClientGone(target);
+      crash_watch_.OnBroken(target);
+    } else if (error.verdict != Verdict::kNotRun) {
+      crash_watch_.OnAbandoned(target);
     }
-    responder_.Abort();
     return NextStep::kDone;
   }
   log_.AttemptFailed(target.id, error);
--- a/tests/error/crashing_request_test.cc
+++ b/tests/error/crashing_request_test.cc
@@ -6,6 +6,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include "base/events.h"
 #include "tests/support/forwarding_site.h"
 
 namespace tanagerloom {
@@ -66,6 +67,50 @@
   EXPECT_EQ(site.Send(request).assume_value().status, 200);
 }
 
+// Guards against a request that crashes endpoints without end, since its client
+// leaves before each crash.
+TEST_F(CrashingRequest, RequestWhoseClientLeavesBeforeTheCrashIsRefused) {
+  constexpr int kRequests = 8;
+  int crashes = 0;
+  site.SetServe([&](const HttpRequest&, HttpResponder& responder) {
+    EXPECT_TRUE(WaitUntil([&] { return responder.client_gone(); }));
+    ++crashes;
+    site.a.Crash();
+    site.b.Crash();
+  });
+  const auto counted = [&] {
+    return std::ranges::count_if(site.log.Since(0), [](const auto& it) {
+      return it.id.name == events::kRequestCrashedEndpoint.name;
+    });
+  };
+  for (int i = 1; i <= kRequests; ++i) {
+    const auto answer =
+        site.client.Call(site.address, site.Request("/book/crash"),
+                         {.deadline = site.clock.Now() + milliseconds(300),
+                          .fresh_connection = true});
+    if (answer) {
+      EXPECT_EQ(answer.assume_value().status, 503);
+      break;
+    }
+    ASSERT_TRUE(WaitUntil([&] { return crashes == i; }));
+    // The first such run is not looked at.
+    ASSERT_TRUE(WaitUntil([&] { return counted() == i - 1; }));
+    site.a.Recover();
+    site.b.Recover();
+  }
+  EXPECT_EQ(crashes, 4);
+}
+
+// Guards against probes of endpoints, and counts, after requests whose clients
+// leave and which don't come again.
+TEST_F(CrashingRequest, SingleRequestWhoseClientLeavesIsNotCounted) {
+  const auto request = site.Request("/book/x");
+  EXPECT_FALSE(site.crashes.OnAbandonedRun(FingerprintsOf(request, {})));
+  EXPECT_FALSE(site.crashes.OnAbandonedRun(
+      FingerprintsOf(site.Request("/book/other"), {})));
+  EXPECT_TRUE(site.crashes.OnAbandonedRun(FingerprintsOf(request, {})));
+}
+
 // Guards against a retry that crashes one more endpoint, though the attempt
 // before it reached the limit.
 TEST_F(CrashingRequest, RequestIsNotRetriedOnceItIsQuarantined) {
