Moves the dependencies of the order coordinator

Cause: they hold a function since engines' statements are read, and clang-tidy asks not to copy it. Change: they are moved.

--- a/packages/ordering/order_coordinator.cc
+++ b/packages/ordering/order_coordinator.cc
@@ -43,7 +43,7 @@
 }  // namespace
 
 OrderCoordinator::OrderCoordinator(OrderDependencies deps, Duration load_window)
-    : deps_(deps), load_window_(load_window) {}
+    : deps_(std::move(deps)), load_window_(load_window) {}
 
 void OrderCoordinator::Start() {
   boost::fibers::fiber([this] { DemandLoop(); }).detach();
