--- a/tests/correctness/platform_format_test.cc
+++ b/tests/correctness/platform_format_test.cc
@@ -158,7 +158,7 @@
 }
 
 constexpr char kSettings[] = R"({"nodeName":"front-z-1","ip":"10.1.0.38",
-  "zone":"z","region":"r","portRange":[7380,7395],"unknown":{"x":1},
+  "zone":"z","region":"r","heartbeatMs":1500,"portRange":[7380,7395],"unknown":{"x":1},
   "listen":{"front":"10.1.0.38:8149","readyAddr":"10.1.0.38:8141",
             "control":"10.1.0.38:8144"},
   "bounds":{"graceS":8,"drainMs":2000,"configMs":2000,"contactMs":3000,
@@ -181,6 +181,8 @@
   EXPECT_EQ(settings.peer_listen, (Address{"10.1.0.38", 7380}));
   EXPECT_EQ(settings.store, (Address{"10.200.1.7", 8142}));
   EXPECT_EQ(settings.bounds.shutdown_grace, milliseconds(8000));
+  // Three check-in intervals.
+  EXPECT_EQ(settings.bounds.max_endpoint_silence, milliseconds(4500));
   EXPECT_EQ(settings.bounds.order_handover_gap, milliseconds(3000));
   EXPECT_EQ(settings.bounds.load_rate_window, milliseconds(5000));
   EXPECT_EQ(settings.bounds.retry_limits.slack, 56);
